--- /dev/null
+++ b/packages/peer-protocol/src/calls.ts
@@ -0,0 +1,159 @@
+import type { Message, SegmentReference } from '@jujubelanding/types';
+
+/** Calls between entry VMs: one request, one answer. */
+export enum PeerMethod {
+  PullConfiguration = 'pullConfiguration',
+  PushConfiguration = 'pushConfiguration',
+  RequestChunk = 'requestChunk',
+  ReportProgress = 'reportProgress',
+  CompleteChunk = 'completeChunk',
+  NotifyJobChanged = 'notifyJobChanged',
+  Claim = 'claim',
+  RequestGrant = 'requestGrant',
+  StoreCopy = 'storeCopy',
+}
+
+/** A record as replicated between entry VMs. */
+export interface ReplicatedRecord {
+  kind: string;
+  name: string;
+  /** Modification revision in the key-value service. */
+  revision: number;
+  /** The stored record as JSON; a tombstone for a deleted record. */
+  value: string;
+}
+
+/** All records changed after `afterRevision`, up to `revision`. */
+export interface ConfigurationDelta {
+  afterRevision: number;
+  revision: number;
+  records: ReplicatedRecord[];
+}
+
+export interface PushReply {
+  heldRevision: number;
+}
+
+export interface ChunkRequest {
+  shard: number;
+  executorId: string;
+  /** Models for which the executor has idle batch slots. */
+  models: string[];
+  slots: number;
+}
+
+/** A chunk handed to an executor. */
+export interface ChunkGrant {
+  jobId: string;
+  shard: number;
+  /** Fencing number of the job's shard owner. */
+  fence: number;
+  /** Distinguishes grants of the same chunk. */
+  grantId: string;
+  chunk: number;
+  firstItem: number;
+  itemCount: number;
+  model: string;
+  adapter?: string;
+  input: SegmentReference;
+  dueAt: number;
+  /** Without progress report within this time the chunk is granted again. */
+  timeoutMs: number;
+}
+
+export interface ProgressReport {
+  shard: number;
+  executorId: string;
+  grants: { jobId: string; chunk: number; grantId: string }[];
+}
+
+export enum ProgressVerdict {
+  Continue = 'continue',
+  Stop = 'stop',
+}
+
+export interface ProgressReply {
+  verdicts: ProgressVerdict[];
+}
+
+export interface ChunkCompletion {
+  shard: number;
+  jobId: string;
+  chunk: number;
+  grantId: string;
+  result: SegmentReference;
+  failedItems: number;
+}
+
+export enum CompletionStatus {
+  /** Durable in the job record, or already committed by another executor. */
+  Committed = 'committed',
+  /** The job is cancelled or unknown; the result is not kept. */
+  Rejected = 'rejected',
+}
+
+export interface JobNotice {
+  shard: number;
+  jobId: string;
+}
+
+export interface ClaimRequest {
+  shard: number;
+  /** Hash of team and idempotency key. */
+  claimId: string;
+  /** Hash of the request; tells a retry from another request under the same key. */
+  digest: string;
+  requestId: string;
+}
+
+export enum ClaimStatus {
+  Claimed = 'claimed',
+  AlreadyClaimed = 'already-claimed',
+}
+
+export interface GrantRequest {
+  shard: number;
+  entryVmId: string;
+  team: string;
+  /** Requests per second seen recently by the asking VM. */
+  demandPerSecond: number;
+  inFlight: number;
+}
+
+/** Share of a team's limits for one entry VM. */
+export interface LimitGrant {
+  requestsPerSecond: number;
+  burst: number;
+  concurrency: number;
+  validMs: number;
+}
+
+export interface CopyRequest {
+  segmentId: string;
+  /** Entry VMs that hold a copy. */
+  sources: string[];
+}
+
+/** Input and output of each call. */
+export interface PeerCalls {
+  [PeerMethod.PullConfiguration]: {
+    input: { afterRevision: number };
+    output: ConfigurationDelta;
+  };
+  [PeerMethod.PushConfiguration]: { input: ConfigurationDelta; output: PushReply };
+  [PeerMethod.RequestChunk]: { input: ChunkRequest; output: { grants: ChunkGrant[] } };
+  [PeerMethod.ReportProgress]: { input: ProgressReport; output: ProgressReply };
+  [PeerMethod.CompleteChunk]: { input: ChunkCompletion; output: { status: CompletionStatus } };
+  [PeerMethod.NotifyJobChanged]: { input: JobNotice; output: Record<string, never> };
+  [PeerMethod.Claim]: { input: ClaimRequest; output: { status: ClaimStatus } };
+  [PeerMethod.RequestGrant]: { input: GrantRequest; output: LimitGrant };
+  [PeerMethod.StoreCopy]: { input: CopyRequest; output: Record<string, never> };
+}
+
+/** One item of an input segment, one JSON line each. */
+export interface SegmentItem {
+  index: number;
+  itemId: string;
+  messages: Message[];
+  maxTokens: number;
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,4 @@
+/** Interfaces of the platform; implemented by HTTP clients and by in-process stand-ins. */
+export * from './key-value-store.js';
+export * from './fleet-platform.js';
+export * from './backend-servers.js';
--- /dev/null
+++ b/packages/platform/src/key-value-store.ts
@@ -0,0 +1,78 @@
+import type { Reply } from '@jujubelanding/errors';
+
+export interface KeyValueEntry {
+  key: string;
+  value: string;
+  /** Store revision of the last change of this key. */
+  modRevision: number;
+  leaseId?: string;
+}
+
+export interface KeyValueList {
+  entries: KeyValueEntry[];
+  /** Store revision at which the list was read. */
+  revision: number;
+}
+
+export interface Write {
+  key: string;
+  value: string;
+  /** Modification revision that the key must have; 0 for a key that must not exist. */
+  expectedRevision: number;
+  /** The key is deleted when this lease ends. */
+  leaseId?: string;
+}
+
+export enum WriteStatus {
+  Written = 'written',
+  Conflict = 'conflict',
+}
+
+export type WriteResult =
+  | { status: WriteStatus.Written; revision: number }
+  | { status: WriteStatus.Conflict; current?: KeyValueEntry };
+
+export interface LeaseGrant {
+  leaseId: string;
+  ttlMs: number;
+}
+
+export enum ChangeKind {
+  Put = 'put',
+  Delete = 'delete',
+}
+
+export interface Change {
+  kind: ChangeKind;
+  entry: KeyValueEntry;
+}
+
+export interface WatchResult {
+  /** In order of revision; empty when nothing changed within the wait. */
+  changes: Change[];
+  /** Revision up to which all changes under the prefix are known. */
+  revision: number;
+  /** True when changes after the asked revision are no longer kept; list the prefix again. */
+  compacted: boolean;
+}
+
+/**
+ * The platform's key-value service. A fault with outcome `outcome-unknown` means that a write may
+ * have taken effect; resolve it by reading the key back.
+ */
+export interface KeyValueStore {
+  get(key: string): Reply<KeyValueEntry | undefined>;
+  /** Lists entries under a prefix in key order, after a key where given. */
+  list(prefix: string, limit?: number, afterKey?: string): Reply<KeyValueList>;
+  write(write: Write): Reply<WriteResult>;
+  remove(key: string, expectedRevision: number): Reply<WriteResult>;
+  grantLease(ttlMs: number): Reply<LeaseGrant>;
+  /** Fails with NotFound when the lease has ended. */
+  renewLease(leaseId: string): Reply<LeaseGrant>;
+  revokeLease(leaseId: string): Reply<void>;
+  /** Waits up to the given time for changes after the revision. */
+  watch(prefix: string, afterRevision: number, waitMs: number): Reply<WatchResult>;
+}
+
+/** Largest value that the key-value service accepts. */
+export const MAX_VALUE_BYTES = 1024 * 1024;
--- /dev/null
+++ b/packages/random/src/index.ts
@@ -0,0 +1,3 @@
+/** Seeded random numbers and stable hashing. */
+export * from './random.js';
+export * from './hashing.js';
--- /dev/null
+++ b/packages/random/src/random.ts
@@ -0,0 +1,44 @@
+import { randomInt } from 'node:crypto';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** A source of random numbers; two sources with the same seed give the same numbers. */
+export interface Random {
+  /** Returns a number in [0, 1). */
+  next(): number;
+  /** Returns an integer in [0, bound). */
+  below(bound: number): number;
+  /** Returns one element; the list must not be empty. */
+  pick<T>(list: readonly T[]): T;
+  /** Returns up to count different elements. */
+  sample<T>(list: readonly T[], count: number): T[];
+  /** Returns a hexadecimal id of 16 digits. */
+  createId(): string;
+}
+
+const UINT32_RANGE = 2 ** 32;
+
+/** Creates a seeded source. */
+export const createRandom = (seed: number): Random => {
+  const generator = xoroshiro128plus(seed);
+  const nextUint32 = (): number => generator.next() >>> 0;
+  const next = (): number => nextUint32() / UINT32_RANGE;
+  const below = (bound: number): number => Math.floor(next() * bound);
+  return {
+    next,
+    below,
+    pick: <T>(list: readonly T[]): T => list[below(list.length)]!,
+    sample: <T>(list: readonly T[], count: number): T[] => {
+      const rest = [...list];
+      const chosen: T[] = [];
+      while (chosen.length < count && rest.length > 0) {
+        chosen.push(...rest.splice(below(rest.length), 1));
+      }
+      return chosen;
+    },
+    createId: () =>
+      [nextUint32(), nextUint32()].map((part) => part.toString(16).padStart(8, '0')).join(''),
+  };
+};
+
+/** Creates a source that differs on every start. */
+export const createSystemRandom = (): Random => createRandom(randomInt(UINT32_RANGE));
--- /dev/null
+++ b/packages/timer/src/virtual-timer.ts
@@ -0,0 +1,123 @@
+import type { Subscription, Timer } from './timer.js';
+
+interface Entry {
+  dueAt: number;
+  sequence: number;
+  handler: () => void;
+}
+
+/** Start of virtual calendar time, in epoch milliseconds. */
+export const VIRTUAL_EPOCH_MS = Date.UTC(2026, 0, 1);
+
+const isBefore = (a: Entry, b: Entry): boolean =>
+  a.dueAt < b.dueAt || (a.dueAt === b.dueAt && a.sequence < b.sequence);
+
+/** Timer whose time passes only when it is advanced; equal due times run in the order of subscription. */
+export class VirtualTimer implements Timer {
+  private time = 0;
+
+  private sequence = 0;
+
+  /** Binary heap by due time, then sequence. */
+  private readonly heap: Entry[] = [];
+
+  private readonly cancelled = new Set<Entry>();
+
+  now(): number {
+    return this.time;
+  }
+
+  wallClock(): number {
+    return VIRTUAL_EPOCH_MS + Math.floor(this.time);
+  }
+
+  after(delayMs: number, handler: () => void): Subscription {
+    const entry = { dueAt: this.time + Math.max(0, delayMs), sequence: this.sequence, handler };
+    this.sequence += 1;
+    this.push(entry);
+    return { cancel: () => this.cancelled.add(entry) };
+  }
+
+  every(intervalMs: number, handler: () => void): Subscription {
+    let current: Subscription;
+    let active = true;
+    const schedule = (): void => {
+      current = this.after(intervalMs, () => {
+        if (!active) return;
+        schedule();
+        handler();
+      });
+    };
+    schedule();
+    return {
+      cancel: () => {
+        active = false;
+        current.cancel();
+      },
+    };
+  }
+
+  sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.after(delayMs, resolve);
+    });
+  }
+
+  /** Runs everything due within the duration; pending promise callbacks run between two handlers. */
+  async advance(durationMs: number): Promise<void> {
+    const end = this.time + durationMs;
+    await this.settle();
+    for (let entry = this.pop(end); entry !== undefined; entry = this.pop(end)) {
+      this.time = Math.max(this.time, entry.dueAt);
+      entry.handler();
+      await this.settle();
+    }
+    this.time = end;
+  }
+
+  /** Waits until all promise callbacks that are ready have run. */
+  settle(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
+  private push(entry: Entry): void {
+    this.heap.push(entry);
+    let index = this.heap.length - 1;
+    while (index > 0) {
+      const parent = Math.floor((index - 1) / 2);
+      if (!isBefore(entry, this.heap[parent]!)) break;
+      this.heap[index] = this.heap[parent]!;
+      index = parent;
+    }
+    this.heap[index] = entry;
+  }
+
+  private pop(end: number): Entry | undefined {
+    while (this.heap.length > 0 && this.heap[0]!.dueAt <= end) {
+      const entry = this.removeFirst();
+      if (!this.cancelled.delete(entry)) return entry;
+    }
+    return undefined;
+  }
+
+  private removeFirst(): Entry {
+    const first = this.heap[0]!;
+    const last = this.heap.pop()!;
+    if (this.heap.length === 0) return first;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= this.heap.length) break;
+      if (child + 1 < this.heap.length && isBefore(this.heap[child + 1]!, this.heap[child]!)) {
+        child += 1;
+      }
+      if (!isBefore(this.heap[child]!, last)) break;
+      this.heap[index] = this.heap[child]!;
+      index = child;
+    }
+    this.heap[index] = last;
+    return first;
+  }
+}
--- /dev/null
+++ b/packages/types/src/fleet.ts
@@ -0,0 +1,74 @@
+/** Types that describe the fleet: entry VMs, workers, shards and their owners. */
+
+export enum MemberState {
+  Alive = 'alive',
+  Suspect = 'suspect',
+  Leaving = 'leaving',
+  Dead = 'dead',
+}
+
+/** Where an entry VM is reached by other entry VMs and by callers. */
+export interface PeerAddress {
+  entryVmId: string;
+  /** host:port for calls and datagrams between entry VMs. */
+  peerAddress: string;
+}
+
+/** A shard and the fencing number under which an entry VM owns it. */
+export interface ShardClaim {
+  shard: number;
+  fence: number;
+}
+
+/** One entry VM as seen by membership. */
+export interface Member extends PeerAddress {
+  /** Differs between two runs of a daemon at the same address. */
+  bootId: string;
+  incarnation: number;
+  state: MemberState;
+  /** host:port for callers. */
+  callerAddress: string;
+  availabilityZone: string;
+  hasDisk: boolean;
+  /** Highest configuration revision up to which the VM has all records. */
+  heldRevision: number;
+  /** Configuration revision in force on the VM. */
+  activeRevision: number;
+  /** Online requests in progress. */
+  onlineLoad: number;
+  shards: ShardClaim[];
+}
+
+export enum VmRole {
+  EntryVm = 'entryVm',
+  BackendServer = 'backendServer',
+}
+
+export enum VmState {
+  Live = 'live',
+  Leaving = 'leaving',
+}
+
+/** An entry of the platform's VM list. */
+export interface Vm {
+  id: string;
+  role: VmRole;
+  state: VmState;
+  availabilityZone: string;
+  /** host:port; for entry VMs the peer address. */
+  address: string;
+  /** Name of the service that a backend server runs. */
+  service?: string;
+}
+
+/** One instance of a backend server. */
+export interface Worker {
+  id: string;
+  service: string;
+  address: string;
+  availabilityZone: string;
+  state: VmState;
+}
+
+/** Number of shards; fixed, because job and claim keys contain the shard number. */
+export const SHARD_COUNT = 64;
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,4 @@
+/** Domain types and enums shared by all packages. */
+export * from './fleet.js';
+export * from './inference.js';
+export * from './batch.js';
