--- /dev/null
+++ b/packages/interfaces/src/index.ts
@@ -0,0 +1,5 @@
+/** Interfaces between the parts of an entry VM. */
+export * from './state.js';
+export * from './online.js';
+export * from './batch.js';
+export * from './io.js';
--- a/packages/types/src/batch.ts
+++ b/packages/types/src/batch.ts
@@ -55,6 +55,9 @@
   idempotencyKey: string;
   model: string;
   adapter?: string;
+  /** Name of the job class record, where the submission named one. */
+  jobClass?: string;
+  maxAttempts: number;
   /** SHA-256 over the items; tells a resent job from another one under the same key. */
   digest: string;
   status: JobStatus;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,3 +2,4 @@
 export * from './fleet.js';
 export * from './inference.js';
 export * from './batch.js';
+export * from './records.js';
