--- a/packages/interfaces/src/online.ts
+++ b/packages/interfaces/src/online.ts
@@ -39,7 +39,7 @@
   online(workerId: string): number;
   slots(workerId: string): number;
   report(workerId: string): LoadReport | undefined;
-  /** True once every live entry VM has reported since the shard was gained, or a full notice interval has passed. */
+  /** True once all live entry VMs have reported since the shard was gained, or a notice interval passed. */
   isComplete(workerId: string): boolean;
   /** Sets the batch items in progress, so that totals include them. */
   setBatch(workerId: string, count: number): void;
