--- /dev/null
+++ b/packages/simulation/src/host-timer.ts
@@ -0,0 +1,63 @@
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { HostState, type Host } from './host.js';
+
+/** Timer of a host: time goes on during a pause, handlers do not run. */
+export class HostTimer implements Timer {
+  constructor(
+    private readonly timer: Timer,
+    private readonly host: Host,
+  ) {}
+
+  now(): number {
+    return this.timer.now();
+  }
+
+  wallClock(): number {
+    return this.timer.wallClock();
+  }
+
+  after(delayMs: number, handler: () => void): Subscription {
+    let active = true;
+    const subscription = this.timer.after(delayMs, () =>
+      this.host.deliver(() => {
+        if (active) handler();
+      }),
+    );
+    return {
+      cancel: () => {
+        active = false;
+        subscription.cancel();
+      },
+    };
+  }
+
+  every(intervalMs: number, handler: () => void): Subscription {
+    let active = true;
+    let waiting = false;
+    const subscription = this.timer.every(intervalMs, () => {
+      if (this.host.state() === HostState.Crashed) {
+        subscription.cancel();
+        return;
+      }
+      // A process that wakes runs a missed interval once, not once for each miss.
+      if (waiting) return;
+      waiting = true;
+      this.host.deliver(() => {
+        waiting = false;
+        if (active) handler();
+      });
+    });
+    return {
+      cancel: () => {
+        active = false;
+        subscription.cancel();
+      },
+    };
+  }
+
+  sleep(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.after(delayMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/network.ts
@@ -0,0 +1,151 @@
+/** Network between simulated entry VMs: delays, cuts, lost datagrams, crashed and paused receivers. */
+import { err, type Result } from 'neverthrow';
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import {
+  PEER_CALL_TIMEOUT_MS,
+  type Datagram,
+  type DatagramHandler,
+  type DatagramKind,
+  type PeerCalls,
+  type PeerHandler,
+  type PeerMethod,
+  type PeerNetwork,
+} from '@jujubelanding/peer-protocol';
+import type { PeerAddress } from '@jujubelanding/types';
+import { Endpoint, type SegmentHandlers } from './endpoint.js';
+import { HostState, type Host } from './host.js';
+import type { Medium } from './medium.js';
+
+const createFault = (step: string, peer: string, outcome: Outcome): Fault => ({
+  code: outcome === Outcome.NotRun ? FaultCode.Unavailable : FaultCode.Timeout,
+  outcome,
+  step,
+  peer,
+  message: outcome === Outcome.NotRun ? 'connection refused' : 'no answer in time',
+});
+
+const increment = (counters: Map<string, number>, name: string): void => {
+  counters.set(name, (counters.get(name) ?? 0) + 1);
+};
+
+/** The network as seen from one entry VM. */
+export class SimulatedNetwork implements PeerNetwork {
+  private readonly endpoint: Endpoint;
+
+  constructor(
+    private readonly medium: Medium,
+    private readonly host: Host,
+    address: string,
+  ) {
+    this.endpoint = new Endpoint(host);
+    medium.endpoints.set(address, this.endpoint);
+  }
+
+  call<M extends PeerMethod>(
+    peer: PeerAddress,
+    method: M,
+    input: PeerCalls[M]['input'],
+    timeoutMs = PEER_CALL_TIMEOUT_MS,
+  ): Reply<PeerCalls[M]['output']> {
+    increment(this.medium.traffic.calls, method);
+    return this.exchange(peer, method, timeoutMs, (endpoint) => {
+      const handler = endpoint.methods.get(method);
+      return handler?.(structuredClone(input));
+    });
+  }
+
+  send(peerAddress: string, datagram: Datagram): void {
+    const { medium, host } = this;
+    const endpoint = medium.endpoints.get(peerAddress);
+    increment(medium.traffic.datagrams, datagram.kind);
+    if (endpoint === undefined || medium.random.next() < medium.links.datagramLoss) return;
+    const copy = structuredClone(datagram);
+    medium.timer.after(medium.links.delayMs(host.id, endpoint.host.id), () => {
+      if (medium.links.isCut(host.id, endpoint.host.id)) return;
+      endpoint.host.deliver(() => endpoint.datagrams.get(copy.kind)?.(copy));
+    });
+  }
+
+  putSegment(peer: PeerAddress, segmentId: string, content: Uint8Array): Reply<void> {
+    return this.exchange(peer, 'putSegment', PEER_CALL_TIMEOUT_MS, (endpoint) =>
+      endpoint.segments?.put(segmentId, content),
+    );
+  }
+
+  getSegment(peer: PeerAddress, segmentId: string): Reply<Uint8Array> {
+    return this.exchange(peer, 'getSegment', PEER_CALL_TIMEOUT_MS, (endpoint) =>
+      endpoint.segments?.get(segmentId),
+    );
+  }
+
+  handle<M extends PeerMethod>(method: M, handler: PeerHandler<M>): void {
+    this.endpoint.methods.set(method, handler as unknown as PeerHandler<PeerMethod>);
+  }
+
+  handleDatagram<K extends DatagramKind>(kind: K, handler: DatagramHandler<K>): void {
+    this.endpoint.datagrams.set(kind, handler as (datagram: Datagram) => void);
+  }
+
+  handleSegments(handlers: SegmentHandlers): void {
+    this.endpoint.segments = handlers;
+  }
+
+  /** Sends a request, runs the handler on the other host and returns its reply, each with its delay. */
+  private exchange<T>(
+    peer: PeerAddress,
+    step: string,
+    timeoutMs: number,
+    handle: (endpoint: Endpoint) => Reply<T> | undefined,
+  ): Reply<T> {
+    const { timer } = this.medium;
+    return new Promise((resolve) => {
+      let settled = false;
+      const settle = (result: Result<T, Fault>): void => {
+        if (settled) return;
+        settled = true;
+        this.host.deliver(() => resolve(result));
+      };
+      const expiry = timer.after(timeoutMs, () =>
+        settle(err(createFault(step, peer.entryVmId, Outcome.OutcomeUnknown))),
+      );
+      const finish = (result: Result<T, Fault>): void => {
+        expiry.cancel();
+        settle(result);
+      };
+      this.transfer(peer, step, handle, finish);
+    });
+  }
+
+  private transfer<T>(
+    peer: PeerAddress,
+    step: string,
+    handle: (endpoint: Endpoint) => Reply<T> | undefined,
+    finish: (result: Result<T, Fault>) => void,
+  ): void {
+    const { timer, links, endpoints } = this.medium;
+    const endpoint = endpoints.get(peer.peerAddress);
+    const target = endpoint?.host.id ?? peer.entryVmId;
+    const delay = links.delayMs(this.host.id, target);
+    const refuse = (): void => finish(err(createFault(step, peer.entryVmId, Outcome.NotRun)));
+    timer.after(delay, () => {
+      if (links.isCut(this.host.id, target)) return;
+      if (endpoint === undefined || endpoint.host.state() === HostState.Crashed) {
+        timer.after(delay, refuse);
+        return;
+      }
+      endpoint.host.deliver(() => {
+        const reply = handle(endpoint);
+        if (reply === undefined) {
+          timer.after(delay, refuse);
+          return;
+        }
+        void reply.then((result) =>
+          timer.after(delay, () => {
+            if (endpoint.host.state() === HostState.Crashed) return;
+            if (!links.isCut(target, this.host.id)) finish(result);
+          }),
+        );
+      });
+    });
+  }
+}
