--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,6 +20,7 @@
       'no-await-in-loop': 'off',
       'no-restricted-syntax': 'off',
       'no-continue': 'off',
+      'no-console': 'off',
       // Interfaces have implementations that need no state.
       'class-methods-use-this': 'off',
       'no-void': ['error', { allowAsStatement: true }],
--- a/scripts/check-manifests.mjs
+++ b/scripts/check-manifests.mjs
@@ -1,7 +1,9 @@
 // Checks that each package declares exactly the packages that it imports; --fix rewrites the manifests.
 import { readFile, readdir, writeFile } from 'node:fs/promises';
 import { builtinModules } from 'node:module';
+import console from 'node:console';
 import path from 'node:path';
+import process from 'node:process';
 
 const IMPORT = /(?:from|import)\s*\(?\s*'([^'.][^']*)'/g;
 const builtins = new Set(builtinModules);
