--- a/packages/peer-protocol/src/datagrams.ts
+++ b/packages/peer-protocol/src/datagrams.ts
@@ -59,6 +59,8 @@
   kind: DatagramKind.WorkerTotals;
   from: string;
   totals: WorkerTotal[];
+  /** Highest notice sequence of the receiver that the totals include. */
+  includedSequence?: number;
 }
 
 export type Datagram = Probe | ProbeReply | ProbeRequest | OnlineNotice | WorkerTotals;
--- a/packages/random/src/hashing.ts
+++ b/packages/random/src/hashing.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { SHARD_COUNT } from '@jujubelanding/types';
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
@@ -25,3 +26,6 @@
     .map((node) => ({ node, weight: hashText(`${key}|${node}`) }))
     .toSorted((a, b) => b.weight - a.weight || (a.node < b.node ? -1 : 1))
     .map(({ node }) => node);
+
+/** Returns the shard of a key; the same on every VM. */
+export const findShard = (key: string): number => hashText(key) % SHARD_COUNT;
