Add settings of the daemon

All faults of flags and variables are reported together, because a daemon that names one fault per start costs an operator one restart per fault.

--- /dev/null
+++ b/packages/settings/src/definition.ts
@@ -0,0 +1,147 @@
+/** The description of one setting, and builders for the types that settings have. */
+import { isAbsolute } from 'node:path';
+import { z } from 'zod';
+import { isWildcard, MAX_PORT, parseAddress } from './address.js';
+import { DURATION_UNITS, formatDuration, parseDuration } from './duration.js';
+
+export enum SettingType {
+  Address = 'address',
+  Duration = 'duration',
+  Folder = 'folder',
+  Integer = 'integer',
+  Name = 'name',
+  Selection = 'selection',
+  Secret = 'secret',
+}
+
+export enum Presence {
+  Required = 'required',
+  Optional = 'optional',
+  /** Has a default. */
+  Defaulted = 'defaulted',
+}
+
+export interface SettingDefinition<T> {
+  type: SettingType;
+  presence: Presence;
+  /** Unit of the value, where it has one. */
+  unit?: string;
+  /** Default as an operator would write it. */
+  defaultText?: string;
+  /** Allowed values in words. */
+  allowed: string;
+  description: string;
+  schema: z.ZodType<T, string>;
+}
+
+interface Description {
+  description: string;
+  presence?: Presence.Required | Presence.Optional;
+}
+
+interface Bounds {
+  description: string;
+  unit?: string;
+  defaultValue: number;
+  minimum: number;
+  maximum: number;
+}
+
+/** What an address is used for. */
+export enum AddressUse {
+  /** The daemon listens on it and announces it to others. */
+  Listen = 'listen',
+  Connect = 'connect',
+}
+
+const MIN_SECRET_CHARACTERS = 16;
+const MAX_SECRET_CHARACTERS = 512;
+
+const ALLOWED_ADDRESS: Record<AddressUse, string> = {
+  [AddressUse.Listen]: `IPv4:port or [IPv6]:port, not a wildcard address; port 0 (any free port) to ${MAX_PORT}`,
+  [AddressUse.Connect]: `IPv4:port or [IPv6]:port, not a wildcard address; port 1 to ${MAX_PORT}`,
+};
+
+const isAllowedAddress = (text: string, use: AddressUse): boolean =>
+  parseAddress(text)
+    .map((address) => !isWildcard(address) && (use === AddressUse.Listen || address.port > 0))
+    .unwrapOr(false);
+
+export const defineAddress = (
+  use: AddressUse,
+  { description, presence = Presence.Required }: Description,
+): SettingDefinition<string> => ({
+  type: SettingType.Address,
+  presence,
+  allowed: ALLOWED_ADDRESS[use],
+  description,
+  schema: z.string().refine((text) => isAllowedAddress(text, use)),
+});
+
+export const defineInteger = (bounds: Bounds): SettingDefinition<number> => ({
+  type: SettingType.Integer,
+  presence: Presence.Defaulted,
+  ...(bounds.unit === undefined ? {} : { unit: bounds.unit }),
+  defaultText: String(bounds.defaultValue),
+  allowed: `whole number from ${bounds.minimum} to ${bounds.maximum}`,
+  description: bounds.description,
+  schema: z
+    .string()
+    .regex(/^\d{1,15}$/)
+    .transform(Number)
+    .pipe(z.number().min(bounds.minimum).max(bounds.maximum)),
+});
+
+/** A duration in milliseconds; the bounds are in milliseconds too. */
+export const defineDuration = (bounds: Bounds): SettingDefinition<number> => ({
+  type: SettingType.Duration,
+  presence: Presence.Defaulted,
+  unit: DURATION_UNITS,
+  defaultText: formatDuration(bounds.defaultValue),
+  allowed: `${formatDuration(bounds.minimum)} to ${formatDuration(bounds.maximum)}, with unit`,
+  description: bounds.description,
+  schema: z
+    .string()
+    .transform((text) => parseDuration(text).unwrapOr(Number.NaN))
+    .pipe(z.number().min(bounds.minimum).max(bounds.maximum)),
+});
+
+export const defineName = ({ description }: Description): SettingDefinition<string> => ({
+  type: SettingType.Name,
+  presence: Presence.Required,
+  allowed: '1 to 63 lower-case letters, digits, "-" and "."; first and last a letter or digit',
+  description,
+  schema: z.string().regex(/^(?=.{1,63}$)[a-z0-9](?:[a-z0-9.-]*[a-z0-9])?$/),
+});
+
+export const defineSecret = ({ description }: Description): SettingDefinition<string> => ({
+  type: SettingType.Secret,
+  presence: Presence.Required,
+  allowed: `${MIN_SECRET_CHARACTERS} to ${MAX_SECRET_CHARACTERS} printable ASCII characters without spaces`,
+  description,
+  schema: z
+    .string()
+    .min(MIN_SECRET_CHARACTERS)
+    .max(MAX_SECRET_CHARACTERS)
+    .regex(/^[\x21-\x7e]+$/),
+});
+
+export const defineFolder = ({ description }: Description): SettingDefinition<string> => ({
+  type: SettingType.Folder,
+  presence: Presence.Optional,
+  allowed: 'absolute path other than the root folder',
+  description,
+  schema: z.string().refine((text) => isAbsolute(text) && text !== '/' && !text.includes('\0')),
+});
+
+export const defineSelection = (
+  defaultText: string,
+  { description }: Description,
+): SettingDefinition<string> => ({
+  type: SettingType.Selection,
+  presence: Presence.Defaulted,
+  defaultText,
+  allowed: 'namespaces separated by commas, with "*" as wildcard and "-" to exclude',
+  description,
+  schema: z.string().regex(/^-?[\w:*.-]+(?:,-?[\w:*.-]+)*$/),
+});
--- /dev/null
+++ b/packages/settings/src/faults.ts
@@ -0,0 +1,49 @@
+/** Faults in settings and their report. */
+import { SettingType } from './definition.js';
+import { getFlag, getVariable, SETTINGS, type SettingKey } from './table.js';
+
+/** Exit code of a program whose settings are invalid. */
+export const EXIT_INVALID_SETTINGS = 2;
+
+export enum SettingSource {
+  Flag = 'flag',
+  Variable = 'variable',
+  Default = 'default',
+}
+
+export enum SettingFaultKind {
+  Missing = 'missing',
+  NotAllowed = 'not-allowed',
+  Repeated = 'repeated',
+  UnknownFlag = 'unknown-flag',
+  UnexpectedArgument = 'unexpected-argument',
+  /** Settings that are allowed one by one but not together. */
+  Contradiction = 'contradiction',
+}
+
+export interface SettingFault {
+  kind: SettingFaultKind;
+  /** Flag and variable of the setting, or the unknown flag. */
+  setting: string;
+  /** What is wrong, with the value unless it is a secret. */
+  problem: string;
+  allowed: string;
+}
+
+/** Names a setting by flag and variable. */
+export const nameSetting = (key: SettingKey): string => `${getFlag(key)} (${getVariable(key)})`;
+
+/** Quotes a value for a report; secrets are replaced by their length. */
+export const showValue = (key: SettingKey, value: string): string =>
+  SETTINGS[key].type === SettingType.Secret
+    ? `a secret of ${value.length} characters`
+    : JSON.stringify(value);
+
+const formatFault = ({ setting, problem, allowed }: SettingFault): string =>
+  `  ${setting}: ${problem}\n    allowed: ${allowed}`;
+
+/** Formats all faults as one report. */
+export const formatFaults = (faults: readonly SettingFault[]): string => {
+  const count = faults.length === 1 ? '1 invalid setting' : `${faults.length} invalid settings`;
+  return [`${count}:`, ...faults.map(formatFault), ''].join('\n');
+};
--- /dev/null
+++ b/packages/settings/src/flags.ts
@@ -0,0 +1,100 @@
+/** Command-line flags of the daemon, parsed with meow. */
+import meow from 'meow';
+import { SettingType } from './definition.js';
+import { type SettingFault, SettingFaultKind } from './faults.js';
+import { getFlag, SETTING_KEYS, type SettingKey, SETTINGS } from './table.js';
+
+/** Flags that are not settings. */
+const OTHER_FLAGS = ['help', 'version'];
+
+export interface ParsedFlags {
+  /** All values given for each setting, in order. */
+  values: Partial<Record<SettingKey, unknown[]>>;
+  other: string[];
+  faults: SettingFault[];
+}
+
+const toCamelCase = (flag: string): string =>
+  flag.replace(/^--/, '').replaceAll(/-([a-z])/g, (_, letter: string) => letter.toUpperCase());
+
+const KEYS_BY_CAMEL_CASE = new Map(SETTING_KEYS.map((key) => [toCamelCase(getFlag(key)), key]));
+
+const MEOW_FLAGS = Object.fromEntries([
+  // Values are collected as lists, because meow throws when a single flag is repeated.
+  ...SETTING_KEYS.map((key) => [
+    toCamelCase(getFlag(key)),
+    { type: 'string' as const, isMultiple: true as const },
+  ]),
+  ...OTHER_FLAGS.map((flag) => [flag, { type: 'boolean' as const }]),
+]);
+
+const spellFlag = (name: string): string =>
+  name.length === 1
+    ? `-${name}`
+    : `--${name.replaceAll(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+
+// Values of unknown flags and of arguments are not shown, since a misspelt flag may carry a secret.
+const describeUnknownFlag = (name: string): SettingFault => ({
+  kind: SettingFaultKind.UnknownFlag,
+  setting: spellFlag(name),
+  problem: 'unknown flag',
+  allowed: [...SETTING_KEYS.map(getFlag), ...OTHER_FLAGS.map(spellFlag)].join(', '),
+});
+
+const describeArgument = (position: number): SettingFault => ({
+  kind: SettingFaultKind.UnexpectedArgument,
+  setting: `argument ${position}`,
+  problem: 'unexpected argument',
+  allowed: 'flags only, each followed by its value',
+});
+
+const FLAGS = new Set(SETTING_KEYS.map(getFlag));
+const SECRET_FLAGS = new Set(
+  SETTING_KEYS.filter((key) => SETTINGS[key].type === SettingType.Secret).map(getFlag),
+);
+
+/**
+ * Attaches the value of each secret to its flag. A secret that begins with "-" would otherwise be
+ * taken for unknown flags and be shown in the report.
+ */
+const attachSecrets = (argv: readonly string[]): string[] =>
+  argv.reduce<string[]>((joined, token) => {
+    const previous = joined.at(-1) ?? '';
+    if (SECRET_FLAGS.has(previous) && !FLAGS.has(token)) {
+      return [...joined.slice(0, -1), `${previous}=${token}`];
+    }
+    return [...joined, token];
+  }, []);
+
+/** Splits the command line into values of settings, other flags and faults. */
+export const parseFlags = (argv: readonly string[]): ParsedFlags => {
+  const { flags, input } = meow('', {
+    importMeta: import.meta,
+    argv: attachSecrets(argv),
+    pkg: { name: 'jujubelandingd', bin: 'jujubelandingd' },
+    flags: MEOW_FLAGS,
+    // Meow would print and exit by itself.
+    autoHelp: false,
+    autoVersion: false,
+    allowUnknownFlags: true,
+  });
+  const values: ParsedFlags['values'] = {};
+  const other: string[] = [];
+  const faults: SettingFault[] = [];
+  for (const [name, value] of Object.entries(flags)) {
+    const key = KEYS_BY_CAMEL_CASE.get(name);
+    if (key !== undefined) values[key] = [value].flat();
+    else if (!OTHER_FLAGS.includes(name)) faults.push(describeUnknownFlag(name));
+    else if (value === true) other.push(name);
+  }
+  faults.push(...input.map((_, index) => describeArgument(index + 1)));
+  return { values, other, faults };
+};
+
+/** Tells whether the help text is asked for; other flags are not checked then. */
+export const isHelpRequested = (argv: readonly string[]): boolean =>
+  parseFlags(argv).other.includes('help');
+
+/** Tells whether the version is asked for; other flags are not checked then. */
+export const isVersionRequested = (argv: readonly string[]): boolean =>
+  parseFlags(argv).other.includes('version');
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,9 @@
+/** Settings of the daemon: one table, its parsing, its help and its documentation. */
+export * from './address.js';
+export * from './duration.js';
+export * from './definition.js';
+export * from './table.js';
+export * from './faults.js';
+export { isHelpRequested, isVersionRequested } from './flags.js';
+export * from './parse-settings.js';
+export * from './help.js';
