--- /dev/null
+++ b/packages/worker-load/src/index.ts
@@ -0,0 +1,5 @@
+/** Online requests in flight and load of workers, as counted by owners and known to entry VMs. */
+export * from './notice-ledger.js';
+export * from './own-requests.js';
+export * from './owned-workers.js';
+export * from './worker-loads.js';
--- /dev/null
+++ b/packages/worker-load/src/notice-ledger.ts
@@ -0,0 +1,124 @@
+/** Merge of online notices of all entry VMs into one count per worker. */
+import type { OnlineNotice } from '@jujubelanding/peer-protocol';
+
+/** An entry VM that sends nothing for this long has no requests in progress or cannot be counted. */
+export const SENDER_SILENCE_MS = 3000;
+
+/** Boot ids remembered per sender, so that late notices of earlier runs are discarded. */
+const RETIRED_BOOTS = 4;
+
+interface Count {
+  online: number;
+  /** Sequence of the notice that set the count. */
+  sequence: number;
+}
+
+interface Sender {
+  bootId: string;
+  retiredBootIds: string[];
+  fullSequence: number;
+  highestSequence: number;
+  counts: Map<string, Count>;
+  heardAt: number;
+}
+
+/** Online requests in progress per worker, summed over entry VMs. */
+export class NoticeLedger {
+  private readonly senders = new Map<string, Sender>();
+
+  private readonly sums = new Map<string, number>();
+
+  online(workerId: string): number {
+    return this.sums.get(workerId) ?? 0;
+  }
+
+  /** Time at which the entry VM was last heard of. */
+  heardAt(entryVmId: string): number | undefined {
+    return this.senders.get(entryVmId)?.heardAt;
+  }
+
+  /** Highest sequence of the sender's current run. */
+  highestSequence(entryVmId: string): number {
+    return this.senders.get(entryVmId)?.highestSequence ?? 0;
+  }
+
+  /** Applies a notice; returns the workers whose sum changed. */
+  apply(notice: OnlineNotice, now: number): string[] {
+    const changed = new Set<string>();
+    const sender = this.selectRun(notice, now, changed);
+    if (sender === undefined) return [];
+    sender.heardAt = now;
+    sender.highestSequence = Math.max(sender.highestSequence, notice.sequence);
+    if (notice.sequence <= sender.fullSequence) return [];
+    for (const [workerId, online] of Object.entries(notice.inFlight)) {
+      this.setCount(sender, workerId, { online, sequence: notice.sequence }, changed);
+    }
+    if (notice.full) this.dropUnlisted(sender, notice, changed);
+    return [...changed];
+  }
+
+  /** Drops senders that are silent for too long or gone; returns the workers whose sum changed. */
+  expire(now: number, isGone: (entryVmId: string) => boolean): string[] {
+    const changed = new Set<string>();
+    for (const [entryVmId, sender] of this.senders) {
+      if (now - sender.heardAt < SENDER_SILENCE_MS && !isGone(entryVmId)) continue;
+      this.clear(sender, changed);
+      if (now - sender.heardAt >= SENDER_SILENCE_MS) this.senders.delete(entryVmId);
+    }
+    return [...changed];
+  }
+
+  /** Finds the sender's state; a new boot id starts it anew, a retired one is refused. */
+  private selectRun(notice: OnlineNotice, now: number, changed: Set<string>): Sender | undefined {
+    const known = this.senders.get(notice.from);
+    if (known?.bootId === notice.bootId) return known;
+    if (known?.retiredBootIds.includes(notice.bootId) === true) return undefined;
+    if (known !== undefined) this.clear(known, changed);
+    const retired = known === undefined ? [] : [...known.retiredBootIds, known.bootId];
+    const sender: Sender = {
+      bootId: notice.bootId,
+      retiredBootIds: retired.slice(-RETIRED_BOOTS),
+      fullSequence: 0,
+      highestSequence: 0,
+      counts: new Map(),
+      heardAt: now,
+    };
+    this.senders.set(notice.from, sender);
+    return sender;
+  }
+
+  private dropUnlisted(sender: Sender, notice: OnlineNotice, changed: Set<string>): void {
+    sender.fullSequence = notice.sequence;
+    for (const [workerId, count] of sender.counts) {
+      if (count.sequence >= notice.sequence) continue;
+      this.setCount(sender, workerId, { online: 0, sequence: notice.sequence }, changed);
+    }
+  }
+
+  private setCount(sender: Sender, workerId: string, count: Count, changed: Set<string>): void {
+    const before = sender.counts.get(workerId);
+    // Per worker, because datagrams about different workers may overtake each other.
+    if (before !== undefined && before.sequence > count.sequence) return;
+    if (count.online === 0 && count.sequence <= sender.fullSequence) {
+      sender.counts.delete(workerId);
+    } else {
+      sender.counts.set(workerId, count);
+    }
+    this.addToSum(workerId, count.online - (before?.online ?? 0), changed);
+  }
+
+  private clear(sender: Sender, changed: Set<string>): void {
+    for (const [workerId, count] of sender.counts) {
+      this.addToSum(workerId, -count.online, changed);
+    }
+    sender.counts.clear();
+  }
+
+  private addToSum(workerId: string, difference: number, changed: Set<string>): void {
+    if (difference === 0) return;
+    const sum = this.online(workerId) + difference;
+    if (sum === 0) this.sums.delete(workerId);
+    else this.sums.set(workerId, sum);
+    changed.add(workerId);
+  }
+}
--- /dev/null
+++ b/packages/worker-load/src/owned-workers.ts
@@ -0,0 +1,243 @@
+/** Shard owner's side: polls workers and counts online requests over all entry VMs. */
+import type {
+  Configuration,
+  Directory,
+  EntryVmIo,
+  Membership,
+  OwnedWorkers,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { DatagramKind, type OnlineNotice, type WorkerTotal } from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import type { Subscription } from '@jujubelanding/timer';
+import { MemberState, RecordKind, type CacheEvent, type LoadReport } from '@jujubelanding/types';
+import { NoticeLedger, SENDER_SILENCE_MS } from './notice-ledger.js';
+
+/** Interval of load polls, of full notices and of pushed totals. */
+export const NOTICE_INTERVAL_MS = 500;
+
+/** Time after gaining a shard when counts are taken as complete: one interval and the transit. */
+const COMPLETE_AFTER_MS = NOTICE_INTERVAL_MS + 100;
+
+/** Keeps a datagram below 1,200 bytes. */
+const MAX_TOTALS_PER_DATAGRAM = 16;
+
+/** Receives the cache events of a poll; `askedAfter` is the sequence number that was sent. */
+export type CacheEventHandler = (
+  workerId: string,
+  events: readonly CacheEvent[],
+  askedAfter: number,
+) => void;
+
+export interface OwnedWorkersOptions {
+  io: Pick<EntryVmIo, 'timer' | 'network' | 'backendServers' | 'createLog' | 'metrics'>;
+  entryVmId: string;
+  membership: Membership;
+  shards: ShardTable;
+  directory: Directory;
+  configuration: Configuration;
+  onCacheEvents?: CacheEventHandler;
+}
+
+interface Polled {
+  report: LoadReport;
+  lastSequence: number;
+}
+
+interface Interest {
+  heardAt: number;
+  services: Set<string>;
+}
+
+/** Counts online requests of owned workers and answers notices with totals. */
+export class OwnedWorkersController implements OwnedWorkers {
+  private readonly ledger = new NoticeLedger();
+
+  private readonly polled = new Map<string, Polled>();
+
+  private readonly polling = new Set<string>();
+
+  private readonly batch = new Map<string, number>();
+
+  /** Entry VMs that sent notices recently; only these get totals. */
+  private readonly interests = new Map<string, Interest>();
+
+  private readonly handlers = new Set<(workerId: string) => void>();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  private readonly log: Log;
+
+  constructor(private readonly options: OwnedWorkersOptions) {
+    this.log = options.io.createLog('worker-load');
+  }
+
+  start(): void {
+    const { network, timer } = this.options.io;
+    network.handleDatagram(DatagramKind.OnlineNotice, (notice) => this.answer(notice));
+    this.subscriptions.push(
+      timer.every(NOTICE_INTERVAL_MS, () => this.runInterval()),
+      this.options.shards.onChange(() => this.pollAll()),
+    );
+    this.pollAll();
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+  }
+
+  workerIds(): string[] {
+    return this.options.directory
+      .all()
+      .map((worker) => worker.id)
+      .filter((id) => this.isOwned(id));
+  }
+
+  isOwned(workerId: string): boolean {
+    return this.options.shards.fenceOf(findShard(workerId)) !== undefined;
+  }
+
+  online(workerId: string): number {
+    return this.ledger.online(workerId);
+  }
+
+  slots(workerId: string): number {
+    const report = this.polled.get(workerId)?.report;
+    if (report !== undefined) return report.slots;
+    const service = this.options.directory.find(workerId)?.service ?? '';
+    return this.options.configuration.get(RecordKind.Service, service)?.spec.slotsPerWorker ?? 1;
+  }
+
+  report(workerId: string): LoadReport | undefined {
+    return this.polled.get(workerId)?.report;
+  }
+
+  isComplete(workerId: string): boolean {
+    const since = this.options.shards.ownedSince(findShard(workerId));
+    if (since === undefined) return false;
+    if (this.options.io.timer.now() - since >= COMPLETE_AFTER_MS) return true;
+    return this.options.membership
+      .members()
+      .filter((member) => member.state === MemberState.Alive)
+      .every((member) => (this.ledger.heardAt(member.entryVmId) ?? -1) >= since);
+  }
+
+  setBatch(workerId: string, count: number): void {
+    if (count === 0) this.batch.delete(workerId);
+    else this.batch.set(workerId, count);
+  }
+
+  onOnlineChange(handler: (workerId: string) => void): Subscription {
+    this.handlers.add(handler);
+    return { cancel: () => this.handlers.delete(handler) };
+  }
+
+  total(workerId: string): WorkerTotal {
+    return {
+      workerId,
+      online: this.online(workerId),
+      batch: this.batch.get(workerId) ?? 0,
+      slots: this.slots(workerId),
+    };
+  }
+
+  /** Counts a notice; called directly by the own VM and through datagrams by others. */
+  accept(notice: OnlineNotice): void {
+    this.announce(this.ledger.apply(notice, this.options.io.timer.now()));
+  }
+
+  private answer(notice: OnlineNotice): void {
+    const now = this.options.io.timer.now();
+    this.accept(notice);
+    const interest = this.interests.get(notice.from) ?? { heardAt: now, services: new Set() };
+    interest.heardAt = now;
+    const workerIds = Object.keys(notice.inFlight);
+    for (const id of workerIds) {
+      const service = this.options.directory.find(id)?.service;
+      if (service !== undefined) interest.services.add(service);
+    }
+    this.interests.set(notice.from, interest);
+    // Full notices are answered by the pushed totals of the same interval.
+    if (!notice.full) {
+      this.sendTotals(
+        notice.from,
+        workerIds.filter((id) => this.isOwned(id)),
+      );
+    }
+  }
+
+  private sendTotals(entryVmId: string, workerIds: readonly string[]): void {
+    const member = this.options.membership.find(entryVmId);
+    if (member === undefined || workerIds.length === 0) return;
+    this.options.io.network.send(member.peerAddress, {
+      kind: DatagramKind.WorkerTotals,
+      from: this.options.entryVmId,
+      totals: workerIds.slice(0, MAX_TOTALS_PER_DATAGRAM).map((id) => this.total(id)),
+      includedSequence: this.ledger.highestSequence(entryVmId),
+    });
+  }
+
+  private runInterval(): void {
+    const now = this.options.io.timer.now();
+    this.announce(this.ledger.expire(now, (id) => this.isGone(id)));
+    const byService = this.groupOwned();
+    for (const [entryVmId, interest] of this.interests) {
+      if (now - interest.heardAt >= SENDER_SILENCE_MS) {
+        this.interests.delete(entryVmId);
+        continue;
+      }
+      const workerIds = [...interest.services].flatMap((service) => byService.get(service) ?? []);
+      this.sendTotals(entryVmId, workerIds);
+    }
+    this.pollAll();
+  }
+
+  private groupOwned(): Map<string, string[]> {
+    const groups = new Map<string, string[]>();
+    for (const id of this.workerIds()) {
+      const service = this.options.directory.find(id)?.service ?? '';
+      groups.set(service, [...(groups.get(service) ?? []), id]);
+    }
+    return groups;
+  }
+
+  private isGone(entryVmId: string): boolean {
+    const state = this.options.membership.find(entryVmId)?.state;
+    return state === MemberState.Dead;
+  }
+
+  private announce(workerIds: readonly string[]): void {
+    for (const id of workerIds) this.handlers.forEach((handler) => handler(id));
+  }
+
+  private pollAll(): void {
+    const owned = new Set(this.workerIds());
+    for (const id of this.polled.keys()) {
+      if (!owned.has(id)) this.polled.delete(id);
+    }
+    for (const id of owned) {
+      if (!this.polling.has(id)) void this.poll(id);
+    }
+  }
+
+  private async poll(workerId: string): Promise<void> {
+    const worker = this.options.directory.find(workerId);
+    if (worker === undefined) return;
+    this.polling.add(workerId);
+    const askedAfter = this.polled.get(workerId)?.lastSequence ?? 0;
+    const answer = await this.options.io.backendServers.readLoad(worker, askedAfter);
+    this.polling.delete(workerId);
+    if (answer.isErr()) {
+      // The worker may have restarted with a new sequence, so its events are asked from the start.
+      this.polled.delete(workerId);
+      this.log.write('poll-failed', { worker: workerId, reason: answer.error.message });
+      this.options.io.metrics.increment('worker_load.poll_failed');
+      return;
+    }
+    const report = answer.value;
+    const lastSequence = report.cacheEvents.at(-1)?.sequence ?? askedAfter;
+    this.polled.set(workerId, { report, lastSequence });
+    this.options.onCacheEvents?.(workerId, report.cacheEvents, askedAfter);
+  }
+}
--- /dev/null
+++ b/packages/worker-load/src/worker-loads.ts
@@ -0,0 +1,183 @@
+/** Entry VM's side: reports own online requests to shard owners and keeps the totals they answer. */
+import type {
+  Configuration,
+  Directory,
+  EntryVmIo,
+  Membership,
+  ShardOwner,
+  ShardTable,
+  WorkerLoad,
+  WorkerLoads,
+} from '@jujubelanding/interfaces';
+import { DatagramKind, type OnlineNotice, type WorkerTotals } from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import type { Subscription } from '@jujubelanding/timer';
+import { RecordKind } from '@jujubelanding/types';
+import { SENDER_SILENCE_MS } from './notice-ledger.js';
+import { NOTICE_INTERVAL_MS, type OwnedWorkersController } from './owned-workers.js';
+import { OwnRequests } from './own-requests.js';
+
+/** Workers are reported and remembered for this long after their last request. */
+const USE_MEMORY_MS = SENDER_SILENCE_MS;
+
+/** Totals of unused workers are kept this long for their number of slots. */
+const TOTAL_MEMORY_MS = 60_000;
+
+/** Age of a load that rests on own counts alone. */
+export const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER;
+
+export interface WorkerLoadsOptions {
+  io: Pick<EntryVmIo, 'timer' | 'network'>;
+  entryVmId: string;
+  membership: Membership;
+  shards: ShardTable;
+  directory: Directory;
+  configuration: Configuration;
+  /** Counts of the workers that this VM owns; reached without the network. */
+  owned: Pick<OwnedWorkersController, 'accept' | 'isOwned' | 'total'>;
+}
+
+/** Implements `WorkerLoads` with notices to the shard owners of the workers in use. */
+export class WorkerLoadsController implements WorkerLoads {
+  private readonly requests = new OwnRequests();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  /** Owners that got the last full notice, by shard; tells when an owner changes. */
+  private readonly informed = new Map<number, string>();
+
+  private sequence = 0;
+
+  constructor(private readonly options: WorkerLoadsOptions) {}
+
+  start(): void {
+    const { network, timer } = this.options.io;
+    network.handleDatagram(DatagramKind.WorkerTotals, (totals) => this.receive(totals));
+    this.subscriptions.push(
+      timer.every(NOTICE_INTERVAL_MS, () => this.sendFull()),
+      this.options.membership.onChange(() => this.informNewOwners()),
+      this.options.shards.onChange(() => this.informNewOwners()),
+    );
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+  }
+
+  get(workerId: string): WorkerLoad {
+    if (this.options.owned.isOwned(workerId)) {
+      return { ...this.options.owned.total(workerId), ageMs: 0 };
+    }
+    const estimate = this.requests.estimate(workerId, this.options.io.timer.now());
+    if (estimate !== undefined) return { workerId, ...estimate };
+    return {
+      workerId,
+      slots: this.requests.lastSlots(workerId) ?? this.configuredSlots(workerId),
+      online: this.ownInFlight(workerId),
+      batch: 0,
+      ageMs: UNKNOWN_AGE_MS,
+    };
+  }
+
+  /** Online requests in the last total, without own corrections; for comparison only. */
+  reportedOnline(workerId: string): number {
+    return this.requests.reported(workerId)?.online ?? 0;
+  }
+
+  begin(workerId: string): void {
+    this.change(workerId, 1);
+  }
+
+  end(workerId: string): void {
+    this.change(workerId, -1);
+  }
+
+  ownInFlight(workerId: string): number {
+    return this.requests.own(workerId);
+  }
+
+  private change(workerId: string, difference: 1 | -1): void {
+    this.sequence += 1;
+    this.requests.change(workerId, difference, this.sequence, this.options.io.timer.now());
+    const owner = this.options.shards.ownerOf(findShard(workerId));
+    const inFlight = { [workerId]: this.ownInFlight(workerId) };
+    this.deliver(owner, this.createNotice(inFlight, false));
+  }
+
+  private configuredSlots(workerId: string): number {
+    const service = this.options.directory.find(workerId)?.service ?? '';
+    return this.options.configuration.get(RecordKind.Service, service)?.spec.slotsPerWorker ?? 1;
+  }
+
+  private receive(totals: WorkerTotals): void {
+    const now = this.options.io.timer.now();
+    for (const total of totals.totals) {
+      const owner = this.options.shards.ownerOf(findShard(total.workerId));
+      // A former owner no longer hears of all requests.
+      if (owner?.entryVmId !== totals.from) continue;
+      this.requests.receive(total, totals.includedSequence, now);
+    }
+  }
+
+  private sendFull(): void {
+    const now = this.options.io.timer.now();
+    this.informed.clear();
+    const groups = this.groupUsed(now);
+    for (const { owner, shards, workerIds } of groups.values()) {
+      this.sequence += 1;
+      this.deliver(owner, this.createNotice(this.countAll(workerIds), true));
+      shards.forEach((shard) => this.informed.set(shard, owner.entryVmId));
+    }
+    this.requests.prune(now, TOTAL_MEMORY_MS);
+  }
+
+  /** Sends a full notice at once to owners that took over a shard in use. */
+  private informNewOwners(): void {
+    for (const { owner, shards, workerIds } of this.groupUsed(
+      this.options.io.timer.now(),
+    ).values()) {
+      if (shards.every((shard) => this.informed.get(shard) === owner.entryVmId)) continue;
+      this.sequence += 1;
+      this.deliver(owner, this.createNotice(this.countAll(workerIds), true));
+      shards.forEach((shard) => this.informed.set(shard, owner.entryVmId));
+    }
+  }
+
+  private groupUsed(
+    now: number,
+  ): Map<string, { owner: ShardOwner; shards: number[]; workerIds: string[] }> {
+    const groups = new Map<string, { owner: ShardOwner; shards: number[]; workerIds: string[] }>();
+    for (const workerId of this.requests.usedWorkers(now, USE_MEMORY_MS)) {
+      const shard = findShard(workerId);
+      const owner = this.options.shards.ownerOf(shard);
+      if (owner === undefined) continue;
+      const group = groups.get(owner.entryVmId) ?? { owner, shards: [], workerIds: [] };
+      group.shards.push(shard);
+      group.workerIds.push(workerId);
+      groups.set(owner.entryVmId, group);
+    }
+    return groups;
+  }
+
+  private countAll(workerIds: readonly string[]): Record<string, number> {
+    const counts = workerIds.map((id) => [id, this.ownInFlight(id)] as const);
+    return Object.fromEntries(counts);
+  }
+
+  private createNotice(inFlight: Record<string, number>, full: boolean): OnlineNotice {
+    return {
+      kind: DatagramKind.OnlineNotice,
+      from: this.options.entryVmId,
+      bootId: this.options.membership.self().bootId,
+      sequence: this.sequence,
+      inFlight,
+      full,
+    };
+  }
+
+  private deliver(owner: ShardOwner | undefined, notice: OnlineNotice): void {
+    if (owner === undefined) return;
+    if (owner.entryVmId === this.options.entryVmId) this.options.owned.accept(notice);
+    else this.options.io.network.send(owner.peerAddress, notice);
+  }
+}
