--- /dev/null
+++ b/packages/routing/src/chooser.ts
@@ -0,0 +1,202 @@
+/** Choice of a worker among candidates; pure, so that a bench can compare choosers. */
+import type { WorkerLoad } from '@jujubelanding/interfaces';
+import type { Random } from '@jujubelanding/random';
+
+export interface Candidate {
+  workerId: string;
+  availabilityZone: string;
+  load: WorkerLoad;
+  /** Online requests in the last report, without own corrections. */
+  reportedOnline: number;
+  /** Leading prompt segments that the worker probably has in its prefix cache. */
+  prefixMatch: number;
+  /** Share of traffic that the worker may get: 0 when ejected, 1 when healthy. */
+  admission: number;
+}
+
+export enum ChoiceReason {
+  Only = 'only-candidate',
+  LeastLoad = 'least-load',
+  TwoChoices = 'power-of-two',
+  Spillover = 'zone-spillover',
+  Prefix = 'prefix-affinity',
+  Random = 'random',
+  LeastReported = 'least-reported',
+}
+
+/** A candidate with the load by which it was compared, in slots per slot. */
+export interface ScoredCandidate {
+  workerId: string;
+  score: number;
+}
+
+export interface Choice {
+  workerId: string;
+  reason: ChoiceReason;
+  compared: ScoredCandidate[];
+}
+
+export interface ChoiceContext {
+  availabilityZone: string;
+  random: Random;
+}
+
+/** Returns undefined only for an empty list. */
+export type Chooser = (
+  candidates: readonly Candidate[],
+  context: ChoiceContext,
+) => Choice | undefined;
+
+export interface ChooserBounds {
+  /** Up to this many candidates are all compared. */
+  fullScanLimit: number;
+  /** Utilization by which a worker in another zone must be better. */
+  zoneSpillover: number;
+  /** Utilization by which a worker with a cached prefix may be worse. */
+  prefixSkew: number;
+  /** Weight of a batch item relative to an online request. */
+  batchWeight: number;
+  /** Loads older than this say nothing about the worker. */
+  maxLoadAgeMs: number;
+}
+
+export const DEFAULT_BOUNDS: ChooserBounds = {
+  // Estimates of a small set are corrected within milliseconds, so comparing all is accurate. In a
+  // large set all entry VMs would send to the same least loaded worker; two choices avoid that.
+  fullScanLimit: 16,
+  zoneSpillover: 0.25,
+  prefixSkew: 0.25,
+  // Batch yields to online, so it counts only as a tie-breaker that saves preemptions.
+  batchWeight: 0.1,
+  maxLoadAgeMs: 3000,
+};
+
+interface Scored {
+  candidate: Candidate;
+  utilization: number;
+  /** Utilization plus the spillover bound for other zones. */
+  score: number;
+}
+
+const measureUtilization = (load: WorkerLoad, batchWeight: number): number =>
+  (load.online + 1 + batchWeight * load.batch) / Math.max(1, load.slots);
+
+/** A worker without fresh load is taken to be as loaded as the others on average. */
+const scoreAll = (
+  candidates: readonly Candidate[],
+  zone: string,
+  bounds: ChooserBounds,
+): Scored[] => {
+  const isFresh = (candidate: Candidate): boolean => candidate.load.ageMs <= bounds.maxLoadAgeMs;
+  const fresh = candidates.filter(isFresh);
+  const sum = fresh.reduce(
+    (total, { load }) => total + measureUtilization(load, bounds.batchWeight),
+    0,
+  );
+  const mean = fresh.length === 0 ? 0 : sum / fresh.length;
+  return candidates.map((candidate) => {
+    const measured = measureUtilization(candidate.load, bounds.batchWeight);
+    const utilization = isFresh(candidate) ? measured : Math.max(mean, measured);
+    const penalty = candidate.availabilityZone === zone ? 0 : bounds.zoneSpillover;
+    return { candidate, utilization, score: utilization + penalty };
+  });
+};
+
+/** Returns a candidate with the least score; equal ones are equally likely. */
+const findLeast = (scored: readonly Scored[], random: Random): Scored => {
+  const least = Math.min(...scored.map(({ score }) => score));
+  return random.pick(scored.filter(({ score }) => score === least));
+};
+
+/** The worker with the longest cached prefix whose load is within the skew of the best one. */
+const findByPrefix = (
+  scored: readonly Scored[],
+  least: Scored,
+  bounds: ChooserBounds,
+): Scored | undefined =>
+  scored
+    .filter(
+      ({ candidate, score }) =>
+        candidate.prefixMatch > least.candidate.prefixMatch &&
+        score <= least.score + bounds.prefixSkew &&
+        candidate.load.online < candidate.load.slots,
+    )
+    .toSorted((a, b) => b.candidate.prefixMatch - a.candidate.prefixMatch || a.score - b.score)[0];
+
+/** Lets workers that are being reinstated take part with their share of choices. */
+const admit = (candidates: readonly Candidate[], random: Random): readonly Candidate[] => {
+  const admitted = candidates.filter(
+    ({ admission }) => admission >= 1 || (admission > 0 && random.next() < admission),
+  );
+  if (admitted.length > 0) return admitted;
+  const reinstated = candidates.filter(({ admission }) => admission > 0);
+  return reinstated.length > 0 ? reinstated : candidates;
+};
+
+/** Two candidates of the own zone where there are that many, else of all. */
+const sampleTwo = (scored: readonly Scored[], zone: string, random: Random): readonly Scored[] => {
+  const local = scored.filter(({ candidate }) => candidate.availabilityZone === zone);
+  if (local.length < 2) return random.sample(scored, 2);
+  const remote = scored.filter(({ candidate }) => candidate.availabilityZone !== zone);
+  return [...random.sample(local, 2), ...random.sample(remote, 1)];
+};
+
+const explain = (chosen: Scored, compared: readonly Scored[], isScan: boolean, zone: string) => {
+  const isLocal = chosen.candidate.availabilityZone === zone;
+  const hasLocal = compared.some(({ candidate }) => candidate.availabilityZone === zone);
+  if (!isLocal && hasLocal) return ChoiceReason.Spillover;
+  return isScan ? ChoiceReason.LeastLoad : ChoiceReason.TwoChoices;
+};
+
+const toCompared = (scored: readonly Scored[]): ScoredCandidate[] =>
+  scored.map(({ candidate, score }) => ({
+    workerId: candidate.workerId,
+    score: Math.round(score * 1000) / 1000,
+  }));
+
+/** Chooses by estimated load, availability zone and prefix cache. */
+export const createLoadAwareChooser =
+  (bounds: ChooserBounds = DEFAULT_BOUNDS): Chooser =>
+  (candidates, { availabilityZone, random }) => {
+    if (candidates.length === 0) return undefined;
+    const scored = scoreAll(admit(candidates, random), availabilityZone, bounds);
+    const isScan = scored.length <= bounds.fullScanLimit;
+    const compared = isScan ? scored : sampleTwo(scored, availabilityZone, random);
+    const least = findLeast(compared, random);
+    const cached = findByPrefix(scored, least, bounds);
+    const chosen = cached ?? least;
+    const reason =
+      cached === undefined
+        ? explain(least, compared, isScan, availabilityZone)
+        : ChoiceReason.Prefix;
+    return {
+      workerId: chosen.candidate.workerId,
+      reason: candidates.length === 1 ? ChoiceReason.Only : reason,
+      compared: toCompared(cached === undefined ? compared : [least, cached]),
+    };
+  };
+
+/** Baseline: any candidate. */
+export const createRandomChooser =
+  (): Chooser =>
+  (candidates, { random }) =>
+    candidates.length === 0
+      ? undefined
+      : { workerId: random.pick(candidates).workerId, reason: ChoiceReason.Random, compared: [] };
+
+/** Baseline: the candidate with the least reported load, without any correction. */
+export const createLeastReportedChooser =
+  (): Chooser =>
+  (candidates, { random }) => {
+    if (candidates.length === 0) return undefined;
+    const scored = candidates.map((candidate) => ({
+      candidate,
+      utilization: 0,
+      score: candidate.reportedOnline / Math.max(1, candidate.load.slots),
+    }));
+    return {
+      workerId: findLeast(scored, random).candidate.workerId,
+      reason: ChoiceReason.LeastReported,
+      compared: toCompared(scored),
+    };
+  };
--- /dev/null
+++ b/packages/routing/src/router.ts
@@ -0,0 +1,159 @@
+/** Routes requests to workers and learns from their outcome. */
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Directory, EntryVmIo, WorkerLoads } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import type { CacheEvent, Worker } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import { createLoadAwareChooser, type Candidate, type Chooser } from './chooser.js';
+import { PrefixIndex } from './prefix-index.js';
+import { WorkerHealth } from './worker-health.js';
+
+/** Time for which a worker that refused a model is not asked for it again. */
+const MISSING_TARGET_MS = 5000;
+
+/** Time after which a request without any worker may be tried again. */
+const NO_WORKER_RETRY_MS = 1000;
+
+export interface RouterOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'createLog' | 'metrics'>;
+  availabilityZone: string;
+  directory: Directory;
+  loads: WorkerLoads;
+  /** Last total without corrections, for the baseline `leastReported`. */
+  readReportedOnline?: (workerId: string) => number;
+  chooser?: Chooser;
+}
+
+export interface RouteRequest {
+  requestId: string;
+  service: string;
+  /** Model and adapter of a generation; what a worker may not have loaded. */
+  target: string;
+  prefixes: readonly string[];
+  /** Workers to be avoided, because an earlier attempt failed there. */
+  avoided: ReadonlySet<string>;
+}
+
+/** Chooses workers; one per entry VM. */
+export class Router {
+  readonly prefixes = new PrefixIndex();
+
+  private readonly health = new WorkerHealth();
+
+  private readonly chooser: Chooser;
+
+  private readonly log: Log;
+
+  /** Worker and target to the time until which the worker is not asked for it. */
+  private readonly missing = new Map<string, number>();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  constructor(private readonly options: RouterOptions) {
+    this.chooser = options.chooser ?? createLoadAwareChooser();
+    this.log = options.io.createLog('routing');
+  }
+
+  start(): void {
+    this.subscriptions.push(this.options.directory.onChange(() => this.forgetUnlisted()));
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+  }
+
+  /** Returns a worker that takes new work, or a fault with outcome `not-run`. */
+  route(request: RouteRequest): Result<Worker, Fault> {
+    const now = this.options.io.timer.now();
+    const workers = this.options.directory.workersOf(request.service);
+    const candidates = this.selectWorkers(workers, request, now).map((worker) =>
+      this.describe(worker, request, now),
+    );
+    const choice = this.chooser(candidates, {
+      availabilityZone: this.options.availabilityZone,
+      random: this.options.io.random,
+    });
+    const chosen = workers.find((worker) => worker.id === choice?.workerId);
+    this.log.write('route', {
+      request: request.requestId,
+      service: request.service,
+      worker: chosen?.id,
+      reason: choice?.reason ?? 'no-worker',
+      candidates: candidates.length,
+      compared: choice?.compared.map(({ workerId, score }) => `${workerId}:${score}`),
+      avoided: [...request.avoided],
+    });
+    if (chosen !== undefined) return ok(chosen);
+    return err({
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step: 'routing',
+      message: `no worker of service ${request.service} takes this request`,
+      retryAfterMs: NO_WORKER_RETRY_MS,
+    });
+  }
+
+  recordSuccess(worker: Worker, latencyMs: number): void {
+    const now = this.options.io.timer.now();
+    if (this.health.recordSuccess(worker.service, worker.id, latencyMs, now)) {
+      this.logEjection(worker, 'latency');
+    }
+  }
+
+  recordFault(worker: Worker): void {
+    if (this.health.recordFault(worker.service, worker.id, this.options.io.timer.now())) {
+      this.logEjection(worker, 'faults');
+    }
+  }
+
+  /** Notes that the worker said it does not have the model or adapter. */
+  recordMissing(workerId: string, target: string): void {
+    const until = this.options.io.timer.now() + MISSING_TARGET_MS;
+    this.missing.set(`${workerId}|${target}`, until);
+  }
+
+  /** Notes a completed prompt; `cachedTokens` tells whether the prefix was in the cache before. */
+  recordCompletion(workerId: string, prefixes: readonly string[], cachedTokens: number): void {
+    if (cachedTokens === 0) this.prefixes.removeMissed(workerId, prefixes);
+    this.prefixes.addCompletion(workerId, prefixes, this.options.io.timer.now());
+  }
+
+  applyCacheEvents(workerId: string, events: readonly CacheEvent[], askedAfter: number): void {
+    this.prefixes.applyEvents(workerId, events, askedAfter);
+  }
+
+  /** Workers without the target or with a failed attempt are used only when no other is left. */
+  private selectWorkers(workers: Worker[], request: RouteRequest, now: number): Worker[] {
+    const holders = workers.filter(
+      ({ id }) => (this.missing.get(`${id}|${request.target}`) ?? 0) <= now,
+    );
+    const untried = holders.filter(({ id }) => !request.avoided.has(id));
+    return untried.length > 0 ? untried : holders;
+  }
+
+  private describe(worker: Worker, request: RouteRequest, now: number): Candidate {
+    const load = this.options.loads.get(worker.id);
+    return {
+      workerId: worker.id,
+      availabilityZone: worker.availabilityZone,
+      load,
+      reportedOnline: this.options.readReportedOnline?.(worker.id) ?? load.online,
+      prefixMatch: this.prefixes.match(worker.id, request.prefixes, now),
+      admission: this.health.admission(worker.id, now),
+    };
+  }
+
+  private logEjection(worker: Worker, reason: string): void {
+    this.log.write('eject', { worker: worker.id, service: worker.service, reason });
+    this.options.io.metrics.increment('routing.ejected', { service: worker.service });
+  }
+
+  private forgetUnlisted(): void {
+    const isListed = (id: string): boolean => this.options.directory.find(id) !== undefined;
+    this.health.retain(isListed);
+    this.prefixes.retain(isListed);
+    const now = this.options.io.timer.now();
+    for (const [key, until] of this.missing) if (until <= now) this.missing.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/worker-health.ts
@@ -0,0 +1,116 @@
+/** Ejection of unhealthy workers and their gradual reinstatement. */
+
+/** Faults in a row after which a worker is ejected. */
+const EJECTION_FAULTS = 3;
+
+const BASE_EJECTION_MS = 5000;
+
+const MAX_EJECTION_MS = 60_000;
+
+/** Time over which the share of traffic grows from its start to the full share. */
+const REINSTATEMENT_MS = 10_000;
+
+const REINSTATEMENT_START = 0.1;
+
+/** A worker that has been healthy for this long starts again with the shortest ejection. */
+const FORGET_AFTER_MS = 60_000;
+
+/** Samples before latency can eject a worker; fewer say little. */
+const MIN_LATENCY_SAMPLES = 10;
+
+/** First-token latency relative to the median of the service at which a worker is ejected. */
+const LATENCY_FACTOR = 3;
+
+/** Latency below this never ejects; on fast workers a factor of 3 is noise. */
+const MIN_BAD_LATENCY_MS = 200;
+
+const LATENCY_SMOOTHING = 0.2;
+
+/** No worker is ejected for latency when a larger share of its service is already ejected. */
+const MAX_EJECTED_SHARE = 0.34;
+
+interface Health {
+  service: string;
+  faults: number;
+  ejections: number;
+  ejectedUntil: number;
+  latencyMs: number;
+  samples: number;
+}
+
+const median = (values: readonly number[]): number =>
+  values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+/** Health of all workers as seen by this VM; times are passed in. */
+export class WorkerHealth {
+  private readonly states = new Map<string, Health>();
+
+  /** Share of traffic: 0 while ejected, growing to 1 after that. */
+  admission(workerId: string, now: number): number {
+    const state = this.states.get(workerId);
+    if (state === undefined || state.ejections === 0) return 1;
+    if (now < state.ejectedUntil) return 0;
+    const progress = (now - state.ejectedUntil) / REINSTATEMENT_MS;
+    return Math.min(1, REINSTATEMENT_START + (1 - REINSTATEMENT_START) * progress);
+  }
+
+  /** Counts a success; returns true when its latency ejects the worker. */
+  recordSuccess(service: string, workerId: string, latencyMs: number, now: number): boolean {
+    const state = this.find(service, workerId);
+    state.faults = 0;
+    if (state.ejections > 0 && now - state.ejectedUntil > FORGET_AFTER_MS) state.ejections = 0;
+    state.samples += 1;
+    const weight = state.samples === 1 ? 1 : LATENCY_SMOOTHING;
+    state.latencyMs += weight * (latencyMs - state.latencyMs);
+    if (!this.isSlow(service, state, now)) return false;
+    this.eject(state, now);
+    return true;
+  }
+
+  /** Counts a fault; returns true when it ejects the worker. */
+  recordFault(service: string, workerId: string, now: number): boolean {
+    const state = this.find(service, workerId);
+    state.faults += 1;
+    const isReinstating = state.ejections > 0 && this.admission(workerId, now) < 1;
+    if (now < state.ejectedUntil) return false;
+    if (state.faults < EJECTION_FAULTS && !isReinstating) return false;
+    this.eject(state, now);
+    return true;
+  }
+
+  /** Forgets workers that are no longer listed. */
+  retain(isListed: (workerId: string) => boolean): void {
+    for (const workerId of this.states.keys()) {
+      if (!isListed(workerId)) this.states.delete(workerId);
+    }
+  }
+
+  private find(service: string, workerId: string): Health {
+    const known = this.states.get(workerId);
+    if (known !== undefined) return known;
+    const state = { service, faults: 0, ejections: 0, ejectedUntil: 0, latencyMs: 0, samples: 0 };
+    this.states.set(workerId, state);
+    return state;
+  }
+
+  private isSlow(service: string, state: Health, now: number): boolean {
+    if (state.samples < MIN_LATENCY_SAMPLES || state.latencyMs < MIN_BAD_LATENCY_MS) return false;
+    if (now < state.ejectedUntil) return false;
+    const peers = [...this.states.values()].filter(
+      (peer) => peer.service === service && peer.samples >= MIN_LATENCY_SAMPLES,
+    );
+    const ejected = peers.filter((peer) => now < peer.ejectedUntil).length;
+    if ((ejected + 1) / peers.length > MAX_EJECTED_SHARE) return false;
+    return state.latencyMs > LATENCY_FACTOR * median(peers.map((peer) => peer.latencyMs));
+  }
+
+  private eject(state: Health, now: number): void {
+    state.ejections += 1;
+    const duration = Math.min(MAX_EJECTION_MS, BASE_EJECTION_MS * 2 ** (state.ejections - 1));
+    state.ejectedUntil = now + duration;
+    state.faults = 0;
+    // Latency before the ejection says nothing about the worker after it.
+    state.samples = 0;
+    state.latencyMs = 0;
+  }
+}
