--- /dev/null
+++ b/packages/limits/src/overload-gate.ts
@@ -0,0 +1,157 @@
+/** Admits online requests under overload with a bounded, timed wait. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Directory, EntryVmIo, Permit, WorkerLoads } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import {
+  decideOverload,
+  DEFAULT_OVERLOAD_BOUNDS,
+  OverloadVerdict,
+  type OverloadBounds,
+} from './overload.js';
+
+/** Waiting requests are checked again this often, since load also falls through other VMs. */
+const RECHECK_INTERVAL_MS = 50;
+
+/** Spread of retry times, so that refused callers don't all return at once. */
+const RETRY_AFTER_MS = { least: 500, spread: 1000 };
+
+export interface OverloadGateOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'createLog' | 'metrics'>;
+  maxOnlineInFlight: number;
+  directory: Directory;
+  loads: WorkerLoads;
+  bounds?: Partial<OverloadBounds>;
+}
+
+interface Waiting {
+  service: string;
+  giveUpAt: number;
+  admit: () => void;
+  refuse: (fault: Fault) => void;
+}
+
+/** Admission of online requests to this VM. */
+export class OverloadGate {
+  private readonly bounds: OverloadBounds;
+
+  private readonly waiting: Waiting[] = [];
+
+  private running = 0;
+
+  private readonly subscriptions: Subscription[] = [];
+
+  private readonly log: Log;
+
+  constructor(private readonly options: OverloadGateOptions) {
+    const { maxOnlineInFlight } = options;
+    this.bounds = { ...DEFAULT_OVERLOAD_BOUNDS, maxOnlineInFlight, ...options.bounds };
+    this.log = options.io.createLog('overload');
+  }
+
+  start(): void {
+    const { timer } = this.options.io;
+    this.subscriptions.push(timer.every(RECHECK_INTERVAL_MS, () => this.recheck()));
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+    this.waiting.splice(0).forEach(({ service, refuse }) => refuse(this.createFault(service)));
+  }
+
+  get inFlight(): number {
+    return this.running;
+  }
+
+  /** Resolves with a permit, or with a fault of outcome `not-run` and a retry time. */
+  async admit(service: string, signal: AbortSignal): Reply<Permit> {
+    // Earlier requests go first.
+    const verdict = this.waiting.some((entry) => entry.service === service)
+      ? this.decideQueued()
+      : this.decide(service);
+    if (verdict === OverloadVerdict.Admit) return ok(this.take());
+    if (verdict === OverloadVerdict.Refuse) return err(this.createFault(service));
+    return this.wait(service, signal);
+  }
+
+  private decide(service: string): OverloadVerdict {
+    const loads = this.options.directory
+      .workersOf(service)
+      .map((worker) => this.options.loads.get(worker.id));
+    const state = { inFlight: this.running, waiting: this.waiting.length, loads };
+    return decideOverload(state, this.bounds);
+  }
+
+  private decideQueued(): OverloadVerdict {
+    const hasRoom = this.waiting.length < this.bounds.maxWaiting;
+    return hasRoom ? OverloadVerdict.Wait : OverloadVerdict.Refuse;
+  }
+
+  private wait(service: string, signal: AbortSignal): Reply<Permit> {
+    return new Promise((resolve) => {
+      const entry: Waiting = {
+        service,
+        giveUpAt: this.options.io.timer.now() + this.bounds.maxWaitMs,
+        admit: () => resolve(ok(this.take())),
+        refuse: (fault) => resolve(err(fault)),
+      };
+      this.waiting.push(entry);
+      const leave = (): void => {
+        const position = this.waiting.indexOf(entry);
+        if (position === -1) return;
+        this.waiting.splice(position, 1);
+        entry.refuse({ ...this.createFault(service), code: FaultCode.Cancelled });
+      };
+      if (signal.aborted) leave();
+      else signal.addEventListener('abort', leave, { once: true });
+    });
+  }
+
+  private take(): Permit {
+    this.running += 1;
+    let isHeld = true;
+    return {
+      release: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        this.running -= 1;
+        this.recheck();
+      },
+    };
+  }
+
+  private recheck(): void {
+    const now = this.options.io.timer.now();
+    const blocked = new Set<string>();
+    for (const entry of [...this.waiting]) {
+      if (now >= entry.giveUpAt) {
+        this.remove(entry);
+        entry.refuse(this.createFault(entry.service));
+      } else if (!blocked.has(entry.service)) {
+        if (this.decide(entry.service) === OverloadVerdict.Admit) {
+          this.remove(entry);
+          entry.admit();
+        } else blocked.add(entry.service);
+      }
+    }
+  }
+
+  private remove(entry: Waiting): void {
+    this.waiting.splice(this.waiting.indexOf(entry), 1);
+  }
+
+  private createFault(service: string): Fault {
+    const { least, spread } = RETRY_AFTER_MS;
+    const retryAfterMs = least + this.options.io.random.below(spread);
+    this.log.write('refuse', { service, inFlight: this.running, waiting: this.waiting.length });
+    this.options.io.metrics.increment('overload.refused', { service });
+    return {
+      code: FaultCode.Overloaded,
+      outcome: Outcome.NotRun,
+      step: 'overload',
+      message: `service ${service} has no free capacity`,
+      retryAfterMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/limits/src/overload.ts
@@ -0,0 +1,40 @@
+/** Overload decision: whether an online request is admitted, waits or is refused early. */
+import type { WorkerLoad } from '@jujubelanding/interfaces';
+
+export enum OverloadVerdict {
+  Admit = 'admit',
+  Wait = 'wait',
+  Refuse = 'refuse',
+}
+
+export interface OverloadBounds {
+  /** Online requests that this VM has in progress at most. */
+  maxOnlineInFlight: number;
+  /** Requests per slot above which workers count as full. */
+  maxUtilization: number;
+  maxWaiting: number;
+  maxWaitMs: number;
+}
+
+export const DEFAULT_OVERLOAD_BOUNDS: Omit<OverloadBounds, 'maxOnlineInFlight'> = {
+  // Estimates lag by some milliseconds; a small surplus keeps the workers busy meanwhile.
+  maxUtilization: 1.25,
+  maxWaiting: 64,
+  maxWaitMs: 1000,
+};
+
+export interface OverloadState {
+  inFlight: number;
+  waiting: number;
+  /** Estimated load of all candidates for the request. */
+  loads: readonly WorkerLoad[];
+}
+
+/** Decides about one request. Without candidates routing gives the more exact answer. */
+export const decideOverload = (state: OverloadState, bounds: OverloadBounds): OverloadVerdict => {
+  const slots = state.loads.reduce((sum, load) => sum + load.slots, 0);
+  const online = state.loads.reduce((sum, load) => sum + load.online, 0);
+  const isFull = slots > 0 && online >= slots * bounds.maxUtilization;
+  if (!isFull && state.inFlight < bounds.maxOnlineInFlight) return OverloadVerdict.Admit;
+  return state.waiting < bounds.maxWaiting ? OverloadVerdict.Wait : OverloadVerdict.Refuse;
+};
