--- /dev/null
+++ b/packages/segments/src/local-segments.ts
@@ -0,0 +1,116 @@
+/** Segments on the disk of this VM. */
+import { FaultCode, type Reply } from '@jujubelanding/errors';
+import type { Disk } from '@jujubelanding/interfaces';
+import { computeChecksum } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import { refuse } from './faults.js';
+
+const SEGMENT_FOLDER = 'segments';
+const QUARANTINE_FOLDER = 'quarantine';
+const SEGMENT_ID = /^[0-9a-f]{64}$/;
+
+const toPath = (segmentId: string): string => `${SEGMENT_FOLDER}/${segmentId}`;
+
+export interface LocalSegmentsOptions {
+  disk: Disk;
+  timer: Timer;
+  /** Called after a corrupt segment was moved to quarantine. */
+  onCorrupt: (segmentId: string) => void;
+}
+
+/** Writes, reads and removes segments; operations on one segment run one after another. */
+export class LocalSegments {
+  /** Time at which this process last wrote a segment or first saw it on the disk. */
+  private readonly writtenAt = new Map<string, number>();
+
+  private readonly queues = new Map<string, Promise<unknown>>();
+
+  constructor(private readonly options: LocalSegmentsOptions) {}
+
+  put(segmentId: string, content: Uint8Array): Reply<void> {
+    if (computeChecksum(content) !== segmentId) {
+      return Promise.resolve(
+        refuse(FaultCode.Corrupt, 'segment-put', `checksum does not match ${segmentId}`),
+      );
+    }
+    return this.runInOrder(segmentId, async () => {
+      const existing = await this.readChecked(segmentId);
+      if (existing.isErr()) {
+        const written = await this.options.disk.write(toPath(segmentId), content);
+        if (written.isErr()) return written;
+      }
+      this.writtenAt.set(segmentId, this.options.timer.now());
+      return ok(undefined);
+    });
+  }
+
+  get(segmentId: string): Reply<Uint8Array> {
+    if (!SEGMENT_ID.test(segmentId)) {
+      return Promise.resolve(refuse(FaultCode.NotFound, 'segment-get', 'not a segment id'));
+    }
+    return this.runInOrder(segmentId, () => this.readChecked(segmentId));
+  }
+
+  /** Removes a segment unless it was written after the given time. */
+  removeOlder(segmentId: string, writtenBefore: number): Reply<boolean> {
+    return this.runInOrder(segmentId, async () => {
+      if (this.noteSeen(segmentId) > writtenBefore) return ok(false);
+      const removed = await this.options.disk.remove(toPath(segmentId));
+      if (removed.isErr()) return err(removed.error);
+      this.writtenAt.delete(segmentId);
+      return ok(true);
+    });
+  }
+
+  async list(): Reply<string[]> {
+    const paths = await this.options.disk.list(SEGMENT_FOLDER);
+    if (paths.isErr()) return paths;
+    const ids = paths.value
+      .map((path) => path.slice(SEGMENT_FOLDER.length + 1))
+      .filter((id) => SEGMENT_ID.test(id));
+    ids.forEach((id) => this.noteSeen(id));
+    return ok(ids);
+  }
+
+  /** Ids of segments that were last written, or first seen, before the given time. */
+  async listOlder(writtenBefore: number): Reply<string[]> {
+    const ids = await this.list();
+    return ids.map((list) => list.filter((id) => this.noteSeen(id) <= writtenBefore));
+  }
+
+  private noteSeen(segmentId: string): number {
+    const known = this.writtenAt.get(segmentId);
+    if (known !== undefined) return known;
+    const now = this.options.timer.now();
+    this.writtenAt.set(segmentId, now);
+    return now;
+  }
+
+  private async readChecked(segmentId: string): Reply<Uint8Array> {
+    const content = await this.options.disk.read(toPath(segmentId));
+    if (content.isErr()) return content;
+    if (computeChecksum(content.value) === segmentId) return content;
+    await this.quarantine(segmentId, content.value);
+    return refuse(FaultCode.Corrupt, 'segment-get', `checksum does not match ${segmentId}`);
+  }
+
+  private async quarantine(segmentId: string, content: Uint8Array): Promise<void> {
+    // The corrupt file is removed even if the disk has no room to keep it for inspection.
+    await this.options.disk.write(`${QUARANTINE_FOLDER}/${segmentId}`, content);
+    await this.options.disk.remove(toPath(segmentId));
+    this.writtenAt.delete(segmentId);
+    this.options.onCorrupt(segmentId);
+  }
+
+  private runInOrder<T>(segmentId: string, operation: () => Promise<T>): Promise<T> {
+    const previous = this.queues.get(segmentId) ?? Promise.resolve();
+    const current = previous.then(operation, operation);
+    this.queues.set(segmentId, current);
+    const release = (): void => {
+      if (this.queues.get(segmentId) === current) this.queues.delete(segmentId);
+    };
+    current.then(release, release);
+    return current;
+  }
+}
--- /dev/null
+++ b/packages/segments/src/memory-disk.ts
@@ -0,0 +1,99 @@
+/** A disk in memory with faults that can be caused, for tests and simulations. */
+import { FaultCode, type Reply } from '@jujubelanding/errors';
+import type { Disk } from '@jujubelanding/interfaces';
+import { ok } from 'neverthrow';
+import { refuse, reportUnknown } from './faults.js';
+
+export class MemoryDisk implements Disk {
+  private files = new Map<string, Uint8Array>();
+
+  /** Writes that wait for their flush; a crash loses them. */
+  private unflushed: { finish: () => void; lose: () => void }[] = [];
+
+  private flushHeld = false;
+
+  constructor(private capacityBytes = Number.POSITIVE_INFINITY) {}
+
+  async write(path: string, content: Uint8Array): Reply<void> {
+    if (this.usedBytes() + content.length > this.capacityBytes) {
+      return refuse(FaultCode.DiskFull, 'disk-write', 'no space left');
+    }
+    const copy = Uint8Array.from(content);
+    if (!this.flushHeld) {
+      this.files.set(path, copy);
+      return ok(undefined);
+    }
+    return new Promise((resolve) => {
+      this.unflushed.push({
+        finish: () => {
+          this.files.set(path, copy);
+          resolve(ok(undefined));
+        },
+        lose: () =>
+          resolve(reportUnknown(FaultCode.Unavailable, 'disk-write', 'crash before flush')),
+      });
+    });
+  }
+
+  async read(path: string): Reply<Uint8Array> {
+    const content = this.files.get(path);
+    if (content === undefined) return refuse(FaultCode.NotFound, 'disk-read', `no file ${path}`);
+    return ok(Uint8Array.from(content));
+  }
+
+  async remove(path: string): Reply<void> {
+    this.files.delete(path);
+    return ok(undefined);
+  }
+
+  async list(folder: string): Reply<string[]> {
+    return ok([...this.files.keys()].filter((path) => path.startsWith(`${folder}/`)).toSorted());
+  }
+
+  /** Sets the capacity; writes beyond it fail with DiskFull. */
+  setCapacity(bytes: number): void {
+    this.capacityBytes = bytes;
+  }
+
+  /** Changes one byte of a file. */
+  corrupt(path: string): void {
+    const content = this.files.get(path);
+    if (content === undefined || content.length === 0) return;
+    const position = Math.floor(content.length / 2);
+    content[position] = (content[position]! + 1) % 256;
+  }
+
+  /** Removes a file without a trace. */
+  lose(path: string): void {
+    this.files.delete(path);
+  }
+
+  /** Removes all files, as when the VM is replaced. */
+  loseAll(): void {
+    this.files.clear();
+  }
+
+  /** Keeps further writes unflushed until `releaseFlush` or `crash`. */
+  holdFlush(): void {
+    this.flushHeld = true;
+  }
+
+  releaseFlush(): void {
+    this.flushHeld = false;
+    this.unflushed.splice(0).forEach((write) => write.finish());
+  }
+
+  /** Loses all unflushed writes. */
+  crash(): void {
+    this.flushHeld = false;
+    this.unflushed.splice(0).forEach((write) => write.lose());
+  }
+
+  paths(): string[] {
+    return [...this.files.keys()].toSorted();
+  }
+
+  private usedBytes(): number {
+    return [...this.files.values()].reduce((sum, content) => sum + content.length, 0);
+  }
+}
