--- /dev/null
+++ b/packages/claims/src/claim-log.ts
@@ -0,0 +1,106 @@
+/** Stored form of claims and the keys under which they are kept. */
+import { describeThrown, FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import { Result } from 'neverthrow';
+import { z } from 'zod';
+
+const MS_PER_HOUR = 3_600_000;
+
+/**
+ * Size at which writing goes on under a further key. Well below the largest value of the key-value
+ * service, because every commit writes the whole value again.
+ */
+export const MAX_CLAIM_VALUE_BYTES = 256 * 1024;
+
+/** A recorded claim. */
+export interface ClaimEntry {
+  claimId: string;
+  digest: string;
+  /** Identifies the one call that may be told that it has the claim. */
+  token: string;
+  /** Epoch milliseconds. */
+  at: number;
+}
+
+/** Claims of one key; a closed key gets no further claims. */
+export interface ClaimPage {
+  fence: number;
+  writeId: string;
+  closed: boolean;
+  claims: ClaimEntry[];
+}
+
+/** Names the key that takes new claims; rewritten by each new owner before its first claim. */
+export interface ClaimHead {
+  fence: number;
+  writeId: string;
+  key: string;
+}
+
+const pageSchema = z.object({
+  fence: z.number(),
+  writeId: z.string(),
+  closed: z.boolean(),
+  claims: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
+});
+
+const headSchema = z.object({ fence: z.number(), writeId: z.string(), key: z.string() });
+
+export const claimPrefix = (shard: number): string => `claims/${shard}/`;
+
+export const headKey = (shard: number): string => `${claimPrefix(shard)}head`;
+
+export const hourOf = (wallClockMs: number): number => Math.floor(wallClockMs / MS_PER_HOUR);
+
+/** Key of an hour; `part` counts further keys of the same hour. */
+export const pageKey = (shard: number, hour: number, part: number): string =>
+  `${claimPrefix(shard)}${hour}${part === 0 ? '' : `.${part}`}`;
+
+/** Hour and part of a key, or undefined for the head key. */
+export const parsePageKey = (key: string): { hour: number; part: number } | undefined => {
+  const match = /\/(\d+)(?:\.(\d+))?$/.exec(key);
+  return match === null ? undefined : { hour: Number(match[1]), part: Number(match[2] ?? 0) };
+};
+
+/** Key after the given one: the current hour, or a further part of the same hour. */
+export const nextPageKey = (shard: number, key: string, wallClockMs: number): string => {
+  const hour = hourOf(wallClockMs);
+  const current = parsePageKey(key);
+  if (current === undefined || current.hour < hour) return pageKey(shard, hour, 0);
+  return pageKey(shard, current.hour, current.part + 1);
+};
+
+/** True when all claims of a key are older than the retention time. */
+export const isExpiredKey = (key: string, retentionMs: number, wallClockMs: number): boolean => {
+  const page = parsePageKey(key);
+  return page !== undefined && (page.hour + 1) * MS_PER_HOUR + retentionMs < wallClockMs;
+};
+
+export const encodePage = (page: ClaimPage): string =>
+  JSON.stringify({
+    ...page,
+    claims: page.claims.map(({ claimId, digest, token, at }) => [claimId, digest, token, at]),
+  });
+
+const createCorruptFault = (thrown: unknown): Fault => ({
+  code: FaultCode.Corrupt,
+  outcome: Outcome.NotRun,
+  step: 'claim',
+  message: `stored claims are not readable: ${describeThrown(thrown)}`,
+});
+
+const parsePage = (value: string): ClaimPage => {
+  const page = pageSchema.parse(JSON.parse(value));
+  return {
+    ...page,
+    claims: page.claims.map(([claimId, digest, token, at]) => ({ claimId, digest, token, at })),
+  };
+};
+
+export const decodePage = Result.fromThrowable(parsePage, createCorruptFault);
+
+export const encodeHead = (head: ClaimHead): string => JSON.stringify(head);
+
+export const decodeHead = Result.fromThrowable(
+  (value: string): ClaimHead => headSchema.parse(JSON.parse(value)),
+  createCorruptFault,
+);
--- /dev/null
+++ b/packages/claims/src/claim-owner.ts
@@ -0,0 +1,129 @@
+/** Owner's side: group commit of claims, one write in progress per shard. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import { ClaimStatus, type ClaimRequest } from '@jujubelanding/peer-protocol';
+import { err, ok, type Result } from 'neverthrow';
+import { ClaimVerdict, judgeClaim, selectNew } from './claim-group.js';
+import type { ClaimEntry } from './claim-log.js';
+import { ClaimStorage, type ClaimStorageOptions } from './claim-storage.js';
+
+/** Claims written at once at most; bounds the growth of a page by one write to about 60 KiB. */
+const MAX_GROUP = 500;
+
+export type ClaimAnswer = Result<{ status: ClaimStatus }, Fault>;
+
+interface Pending {
+  claim: ClaimEntry;
+  resolve: (answer: ClaimAnswer) => void;
+}
+
+/** Claims of one shard during one ownership. */
+export class ClaimOwner {
+  private readonly storage: ClaimStorage;
+
+  private loading: Reply<void> | undefined;
+
+  private readonly pending: Pending[] = [];
+
+  private isWriting = false;
+
+  constructor(private readonly options: ClaimStorageOptions & { log: Log }) {
+    this.storage = new ClaimStorage(options);
+  }
+
+  get fence(): number {
+    return this.options.fence;
+  }
+
+  async claim(request: ClaimRequest): Reply<{ status: ClaimStatus }> {
+    const loaded = await this.load();
+    if (loaded.isErr()) return err(loaded.error);
+    const { claimId, digest, requestId } = request;
+    const claim = { claimId, digest, token: requestId, at: this.options.wallClock() };
+    const recorded = this.storage.claims.get(claimId);
+    if (recorded !== undefined) return this.answer(claim);
+    return new Promise((resolve) => {
+      this.pending.push({ claim, resolve });
+      void this.writeGroups();
+    });
+  }
+
+  /** Reads the recorded claims; a failed load is repeated by the next call. */
+  load(): Reply<void> {
+    this.loading ??= this.runLoad();
+    return this.loading;
+  }
+
+  prune(): void {
+    this.storage.prune();
+  }
+
+  /** Refuses everything that is not written yet. */
+  close(): void {
+    this.pending.splice(0).forEach(({ resolve }) => resolve(err(this.createLostFault())));
+  }
+
+  private async runLoad(): Reply<void> {
+    const expired = await this.storage.load();
+    if (expired.isErr()) {
+      this.loading = undefined;
+      return err(expired.error);
+    }
+    void this.removeExpired(expired.value);
+    return ok(undefined);
+  }
+
+  private async removeExpired(
+    entries: Parameters<ClaimStorage['removeExpired']>[0][],
+  ): Promise<void> {
+    for (const entry of entries) {
+      const removed = await this.storage.removeExpired(entry);
+      // The next owner or the next hour removes what is left.
+      if (removed.isErr()) return;
+    }
+  }
+
+  private async writeGroups(): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    while (this.pending.length > 0) await this.writeGroup(this.pending.splice(0, MAX_GROUP));
+    this.isWriting = false;
+  }
+
+  private async writeGroup(group: Pending[]): Promise<void> {
+    const asked = group.map(({ claim }) => claim);
+    const written = await this.storage.append(() => selectNew(asked, this.storage.claims));
+    this.options.log.write('claims', {
+      shard: this.options.shard,
+      fence: this.options.fence,
+      count: group.length,
+      result: written.isOk() ? 'written' : written.error.message,
+    });
+    for (const { claim, resolve } of group) {
+      // Claims recorded before, also by a write whose outcome was unknown, have a definite answer.
+      if (this.storage.claims.has(claim.claimId)) resolve(this.answer(claim));
+      else resolve(err(written.isErr() ? written.error : this.createLostFault()));
+    }
+  }
+
+  private answer(claim: ClaimEntry): ClaimAnswer {
+    const verdict = judgeClaim(claim, this.storage.claims.get(claim.claimId));
+    if (verdict === ClaimVerdict.Own) return ok({ status: ClaimStatus.Claimed });
+    if (verdict === ClaimVerdict.AlreadyClaimed) return ok({ status: ClaimStatus.AlreadyClaimed });
+    return err({
+      code: FaultCode.KeyReused,
+      outcome: Outcome.NotRun,
+      step: 'claim',
+      message: 'the idempotency key was used for another request',
+    });
+  }
+
+  private createLostFault(): Fault {
+    return {
+      code: FaultCode.NotOwner,
+      outcome: Outcome.NotRun,
+      step: 'claim',
+      message: `shard ${this.options.shard} is no longer owned by this VM`,
+    };
+  }
+}
--- /dev/null
+++ b/packages/claims/src/claims.ts
@@ -0,0 +1,170 @@
+/** Claims of non-idempotent requests: client side on every VM, owner side for owned shards. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Claims, EntryVmIo, ShardTable } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { ClaimStatus, PeerMethod, type ClaimRequest } from '@jujubelanding/peer-protocol';
+import { computeChecksum, findShard } from '@jujubelanding/random';
+import type { Subscription } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import { ClaimOwner } from './claim-owner.js';
+
+/** Time within which a claim must be answered; covers the takeover of a shard only in part. */
+const CLAIM_TIMEOUT_MS = 3000;
+
+const RETRY_DELAY_MS = { least: 50, spread: 100 };
+
+/** Digits of the hash of team and key; 128 bits exclude collisions and keep pages small. */
+const CLAIM_ID_DIGITS = 32;
+
+const PRUNE_INTERVAL_MS = 600_000;
+
+/** Spread of loads after gaining shards, so that a restart of all VMs doesn't read all at once. */
+const LOAD_SPREAD_MS = 1000;
+
+/** Faults after which another attempt, perhaps at another owner, may succeed. */
+const RETRIED_CODES: ReadonlySet<FaultCode> = new Set([
+  FaultCode.NotOwner,
+  FaultCode.Unavailable,
+  FaultCode.Timeout,
+  FaultCode.Interrupted,
+  FaultCode.Upstream,
+]);
+
+export interface ClaimsOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'network' | 'createLog' | 'metrics'>;
+  entryVmId: string;
+  retentionMs: number;
+  shards: ShardTable;
+}
+
+/** Implements `Claims`. */
+export class ClaimsController implements Claims {
+  private readonly owners = new Map<number, ClaimOwner>();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  private readonly log: Log;
+
+  constructor(private readonly options: ClaimsOptions) {
+    this.log = options.io.createLog('claims');
+  }
+
+  start(): void {
+    const { network, timer } = this.options.io;
+    network.handle(PeerMethod.Claim, (request) => this.answer(request));
+    this.subscriptions.push(
+      this.options.shards.onChange(() => this.followShards()),
+      timer.every(PRUNE_INTERVAL_MS, () => this.owners.forEach((owner) => owner.prune())),
+    );
+    this.followShards();
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+    this.owners.forEach((owner) => owner.close());
+    this.owners.clear();
+  }
+
+  async claim(
+    team: string,
+    idempotencyKey: string,
+    digest: string,
+    requestId: string,
+  ): Reply<void> {
+    const { random, timer } = this.options.io;
+    const claimId = computeChecksum(`${team}\n${idempotencyKey}`).slice(0, CLAIM_ID_DIGITS);
+    // Unique per call: request ids may repeat, and only one call may be told that it has the claim.
+    const token = `${requestId}/${this.options.entryVmId}/${random.createId()}`;
+    const request = { shard: findShard(claimId), claimId, digest, requestId: token };
+    const deadline = timer.now() + CLAIM_TIMEOUT_MS;
+    for (;;) {
+      const answer = await this.ask(request, deadline - timer.now());
+      if (answer.isOk()) return this.conclude(answer.value.status);
+      if (!RETRIED_CODES.has(answer.error.code)) return err(answer.error);
+      const delayMs = RETRY_DELAY_MS.least + random.below(RETRY_DELAY_MS.spread);
+      if (timer.now() + delayMs >= deadline) return err(this.refuse(answer.error));
+      await timer.sleep(delayMs);
+    }
+  }
+
+  private conclude(status: ClaimStatus): Awaited<Reply<void>> {
+    if (status === ClaimStatus.Claimed) return ok(undefined);
+    return err({
+      code: FaultCode.AlreadyClaimed,
+      // About the request as such: an earlier call with this key may have run.
+      outcome: Outcome.OutcomeUnknown,
+      step: 'claim',
+      message: 'a request with this idempotency key was accepted before and may have run',
+    });
+  }
+
+  private refuse(cause: Fault): Fault {
+    this.options.io.metrics.increment('claims.refused');
+    return { ...cause, code: FaultCode.Unavailable, outcome: Outcome.NotRun };
+  }
+
+  private ask(request: ClaimRequest, timeoutMs: number): Reply<{ status: ClaimStatus }> {
+    const { network } = this.options.io;
+    const owner = this.options.shards.ownerOf(request.shard);
+    if (this.options.shards.fenceOf(request.shard) !== undefined) return this.answer(request);
+    if (owner === undefined || owner.entryVmId === this.options.entryVmId) {
+      return Promise.resolve(err(this.createNotOwnerFault(request.shard)));
+    }
+    return network.call(owner, PeerMethod.Claim, request, Math.min(1000, timeoutMs));
+  }
+
+  private answer(request: ClaimRequest): Reply<{ status: ClaimStatus }> {
+    const owner = this.findOwner(request.shard);
+    if (owner === undefined) return Promise.resolve(err(this.createNotOwnerFault(request.shard)));
+    return owner.claim(request);
+  }
+
+  private findOwner(shard: number): ClaimOwner | undefined {
+    const fence = this.options.shards.fenceOf(shard);
+    if (fence === undefined) return undefined;
+    const known = this.owners.get(shard);
+    if (known?.fence === fence) return known;
+    known?.close();
+    const { random, store, timer } = this.options.io;
+    const owner = new ClaimOwner({
+      store,
+      shard,
+      fence,
+      retentionMs: this.options.retentionMs,
+      wallClock: () => timer.wallClock(),
+      createId: () => random.createId(),
+      isValid: () => this.options.shards.fenceOf(shard) === fence,
+      log: this.log,
+    });
+    this.owners.set(shard, owner);
+    return owner;
+  }
+
+  /** Loads claims of gained shards in advance and drops the state of lost ones. */
+  private followShards(): void {
+    const { random, timer } = this.options.io;
+    const owned = new Set(this.options.shards.owned().map(({ shard }) => shard));
+    for (const [shard, owner] of this.owners) {
+      if (owned.has(shard)) continue;
+      owner.close();
+      this.owners.delete(shard);
+    }
+    for (const shard of owned) {
+      if (this.owners.has(shard)) continue;
+      const owner = this.findOwner(shard);
+      timer.after(random.below(LOAD_SPREAD_MS), () => {
+        void owner?.load();
+      });
+    }
+  }
+
+  private createNotOwnerFault(shard: number): Fault {
+    return {
+      code: FaultCode.NotOwner,
+      outcome: Outcome.NotRun,
+      step: 'claim',
+      peer: this.options.entryVmId,
+      message: `shard ${shard} is not owned by this VM`,
+    };
+  }
+}
