Add in-process stand-ins and the shared prefix hash

The emulators of the key-value service, VM list, weight store, model engine and plain service run on a Timer and a seeded Random, so that other packages can cause failures in their tests. The prefix hash lives in platform because engines and routing must compute the same one.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,3 +2,4 @@
 export * from './key-value-store.js';
 export * from './fleet-platform.js';
 export * from './backend-servers.js';
+export * from './prefix-hash.js';
--- /dev/null
+++ b/packages/platform/src/prefix-hash.ts
@@ -0,0 +1,28 @@
+import { hashText } from '@jujubelanding/random';
+import type { Message } from '@jujubelanding/types';
+
+/** Characters of a prompt block; model engines cache whole blocks only. */
+export const PREFIX_BLOCK_CHARACTERS = 256;
+
+/** Blocks beyond this number are neither hashed nor cached, which bounds the work per request. */
+export const MAX_PREFIX_BLOCKS = 32;
+
+/**
+ * Returns one hash for each whole leading block of a prompt. Each hash covers all blocks up to and
+ * including its own, so two prompts share as many leading hashes as they share leading blocks.
+ */
+export const computePrefixHashes = (messages: readonly Message[]): string[] => {
+  const text = messages.map(({ role, content }) => `${role}\n${content}\n`).join('');
+  const blocks = Math.min(Math.floor(text.length / PREFIX_BLOCK_CHARACTERS), MAX_PREFIX_BLOCKS);
+  const hashes: string[] = [];
+  let previous = '';
+  for (let block = 0; block < blocks; block += 1) {
+    const start = block * PREFIX_BLOCK_CHARACTERS;
+    const content = text.slice(start, start + PREFIX_BLOCK_CHARACTERS);
+    // Two differently seeded 32-bit hashes keep accidental matches in a large fleet unlikely.
+    const halves = [hashText(`a${previous}${content}`), hashText(`b${content}${previous}`)];
+    previous = halves.map((half) => half.toString(16).padStart(8, '0')).join('');
+    hashes.push(previous);
+  }
+  return hashes;
+};
--- /dev/null
+++ b/packages/stand-ins/src/engine/answer.ts
@@ -0,0 +1,50 @@
+/** Generated text as a pure function of the request. */
+import { computeChecksum, hashText } from '@jujubelanding/random';
+import { FinishReason, type Generation, type Message } from '@jujubelanding/types';
+
+/** Natural answer lengths are spread from 8 tokens up to this many more. */
+const NATURAL_LENGTH_SPAN = 512;
+const MIN_NATURAL_LENGTH = 8;
+
+const CHARACTERS_PER_TOKEN = 4;
+
+type Prompt = Pick<Generation, 'messages' | 'adapter'>;
+
+export interface Answer {
+  tokens: string[];
+  finishReason: FinishReason;
+}
+
+/** Identifies what determines the generated text. */
+export const computePromptDigest = ({ messages, adapter }: Prompt): string =>
+  computeChecksum(JSON.stringify([messages.map((m) => [m.role, m.content]), adapter ?? null]));
+
+/** Returns the token at an index of the answer. */
+export const computeToken = (promptDigest: string, index: number): string =>
+  ` ${hashText(`${promptDigest}:${index}`).toString(36).slice(0, 4)}`;
+
+/** Returns the length at which the answer ends by itself. */
+export const computeNaturalLength = (promptDigest: string): number =>
+  MIN_NATURAL_LENGTH + (hashText(`${promptDigest}:length`) % NATURAL_LENGTH_SPAN);
+
+/** Returns the whole answer of an engine to a request. */
+export const computeAnswer = (prompt: Prompt & Pick<Generation, 'maxTokens'>): Answer => {
+  const digest = computePromptDigest(prompt);
+  const natural = computeNaturalLength(digest);
+  const length = Math.min(natural, prompt.maxTokens);
+  return {
+    tokens: Array.from({ length }, (_, index) => computeToken(digest, index)),
+    finishReason: natural <= prompt.maxTokens ? FinishReason.Stop : FinishReason.Length,
+  };
+};
+
+/** Estimates the tokens of a prompt from its characters. */
+export const countPromptTokens = (messages: readonly Message[]): number =>
+  Math.ceil(
+    messages.reduce((sum, { role, content }) => sum + role.length + content.length + 2, 0) /
+      CHARACTERS_PER_TOKEN,
+  );
+
+/** Converts characters of cached blocks to tokens. */
+export const toTokens = (characters: number): number =>
+  Math.floor(characters / CHARACTERS_PER_TOKEN);
--- /dev/null
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -0,0 +1,286 @@
+/** Model engine with continuous batching, first come first served, without priorities. */
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Random } from '@jujubelanding/random';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { FinishReason, type Generation, type LoadReport, type Order } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import { createLinkFaults, Reachability } from '../link.js';
+import { countPromptTokens } from './answer.js';
+import { ExecutionCounts } from './execution-counts.js';
+import { LoadReporter, type LoadReading } from './load-reporter.js';
+import { OrderDesk, type FetchWeight } from './orders.js';
+import { PrefixCache } from './prefix-cache.js';
+import { createStreamFaults, DEFAULT_ENGINE_SETTINGS, type EngineSettings } from './settings.js';
+import { Stream, StreamFault, type StreamSink } from './stream.js';
+import { StreamCache } from './stream-cache.js';
+
+export interface ModelEngineOptions {
+  timer: Timer;
+  random: Random;
+  workerId: string;
+  settings?: Partial<EngineSettings>;
+  fetchWeight?: FetchWeight;
+}
+
+/** A stream in progress at the engine. */
+export interface StreamHandle {
+  cancel(): void;
+}
+
+export class ModelEngine {
+  readonly faults = createLinkFaults();
+
+  readonly streamFaults = createStreamFaults();
+
+  readonly counts = new ExecutionCounts();
+
+  readonly settings: EngineSettings;
+
+  readonly streamCache: StreamCache;
+
+  private readonly prefixCache: PrefixCache;
+
+  private orders: OrderDesk;
+
+  private readonly reporter: LoadReporter;
+
+  private running: Stream[] = [];
+
+  private waiting: Stream[] = [];
+
+  private step: Subscription | undefined;
+
+  private paused = false;
+
+  constructor(private readonly options: ModelEngineOptions) {
+    const { timer, random, workerId } = options;
+    this.settings = { ...DEFAULT_ENGINE_SETTINGS, ...options.settings };
+    this.streamCache = new StreamCache(workerId, this.settings.keptStreams);
+    this.prefixCache = new PrefixCache(timer, random, this.settings);
+    this.orders = this.createOrders();
+    this.reporter = new LoadReporter(timer, this.settings.loadReportIntervalMs, () =>
+      this.takeReading(),
+    );
+  }
+
+  get workerId(): string {
+    return this.options.workerId;
+  }
+
+  /** Admits or queues a generation; a refusal means that it did not run. */
+  start(generation: Generation, sink: StreamSink): Result<StreamHandle, Fault> {
+    this.reporter.refresh();
+    const refusal = this.checkAdmission(generation);
+    if (refusal !== undefined) return err(refusal);
+    const stream = new Stream(generation, sink, this.options.random, this.streamFaults);
+    this.waiting.push(stream);
+    this.admit();
+    return ok({ cancel: () => this.cancelStream(stream) });
+  }
+
+  /** Cancels all streams of a request. */
+  cancel(requestId: string): void {
+    [...this.running, ...this.waiting]
+      .filter((stream) => stream.requestId === requestId)
+      .forEach((stream) => this.cancelStream(stream));
+  }
+
+  readLoad(afterSequence: number): LoadReport {
+    this.reporter.refresh();
+    return this.reporter.read(this.prefixCache.readEvents(afterSequence));
+  }
+
+  sendOrder(order: Order): Result<void, Fault> {
+    this.reporter.refresh();
+    return this.orders.accept(order);
+  }
+
+  /** Breaks all streams and refuses connections until restarted. */
+  crash(): void {
+    this.faults.reachability = Reachability.Refusing;
+    const broken = [...this.running, ...this.waiting];
+    this.running = [];
+    this.waiting = [];
+    this.stopSteps();
+    this.streamCache.clear();
+    this.prefixCache.clear();
+    broken.forEach((stream) => this.breakStream(stream, 'the engine crashed'));
+  }
+
+  /** Starts again after a crash, with the models of the settings and empty caches. */
+  restart(): void {
+    this.orders = this.createOrders();
+    this.faults.reachability = Reachability.Up;
+    this.paused = false;
+  }
+
+  /** Stops generating; requests and streams hang. */
+  pause(): void {
+    this.paused = true;
+    this.stopSteps();
+  }
+
+  resume(): void {
+    this.paused = false;
+    this.admit();
+  }
+
+  isPaused(): boolean {
+    return this.paused;
+  }
+
+  private createOrders(): OrderDesk {
+    const { timer, workerId, fetchWeight } = this.options;
+    return new OrderDesk(timer, workerId, this.settings, fetchWeight);
+  }
+
+  private checkAdmission({ model, adapter, fence }: Generation): Fault | undefined {
+    const refuse = (code: FaultCode, message: string): Fault => ({
+      code,
+      outcome: Outcome.NotRun,
+      step: 'generate',
+      peer: this.workerId,
+      message,
+    });
+    if (!this.orders.models.has(model)) {
+      return refuse(FaultCode.NotFound, `model ${model} is not loaded`);
+    }
+    if (adapter !== undefined && !this.orders.adapters.has(adapter)) {
+      return refuse(FaultCode.NotFound, `adapter ${adapter} is not loaded`);
+    }
+    if (this.waiting.length >= this.settings.maxQueue) {
+      return refuse(FaultCode.Overloaded, 'the queue is full');
+    }
+    const fencing = this.orders.checkGeneration(fence);
+    return fencing.isErr() ? fencing.error : undefined;
+  }
+
+  private admit(): void {
+    if (this.paused) return;
+    while (this.running.length < this.settings.slots && this.waiting.length > 0) {
+      this.beginPrefill(this.waiting.shift()!);
+    }
+    this.scheduleStep();
+  }
+
+  private beginPrefill(stream: Stream): void {
+    const { requestId, messages, resumeTokens } = stream.generation;
+    this.counts.countExecution(requestId);
+    const tokens = countPromptTokens(messages) + resumeTokens.length;
+    const kept = this.streamCache.covers(requestId, stream.promptDigest, resumeTokens.length);
+    const cached = this.prefixCache.use(messages);
+    stream.cachedTokens = kept ? countPromptTokens(messages) : cached;
+    const prefillMs = kept ? 0 : (tokens - cached) * this.settings.prefillMsPerToken;
+    stream.readyAt = this.options.timer.now() + prefillMs;
+    this.running.push(stream);
+  }
+
+  private scheduleStep(): void {
+    if (this.step !== undefined || this.running.length === 0 || this.paused) return;
+    const now = this.options.timer.now();
+    const decoding = this.running.filter(({ readyAt }) => readyAt <= now).length;
+    const earliest = Math.min(...this.running.map(({ readyAt }) => readyAt));
+    const { stepBaseMs, stepPerStreamMs } = this.settings;
+    const delay = decoding > 0 ? stepBaseMs + stepPerStreamMs * decoding : earliest - now;
+    this.step = this.options.timer.after(delay, () => {
+      this.step = undefined;
+      this.runStep();
+    });
+  }
+
+  /** Generates one token for each stream whose prefill is done. */
+  private runStep(): void {
+    this.reporter.refresh();
+    const now = this.options.timer.now();
+    const ready = this.running.filter(({ readyAt }) => readyAt <= now);
+    ready.forEach((stream) => this.advance(stream));
+    this.admit();
+  }
+
+  private advance(stream: Stream): void {
+    // A callback of another stream in this step may have cancelled this one.
+    if (!this.running.includes(stream)) return;
+    if (this.failsAlways(stream)) {
+      this.remove(stream);
+      const message = 'generation failed';
+      stream.sink.onFault(
+        stream.createFault(FaultCode.Upstream, Outcome.Failed, message, this.workerId),
+      );
+      return;
+    }
+    if (stream.fault === StreamFault.Break && stream.next >= stream.faultIndex) {
+      this.remove(stream);
+      this.breakStream(stream, 'the stream broke');
+      return;
+    }
+    if (!stream.isComplete()) this.sendToken(stream);
+    if (!stream.isComplete() || !this.running.includes(stream)) return;
+    this.remove(stream);
+    stream.sink.onEnd(stream.createEnd());
+  }
+
+  private sendToken(stream: Stream): void {
+    const token = stream.createToken();
+    this.counts.countToken(stream.requestId);
+    const strikes = token.index === stream.faultIndex;
+    if (strikes && stream.fault === StreamFault.Gap) return;
+    if (strikes && stream.fault === StreamFault.WrongId) {
+      token.requestId = this.options.random.createId();
+    }
+    if (strikes && stream.fault === StreamFault.Swap) {
+      token.requestId = this.running.find((other) => other !== stream)?.requestId ?? 'swapped';
+    }
+    stream.sink.onToken(token);
+  }
+
+  private failsAlways(stream: Stream): boolean {
+    const { failureMarker } = this.settings;
+    if (stream.fault === StreamFault.Fail) return true;
+    if (failureMarker === '') return false;
+    return stream.generation.messages.some(({ content }) => content.includes(failureMarker));
+  }
+
+  private cancelStream(stream: Stream): void {
+    if (!this.running.includes(stream) && !this.waiting.includes(stream)) return;
+    this.reporter.refresh();
+    this.remove(stream);
+    stream.sink.onEnd({
+      ...stream.createEnd(),
+      tokenCount: stream.next,
+      finishReason: FinishReason.Cancelled,
+    });
+    this.admit();
+  }
+
+  private breakStream(stream: Stream, message: string): void {
+    stream.sink.onFault(
+      stream.createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown, message, this.workerId),
+    );
+  }
+
+  private remove(stream: Stream): void {
+    const { promptDigest, next: tokens } = stream;
+    const now = this.options.timer.now();
+    if (stream.readyAt <= now) this.streamCache.keep(stream.requestId, { promptDigest, tokens });
+    this.running = this.running.filter((other) => other !== stream);
+    this.waiting = this.waiting.filter((other) => other !== stream);
+  }
+
+  private stopSteps(): void {
+    this.step?.cancel();
+    this.step = undefined;
+  }
+
+  private takeReading(): LoadReading {
+    return {
+      workerId: this.workerId,
+      slots: this.settings.slots,
+      running: this.running.length,
+      waiting: this.waiting.length,
+      models: [...this.orders.models],
+      adapters: [...this.orders.adapters],
+      role: this.orders.role,
+      streams: this.running.map(({ requestId }) => requestId),
+    };
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -0,0 +1,70 @@
+/** Bounded prefix cache of an engine and the events that it publishes late and with gaps. */
+import { computePrefixHashes, PREFIX_BLOCK_CHARACTERS } from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { CacheEventKind, type CacheEvent, type Message } from '@jujubelanding/types';
+import { toTokens } from './answer.js';
+import type { EngineSettings } from './settings.js';
+
+/** Published events kept for readers; a reader further behind sees a gap. */
+const MAX_KEPT_EVENTS = 1024;
+
+export class PrefixCache {
+  /** Block hashes, least recently used first. */
+  private readonly blocks = new Set<string>();
+
+  private events: { publishAt: number; event: CacheEvent }[] = [];
+
+  private sequence = 0;
+
+  constructor(
+    private readonly timer: Timer,
+    private readonly random: Random,
+    private readonly settings: EngineSettings,
+  ) {}
+
+  /** Stores the prompt's blocks and returns the prompt tokens that were cached before. */
+  use(messages: readonly Message[]): number {
+    const hashes = computePrefixHashes(messages);
+    const firstMissing = hashes.findIndex((hash) => !this.blocks.has(hash));
+    const cached = firstMissing === -1 ? hashes.length : firstMissing;
+    // Later blocks are touched first: without its predecessors a block is useless, so it goes first.
+    for (const hash of hashes.toReversed()) this.touch(hash);
+    this.evict();
+    return toTokens(cached * PREFIX_BLOCK_CHARACTERS);
+  }
+
+  /** Returns published events after the sequence number. */
+  readEvents(afterSequence: number): CacheEvent[] {
+    const now = this.timer.now();
+    return this.events
+      .filter(({ publishAt, event }) => publishAt <= now && event.sequence > afterSequence)
+      .map(({ event }) => event);
+  }
+
+  clear(): void {
+    for (const hash of this.blocks) this.publish(CacheEventKind.Evicted, hash);
+    this.blocks.clear();
+  }
+
+  private touch(hash: string): void {
+    if (!this.blocks.delete(hash)) this.publish(CacheEventKind.Stored, hash);
+    this.blocks.add(hash);
+  }
+
+  private evict(): void {
+    for (const hash of this.blocks) {
+      if (this.blocks.size <= this.settings.prefixCacheBlocks) return;
+      this.blocks.delete(hash);
+      this.publish(CacheEventKind.Evicted, hash);
+    }
+  }
+
+  private publish(kind: CacheEventKind, prefixHash: string): void {
+    this.sequence += 1;
+    if (this.random.next() < this.settings.cacheEventLossChance) return;
+    const publishAt = this.timer.now() + this.settings.cacheEventDelayMs;
+    this.events.push({ publishAt, event: { sequence: this.sequence, kind, prefixHash } });
+    if (this.events.length > 2 * MAX_KEPT_EVENTS) this.events = this.events.slice(-MAX_KEPT_EVENTS);
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/group-client.ts
@@ -0,0 +1,155 @@
+/** One client's view of the backend servers in the same process. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { BackendServers, WorkerAddress } from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import type { Generation, StreamEnd, Token } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import type { ModelEngine } from './engine/model-engine.js';
+import { GroupStream } from './group-stream.js';
+import { createLinkFaults, Link, type LinkFaults } from './link.js';
+import type { PlainService } from './plain-service.js';
+
+/** Time after which a client gives up on a call other than a generation. */
+const CALL_TIMEOUT_MS = 2000;
+
+/** Upper bound of a call to a plain service; callers end it earlier through the signal. */
+const SERVICE_TIMEOUT_MS = 60_000;
+
+/** Time without a token after which a client gives up on a stream. */
+const STREAM_IDLE_TIMEOUT_MS = 10_000;
+
+export interface BackendServerGroupOptions {
+  timer: Timer;
+  random: Random;
+  callTimeoutMs?: number;
+  streamIdleTimeoutMs?: number;
+}
+
+export interface BackendServersClient extends BackendServers {
+  /** Faults of this client's paths to all workers. */
+  readonly faults: LinkFaults;
+  /** Faults of this client's path to one worker. */
+  faultsTo(workerId: string): LinkFaults;
+}
+
+/** Finds the workers that exist at the moment. */
+export interface WorkerGroup {
+  readonly options: BackendServerGroupOptions;
+  findEngine(workerId: string): ModelEngine | undefined;
+  findPlainService(workerId: string): PlainService | undefined;
+}
+
+export class GroupClient implements BackendServersClient {
+  readonly faults = createLinkFaults();
+
+  private readonly paths = new Map<string, LinkFaults>();
+
+  constructor(
+    private readonly group: WorkerGroup,
+    private readonly name: string,
+  ) {}
+
+  faultsTo(workerId: string): LinkFaults {
+    const known = this.paths.get(workerId);
+    if (known !== undefined) return known;
+    const faults = createLinkFaults();
+    this.paths.set(workerId, faults);
+    return faults;
+  }
+
+  async generate(
+    worker: WorkerAddress,
+    generation: Generation,
+    onToken: (token: Token) => void,
+    signal: AbortSignal,
+  ): Reply<StreamEnd> {
+    const engine = this.group.findEngine(worker.id);
+    if (engine === undefined) return err(this.createUnavailable(worker, 'generate'));
+    const { timer, streamIdleTimeoutMs } = this.group.options;
+    const idleTimeoutMs = streamIdleTimeoutMs ?? STREAM_IDLE_TIMEOUT_MS;
+    const link = this.createLink(worker, engine.faults, idleTimeoutMs);
+    return new GroupStream({ timer, link, engine, idleTimeoutMs, onToken }).run(generation, signal);
+  }
+
+  async cancel(worker: WorkerAddress, requestId: string): Reply<void> {
+    return this.callEngine(worker, 'cancel', (engine) => ok(engine.cancel(requestId)));
+  }
+
+  async call(
+    worker: WorkerAddress,
+    request: Parameters<BackendServers['call']>[1],
+    signal: AbortSignal,
+  ): ReturnType<BackendServers['call']> {
+    const service = this.group.findPlainService(worker.id);
+    if (service === undefined) return err(this.createUnavailable(worker, 'call'));
+    const link = this.createLink(worker, service.faults, SERVICE_TIMEOUT_MS);
+    if (signal.aborted) {
+      return err(link.createFault('call', FaultCode.Cancelled, Outcome.NotRun));
+    }
+    const cancelled = new Promise<Result<never, Fault>>((resolve) => {
+      signal.addEventListener(
+        'abort',
+        () => resolve(err(link.createFault('call', FaultCode.Cancelled, Outcome.OutcomeUnknown))),
+        { once: true },
+      );
+    });
+    return Promise.race([link.call('call', () => service.run(request)), cancelled]);
+  }
+
+  async readLoad(
+    worker: WorkerAddress,
+    afterSequence: number,
+  ): ReturnType<BackendServers['readLoad']> {
+    return this.callEngine(worker, 'readLoad', (engine) => ok(engine.readLoad(afterSequence)));
+  }
+
+  async sendOrder(
+    worker: WorkerAddress,
+    order: Parameters<BackendServers['sendOrder']>[1],
+  ): Reply<void> {
+    return this.callEngine(worker, 'sendOrder', (engine) => engine.sendOrder(order));
+  }
+
+  async exportCache(worker: WorkerAddress, requestId: string): Reply<Uint8Array> {
+    return this.callEngine(worker, 'exportCache', (engine) => engine.streamCache.export(requestId));
+  }
+
+  async importCache(worker: WorkerAddress, requestId: string, cache: Uint8Array): Reply<void> {
+    return this.callEngine(worker, 'importCache', (engine) =>
+      engine.streamCache.import(requestId, cache),
+    );
+  }
+
+  private async callEngine<T>(
+    worker: WorkerAddress,
+    step: string,
+    run: (engine: ModelEngine) => Result<T, Fault>,
+  ): Reply<T> {
+    const engine = this.group.findEngine(worker.id);
+    if (engine === undefined) return err(this.createUnavailable(worker, step));
+    const link = this.createLink(worker, engine.faults, this.callTimeoutMs());
+    // A paused engine accepts the connection and answers nothing.
+    return link.call(step, () => (engine.isPaused() ? new Promise(() => {}) : run(engine)));
+  }
+
+  private callTimeoutMs(): number {
+    return this.group.options.callTimeoutMs ?? CALL_TIMEOUT_MS;
+  }
+
+  private createLink(worker: WorkerAddress, faults: LinkFaults, timeoutMs: number): Link {
+    const { timer, random } = this.group.options;
+    const path = [faults, this.faults, this.faultsTo(worker.id)];
+    return new Link({ timer, random, peer: worker.id, faults: path, timeoutMs });
+  }
+
+  private createUnavailable(worker: WorkerAddress, step: string): Fault {
+    return {
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step,
+      peer: worker.id,
+      message: `${this.name} found nothing listening at ${worker.address}`,
+    };
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/key-value-state.ts
@@ -0,0 +1,191 @@
+/** State of the key-value service: revisions, leases, watches and compaction. */
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import {
+  ChangeKind,
+  MAX_VALUE_BYTES,
+  WriteStatus,
+  type Change,
+  type KeyValueEntry,
+  type KeyValueList,
+  type LeaseGrant,
+  type WatchResult,
+  type Write,
+  type WriteResult,
+} from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { err, ok, type Result } from 'neverthrow';
+
+interface Lease {
+  ttlMs: number;
+  end: Subscription;
+  keys: Set<string>;
+}
+
+interface Watcher {
+  prefix: string;
+  afterRevision: number;
+  resolve: (result: WatchResult) => void;
+  timeout?: Subscription;
+}
+
+/** Changes kept for watches; older ones are compacted. */
+export const DEFAULT_HISTORY_LIMIT = 10_000;
+
+const reject = (step: string, code: FaultCode, message: string): Result<never, Fault> =>
+  err({ code, outcome: Outcome.NotRun, step, peer: 'key-value', message });
+
+export class KeyValueState {
+  private readonly entries = new Map<string, KeyValueEntry>();
+
+  private readonly leases = new Map<string, Lease>();
+
+  private readonly watchers = new Set<Watcher>();
+
+  private history: Change[] = [];
+
+  private revision = 0;
+
+  private compactedRevision = 0;
+
+  /** Keys in order; undefined after an insertion or removal. */
+  private sortedKeys: string[] | undefined = [];
+
+  constructor(
+    private readonly timer: Timer,
+    private readonly random: Random,
+    private readonly historyLimit = DEFAULT_HISTORY_LIMIT,
+  ) {}
+
+  get(key: string): KeyValueEntry | undefined {
+    return this.entries.get(key);
+  }
+
+  list(prefix: string, limit = Infinity, afterKey?: string): KeyValueList {
+    this.sortedKeys ??= [...this.entries.keys()].toSorted();
+    const entries: KeyValueEntry[] = [];
+    for (const key of this.sortedKeys) {
+      if (entries.length >= limit) break;
+      if (key.startsWith(prefix) && (afterKey === undefined || key > afterKey)) {
+        entries.push(this.entries.get(key)!);
+      }
+    }
+    return { entries, revision: this.revision };
+  }
+
+  write(write: Write): Result<WriteResult, Fault> {
+    if (Buffer.byteLength(write.value) > MAX_VALUE_BYTES) {
+      return reject('write', FaultCode.TooLarge, `value of ${write.key} exceeds the limit`);
+    }
+    if (write.leaseId !== undefined && !this.leases.has(write.leaseId)) {
+      return reject('write', FaultCode.NotFound, `lease ${write.leaseId} has ended`);
+    }
+    const current = this.entries.get(write.key);
+    if ((current?.modRevision ?? 0) !== write.expectedRevision) {
+      return ok({ status: WriteStatus.Conflict, current });
+    }
+    const { key, value, leaseId } = write;
+    this.revision += 1;
+    const entry: KeyValueEntry = { key, value, modRevision: this.revision };
+    if (leaseId !== undefined) entry.leaseId = leaseId;
+    if (current === undefined) this.sortedKeys = undefined;
+    this.detach(current);
+    this.entries.set(key, entry);
+    if (leaseId !== undefined) this.leases.get(leaseId)!.keys.add(key);
+    this.publish({ kind: ChangeKind.Put, entry });
+    return ok({ status: WriteStatus.Written, revision: this.revision });
+  }
+
+  remove(key: string, expectedRevision: number): Result<WriteResult, Fault> {
+    const current = this.entries.get(key);
+    if (current === undefined || current.modRevision !== expectedRevision) {
+      return ok({ status: WriteStatus.Conflict, current });
+    }
+    this.delete(current);
+    return ok({ status: WriteStatus.Written, revision: this.revision });
+  }
+
+  grantLease(ttlMs: number): LeaseGrant {
+    const leaseId = this.random.createId();
+    const end = this.timer.after(ttlMs, () => this.endLease(leaseId));
+    this.leases.set(leaseId, { ttlMs, end, keys: new Set() });
+    return { leaseId, ttlMs };
+  }
+
+  renewLease(leaseId: string): Result<LeaseGrant, Fault> {
+    const lease = this.leases.get(leaseId);
+    if (lease === undefined) {
+      return reject('renewLease', FaultCode.NotFound, `lease ${leaseId} has ended`);
+    }
+    lease.end.cancel();
+    lease.end = this.timer.after(lease.ttlMs, () => this.endLease(leaseId));
+    return ok({ leaseId, ttlMs: lease.ttlMs });
+  }
+
+  endLease(leaseId: string): void {
+    const lease = this.leases.get(leaseId);
+    if (lease === undefined) return;
+    this.leases.delete(leaseId);
+    lease.end.cancel();
+    for (const key of lease.keys) this.delete(this.entries.get(key)!);
+  }
+
+  watch(prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult> {
+    if (afterRevision < this.compactedRevision) {
+      return Promise.resolve({ changes: [], revision: this.revision, compacted: true });
+    }
+    const changes = this.changesAfter(prefix, afterRevision);
+    if (changes.length > 0 || waitMs <= 0) {
+      return Promise.resolve({ changes, revision: this.revision, compacted: false });
+    }
+    return new Promise((resolve) => {
+      const watcher: Watcher = { prefix, afterRevision, resolve };
+      watcher.timeout = this.timer.after(waitMs, () => {
+        this.watchers.delete(watcher);
+        resolve({ changes: [], revision: this.revision, compacted: false });
+      });
+      this.watchers.add(watcher);
+    });
+  }
+
+  /** Discards the changes up to now, so that older watches must list again. */
+  compact(): void {
+    this.history = [];
+    this.compactedRevision = this.revision;
+  }
+
+  private changesAfter(prefix: string, afterRevision: number): Change[] {
+    // Revisions in the history are consecutive, so the position follows from the revision.
+    const start = Math.max(0, afterRevision - this.compactedRevision);
+    return this.history.slice(start).filter(({ entry }) => entry.key.startsWith(prefix));
+  }
+
+  private delete(entry: KeyValueEntry): void {
+    this.revision += 1;
+    this.detach(entry);
+    this.entries.delete(entry.key);
+    this.sortedKeys = undefined;
+    this.publish({
+      kind: ChangeKind.Delete,
+      entry: { ...entry, value: '', modRevision: this.revision },
+    });
+  }
+
+  private detach(entry: KeyValueEntry | undefined): void {
+    if (entry?.leaseId !== undefined) this.leases.get(entry.leaseId)?.keys.delete(entry.key);
+  }
+
+  private publish(change: Change): void {
+    this.history.push(change);
+    if (this.history.length > this.historyLimit) {
+      const removed = this.history.splice(0, Math.ceil(this.historyLimit / 2));
+      this.compactedRevision = removed.at(-1)!.entry.modRevision;
+    }
+    for (const watcher of this.watchers) {
+      if (!change.entry.key.startsWith(watcher.prefix)) continue;
+      this.watchers.delete(watcher);
+      watcher.timeout?.cancel();
+      watcher.resolve({ changes: [change], revision: this.revision, compacted: false });
+    }
+  }
+}
