--- /dev/null
+++ b/packages/online/src/attempt-loop.ts
@@ -0,0 +1,129 @@
+/** Attempts of one request over workers until it succeeds or must not be tried again. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { EntryVmIo, WorkerLoads } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { RetryBudget, Router } from '@jujubelanding/routing';
+import type { Idempotency, Worker } from '@jujubelanding/types';
+import { err } from 'neverthrow';
+import {
+  combineOutcomes,
+  computeBackoff,
+  decideRetry,
+  FaultMeaning,
+  interpretFault,
+  RetryReason,
+} from './retry-policy.js';
+
+export interface AttemptLoopOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'metrics'>;
+  router: Router;
+  loads: WorkerLoads;
+  budget: RetryBudget;
+  log: Log;
+  route: { requestId: string; service: string; target: string; prefixes: readonly string[] };
+  idempotency: Idempotency;
+  deadline: number;
+  /** Aborted when the caller goes away. */
+  signal: AbortSignal;
+}
+
+export type RunAttempt<T> = (worker: Worker, number: number, signal: AbortSignal) => Reply<T>;
+
+/** Runs the attempts of one request. */
+export class AttemptLoop {
+  private readonly controller = new AbortController();
+
+  private readonly avoided = new Set<string>();
+
+  /** Outcome over all attempts so far. */
+  private outcome = Outcome.NotRun;
+
+  private isTimedOut = false;
+
+  constructor(private readonly options: AttemptLoopOptions) {}
+
+  async run<T>(runAttempt: RunAttempt<T>): Reply<T> {
+    const { signal, deadline, io, budget } = this.options;
+    budget.addRequest();
+    const abort = (): void => this.controller.abort();
+    if (signal.aborted) abort();
+    else signal.addEventListener('abort', abort, { once: true });
+    const timeout = io.timer.after(deadline - io.timer.now(), () => {
+      this.isTimedOut = true;
+      abort();
+    });
+    const result = await this.runAll(runAttempt);
+    timeout.cancel();
+    signal.removeEventListener('abort', abort);
+    return result;
+  }
+
+  private async runAll<T>(runAttempt: RunAttempt<T>): Reply<T> {
+    for (let attempts = 1; ; attempts += 1) {
+      if (this.controller.signal.aborted) return err(this.createAbortFault());
+      const answer = await this.runOne(runAttempt, attempts);
+      if (answer.isOk()) return answer;
+      this.outcome = combineOutcomes(this.outcome, answer.error.outcome);
+      if (this.controller.signal.aborted) return err(this.createAbortFault(answer.error));
+      const backoffMs = computeBackoff(attempts, this.options.io.random.next());
+      const reason = this.decide(answer.error, attempts, backoffMs);
+      this.logFailure(answer.error, attempts, reason);
+      if (reason !== RetryReason.Retry) return err({ ...answer.error, outcome: this.outcome });
+      await this.options.io.timer.sleep(backoffMs);
+    }
+  }
+
+  private async runOne<T>(runAttempt: RunAttempt<T>, number: number): Reply<T> {
+    const { router, loads, route } = this.options;
+    const routed = router.route({ ...route, avoided: this.avoided });
+    if (routed.isErr()) return err(routed.error);
+    const worker = routed.value;
+    loads.begin(worker.id);
+    try {
+      const answer = await runAttempt(worker, number, this.controller.signal);
+      if (answer.isErr() && !this.controller.signal.aborted) this.learn(worker, answer.error);
+      return answer;
+    } finally {
+      loads.end(worker.id);
+    }
+  }
+
+  private learn(worker: Worker, fault: Fault): void {
+    this.avoided.add(worker.id);
+    if (fault.code === FaultCode.NotFound) {
+      this.options.router.recordMissing(worker.id, this.options.route.target);
+    }
+    if (interpretFault(fault) === FaultMeaning.WorkerFault) this.options.router.recordFault(worker);
+  }
+
+  private decide(fault: Fault, attempts: number, backoffMs: number): RetryReason {
+    const { idempotency, deadline, io, budget } = this.options;
+    const now = io.timer.now();
+    const takeRetry = (): boolean => budget.takeRetry();
+    return decideRetry({ fault, idempotency, attempts, backoffMs, now, deadline, takeRetry });
+  }
+
+  private logFailure(fault: Fault, attempts: number, reason: RetryReason): void {
+    this.options.log.write('attempt-failed', {
+      request: this.options.route.requestId,
+      worker: fault.peer,
+      attempt: attempts,
+      code: fault.code,
+      outcome: fault.outcome,
+      next: reason,
+      message: fault.message,
+    });
+    const tags = { code: fault.code, next: reason };
+    this.options.io.metrics.increment('online.attempt_failed', tags);
+  }
+
+  private createAbortFault(cause?: Fault): Fault {
+    return {
+      code: this.isTimedOut ? FaultCode.Timeout : FaultCode.Cancelled,
+      outcome: this.outcome,
+      step: 'dispatch',
+      ...(cause?.peer === undefined ? {} : { peer: cause.peer }),
+      message: this.isTimedOut ? 'the deadline has passed' : 'the caller has gone',
+    };
+  }
+}
--- /dev/null
+++ b/packages/online/src/attempt.ts
@@ -0,0 +1,110 @@
+/** One attempt of a streamed generation on one worker. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { BackendServers } from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+import type { Generation, StreamEnd, Token, Worker } from '@jujubelanding/types';
+import { err, type Result } from 'neverthrow';
+import { StreamCheck, TokenVerdict } from './stream-check.js';
+
+/**
+ * Time without a token after which a stream counts as broken. Far above the 70 ms between tokens at
+ * p95, so that a busy worker isn't mistaken for a stopped one.
+ */
+export const STALL_TIMEOUT_MS = 5000;
+
+export interface AttemptOptions {
+  timer: Timer;
+  backendServers: BackendServers;
+  worker: Worker;
+  generation: Generation;
+  /** Texts delivered by earlier attempts; this attempt appends to it. */
+  delivered: string[];
+  /** Gets each new token once. */
+  onToken: (token: Token) => void;
+  /** Aborted when the caller goes away or the deadline passes. */
+  signal: AbortSignal;
+}
+
+/** Runs the attempt; settles at once when it is aborted, also when the worker does not react. */
+export class Attempt {
+  private readonly controller = new AbortController();
+
+  private readonly check: StreamCheck;
+
+  private isSettled = false;
+
+  private isStarted = false;
+
+  private resolve!: (result: Result<StreamEnd, Fault>) => void;
+
+  constructor(private readonly options: AttemptOptions) {
+    this.check = new StreamCheck(options.generation.requestId, options.delivered);
+  }
+
+  async run(): Reply<StreamEnd> {
+    const { signal, worker, generation, backendServers } = this.options;
+    const settled = new Promise<Result<StreamEnd, Fault>>((resolve) => {
+      this.resolve = resolve;
+    });
+    const abort = (): void => this.settle(err(this.createFault(FaultCode.Cancelled, 'cancelled')));
+    signal.addEventListener('abort', abort, { once: true });
+    const stalled = this.watchStall();
+    if (signal.aborted) abort();
+    else {
+      void backendServers
+        .generate(worker, generation, (token) => this.receive(token), this.controller.signal)
+        .then((answer) => this.settle(answer.andThen((end) => this.check.finish(end))));
+    }
+    const result = await settled;
+    stalled.cancel();
+    signal.removeEventListener('abort', abort);
+    return result.mapErr((fault) => this.describe(fault));
+  }
+
+  private receive(token: Token): void {
+    // A worker may still send after the attempt was given up.
+    if (this.isSettled) return;
+    this.isStarted = true;
+    const checked = this.check.accept(token);
+    if (checked.isErr()) this.settle(err(checked.error));
+    else if (checked.value === TokenVerdict.Deliver) this.options.onToken(token);
+  }
+
+  /** Checks for progress at intervals; a subscription per token would cost more. */
+  private watchStall() {
+    let count = -1;
+    return this.options.timer.every(STALL_TIMEOUT_MS, () => {
+      const isStalled = this.isStarted && count === this.options.delivered.length;
+      count = this.options.delivered.length;
+      if (isStalled) {
+        this.settle(err(this.createFault(FaultCode.Interrupted, 'the stream made no progress')));
+      }
+    });
+  }
+
+  private settle(result: Result<StreamEnd, Fault>): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    if (result.isErr()) this.cancelUpstream(result.error);
+    this.resolve(result);
+  }
+
+  /** Ends work that goes on behind a broken connection; the result of the call doesn't matter. */
+  private cancelUpstream(fault: Fault): void {
+    this.controller.abort();
+    if (fault.outcome === Outcome.NotRun && !this.isStarted) return;
+    const { backendServers, worker, generation } = this.options;
+    void backendServers.cancel(worker, generation.requestId);
+  }
+
+  /** Adds the peer; a fault after the first token can't mean that nothing ran. */
+  private describe(fault: Fault): Fault {
+    const isContradictory = this.isStarted && fault.outcome === Outcome.NotRun;
+    const outcome = isContradictory ? Outcome.OutcomeUnknown : fault.outcome;
+    return { ...fault, outcome, peer: fault.peer ?? this.options.worker.id };
+  }
+
+  private createFault(code: FaultCode, message: string): Fault {
+    return { code, outcome: Outcome.OutcomeUnknown, step: 'stream', message };
+  }
+}
--- /dev/null
+++ b/packages/online/src/index.ts
@@ -0,0 +1,7 @@
+/** Dispatch of online requests, stream checks, retries and resumption. */
+export * from './attempt-loop.js';
+export * from './attempt.js';
+export * from './online-dispatch.js';
+export * from './retry-policy.js';
+export * from './service-attempt.js';
+export * from './stream-check.js';
--- /dev/null
+++ b/packages/online/src/online-dispatch.ts
@@ -0,0 +1,179 @@
+/** Online requests from routing to the checked answer, with retries and resumption. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type {
+  Configuration,
+  EntryVmIo,
+  OnlineCall,
+  OnlineDispatcher,
+  OnlineGeneration,
+  WorkerLoads,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { hashPrefixes, RetryBudget, type Router } from '@jujubelanding/routing';
+import {
+  Idempotency,
+  RecordKind,
+  type ServiceResponse,
+  type StreamEnd,
+  type Token,
+  type Worker,
+} from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import { Attempt } from './attempt.js';
+import { AttemptLoop } from './attempt-loop.js';
+import { ServiceAttempt } from './service-attempt.js';
+
+export interface OnlineDispatchOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'backendServers' | 'createLog' | 'metrics'>;
+  configuration: Configuration;
+  router: Router;
+  loads: WorkerLoads;
+}
+
+/** One attempt of a generation. */
+interface GenerationRun {
+  request: OnlineGeneration;
+  worker: Worker;
+  /** Counted from 1. */
+  number: number;
+  /** Texts that the caller has. */
+  delivered: string[];
+  prefixes: readonly string[];
+  onToken: (token: Token) => void;
+}
+
+/** Implements `OnlineDispatcher`. */
+export class OnlineDispatchController implements OnlineDispatcher {
+  private readonly budget = new RetryBudget();
+
+  private readonly log: Log;
+
+  private running = 0;
+
+  private readonly drained: (() => void)[] = [];
+
+  constructor(private readonly options: OnlineDispatchOptions) {
+    this.log = options.io.createLog('online');
+  }
+
+  start(): void {
+    this.options.router.start();
+  }
+
+  stop(): void {
+    this.options.router.stop();
+  }
+
+  inFlight(): number {
+    return this.running;
+  }
+
+  /** Resolves when no request is in progress. */
+  drain(): Promise<void> {
+    if (this.running === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.drained.push(resolve);
+    });
+  }
+
+  async generate(
+    request: OnlineGeneration,
+    onToken: (token: Token) => void,
+    signal: AbortSignal,
+  ): Reply<StreamEnd> {
+    const { generation } = request;
+    const model = this.options.configuration.get(RecordKind.Model, generation.model);
+    if (model === undefined) return err(this.createUnknownModel(generation.model));
+    const prefixes = hashPrefixes(generation);
+    const delivered: string[] = [];
+    const run = (worker: Worker, number: number, attemptSignal: AbortSignal) =>
+      this.runGeneration({ request, worker, number, delivered, prefixes, onToken }, attemptSignal);
+    const target = `${generation.model}|${generation.adapter ?? ''}`;
+    const { requestId } = generation;
+    const route = { requestId, service: model.spec.service, target, prefixes };
+    return this.track(() => this.createLoop(route, request, signal).run(run));
+  }
+
+  async call(request: OnlineCall, signal: AbortSignal): Reply<ServiceResponse> {
+    const { requestId } = request.request;
+    const { timer, backendServers } = this.options.io;
+    const runAttempt = async (worker: Worker, _number: number, attemptSignal: AbortSignal) => {
+      const sentAt = timer.now();
+      const attempt = new ServiceAttempt(backendServers, worker, request.request, attemptSignal);
+      const answer = await attempt.run();
+      if (answer.isOk()) this.options.router.recordSuccess(worker, timer.now() - sentAt);
+      return answer;
+    };
+    const route = { requestId, service: request.service, target: '', prefixes: [] };
+    return this.track(() => this.createLoop(route, request, signal).run(runAttempt));
+  }
+
+  private async runGeneration(run: GenerationRun, signal: AbortSignal): Reply<StreamEnd> {
+    const { worker, number, delivered } = run;
+    const { generation } = run.request;
+    const { timer, backendServers, metrics } = this.options.io;
+    // Late tokens of an earlier attempt carry another id and are told apart.
+    const requestId = number === 1 ? generation.requestId : `${generation.requestId}.${number}`;
+    const sentAt = timer.now();
+    let firstTokenMs: number | undefined;
+    const answer = await new Attempt({
+      timer,
+      backendServers,
+      worker,
+      generation: { ...generation, requestId, resumeTokens: [...delivered] },
+      delivered,
+      onToken: (token) => {
+        firstTokenMs ??= timer.now() - sentAt;
+        run.onToken({ ...token, requestId: generation.requestId });
+      },
+      signal,
+    }).run();
+    if (answer.isErr()) return err(answer.error);
+    const latencyMs = firstTokenMs ?? timer.now() - sentAt;
+    this.options.router.recordSuccess(worker, latencyMs);
+    this.options.router.recordCompletion(worker.id, run.prefixes, answer.value.cachedTokens);
+    metrics.timing('online.first_token', latencyMs, { model: generation.model });
+    return ok({ ...answer.value, requestId: generation.requestId });
+  }
+
+  private createLoop(
+    route: { requestId: string; service: string; target: string; prefixes: readonly string[] },
+    request: { idempotency: Idempotency; deadline: number },
+    signal: AbortSignal,
+  ): AttemptLoop {
+    const { idempotency, deadline } = request;
+    const { router, loads, io } = this.options;
+    const { budget, log } = this;
+    return new AttemptLoop({
+      io,
+      router,
+      loads,
+      budget,
+      log,
+      route,
+      idempotency,
+      deadline,
+      signal,
+    });
+  }
+
+  private async track<T>(run: () => Reply<T>): Reply<T> {
+    this.running += 1;
+    this.options.io.metrics.gauge('online.in_flight', this.running);
+    try {
+      return await run();
+    } finally {
+      this.running -= 1;
+      if (this.running === 0) this.drained.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
+  private createUnknownModel(model: string): Fault {
+    return {
+      code: FaultCode.NotFound,
+      outcome: Outcome.NotRun,
+      step: 'dispatch',
+      message: `model ${model} is not known`,
+    };
+  }
+}
