--- /dev/null
+++ b/packages/batch-capacity/src/capacity-policy.ts
@@ -0,0 +1,57 @@
+/** Pure decision of how many batch items may run on a worker. */
+import { CapacityPolicyName } from './policy-name.js';
+import { decayReserve, type Reserve } from './reserve.js';
+
+/** Load of one worker at one moment. */
+export interface WorkerReading {
+  slots: number;
+  /** Online requests in progress over all entry VMs. */
+  online: number;
+  /** Batch streams of an earlier shard owner that still run on the worker. */
+  foreignBatch: number;
+}
+
+/** What is remembered of a worker between two readings. */
+export interface CapacityState {
+  reading: WorkerReading;
+  reserve: Reserve;
+}
+
+export interface CapacityDecision {
+  /** Batch items that may run. */
+  limit: number;
+  state: CapacityState;
+}
+
+/** Decides with each change of a worker's load, and again while time passes. */
+export interface CapacityPolicy {
+  readonly name: CapacityPolicyName;
+  decide(
+    previous: CapacityState | undefined,
+    reading: WorkerReading,
+    now: number,
+  ): CapacityDecision;
+}
+
+type LimitRule = (reading: WorkerReading, reserve: number) => number;
+
+/** Share of the slots that the static baseline gives to batch work. */
+const STATIC_BATCH_SHARE = 0.5;
+
+const LIMIT_RULES: Record<CapacityPolicyName, LimitRule> = {
+  [CapacityPolicyName.Adaptive]: ({ slots, online }, reserve) => slots - online - reserve,
+  [CapacityPolicyName.Fifo]: ({ slots }) => slots,
+  [CapacityPolicyName.StaticSplit]: ({ slots }) => Math.floor(slots * STATIC_BATCH_SHARE),
+  [CapacityPolicyName.OnlineOnly]: () => 0,
+  [CapacityPolicyName.BatchOnly]: ({ slots }) => slots,
+};
+
+/** Creates a policy by name; all but `adaptive` are baselines for the bench. */
+export const createCapacityPolicy = (name: CapacityPolicyName): CapacityPolicy => ({
+  name,
+  decide: (previous, reading, now) => {
+    const reserve = decayReserve(previous?.reserve, reading.online, reading.slots, now);
+    const limit = LIMIT_RULES[name](reading, reserve.slots) - reading.foreignBatch;
+    return { limit: Math.max(0, Math.floor(limit)), state: { reading, reserve } };
+  },
+});
--- /dev/null
+++ b/packages/batch-capacity/src/index.ts
@@ -0,0 +1,6 @@
+/** Pure decisions on the share of each worker that batch work may use. */
+export * from './capacity-policy.js';
+export * from './policy-name.js';
+export * from './preemption.js';
+export * from './reserve.js';
+export * from './takeover.js';
--- /dev/null
+++ b/packages/batch-capacity/src/preemption.ts
@@ -0,0 +1,17 @@
+/** Pure choice of the batch streams to cancel. */
+
+export interface BatchStream {
+  requestId: string;
+  /** Tokens generated so far, over all attempts. */
+  tokens: number;
+  startedAt: number;
+}
+
+/** Returns the streams above the limit, those with the least progress first. */
+export const choosePreemptions = <T extends BatchStream>(
+  streams: readonly T[],
+  limit: number,
+): T[] =>
+  streams
+    .toSorted((a, b) => a.tokens - b.tokens || b.startedAt - a.startedAt)
+    .slice(0, Math.max(0, streams.length - limit));
--- /dev/null
+++ b/packages/batch-jobs/src/acceptance.ts
@@ -0,0 +1,163 @@
+/** Acceptance of a job: items to segments, then the job record, then the acknowledgement. */
+import { createHash, type Hash } from 'node:crypto';
+import { FaultCode, Outcome, describeThrown, type Fault, type Reply } from '@jujubelanding/errors';
+import type {
+  EntryVmIo,
+  JobSubmission,
+  SegmentStore,
+  SubmittedJob,
+} from '@jujubelanding/interfaces';
+import { MAX_VALUE_BYTES, WriteStatus } from '@jujubelanding/platform';
+import { JobStatus, type BatchItem, type JobChunk, type JobRecord } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import { ChunkBuilder, type BuiltChunk } from './chunk-builder.js';
+import { encodeJob } from './codec.js';
+import { refuse } from './faults.js';
+import type { JobRecords } from './job-records.js';
+import { createJobId, createTeamKey } from './keys.js';
+
+/** Half the grace time of segments without job record, which are removed after an hour. */
+const ACCEPTANCE_TIMEOUT_MS = 30 * 60 * 1000;
+
+export interface AcceptanceOptions {
+  io: Pick<EntryVmIo, 'timer'>;
+  segments: SegmentStore;
+  records: JobRecords;
+}
+
+interface Content {
+  digest: string;
+  itemCount: number;
+  chunks: JobChunk[];
+}
+
+const updateDigest = (hash: Hash, item: BatchItem): void => {
+  const messages = item.messages.map(({ role, content }) => [role, content]);
+  hash.update(`${JSON.stringify([item.itemId, messages, item.maxTokens])}\n`);
+};
+
+/** A class may change its model between a submission and its resend; its name does not change. */
+const startDigest = ({ jobClass, model, adapter }: JobSubmission): Hash => {
+  const target = jobClass === undefined ? { model, adapter } : { jobClass };
+  return createHash('sha256').update(`${JSON.stringify(target)}\n`);
+};
+
+export class Acceptance {
+  constructor(private readonly options: AcceptanceOptions) {}
+
+  async submit(submission: JobSubmission): Reply<SubmittedJob> {
+    const jobId = createJobId(submission.team, submission.idempotencyKey);
+    const existing = await this.options.records.read(jobId);
+    if (existing.isErr()) return err({ ...existing.error, outcome: Outcome.NotRun });
+    const content = await this.readContent(submission, existing.value === undefined);
+    if (content.isErr()) return err(content.error);
+    if (existing.value !== undefined) {
+      return this.resolveResend(existing.value.record, content.value.digest);
+    }
+    const record = this.createRecord(submission, jobId, content.value);
+    return this.writeRecord(record);
+  }
+
+  /** Reads all items; their chunks are stored unless only the digest is needed. */
+  private async readContent(submission: JobSubmission, storesChunks: boolean): Reply<Content> {
+    const hash = startDigest(submission);
+    const builder = new ChunkBuilder();
+    const chunks: JobChunk[] = [];
+    const startedAt = this.options.io.timer.now();
+    try {
+      for await (const item of submission.items) {
+        updateDigest(hash, item);
+        const chunk = builder.add(item);
+        const problem = this.checkLimits(submission, builder.itemCount, startedAt);
+        if (problem.isErr()) return err(problem.error);
+        if (chunk === undefined || !storesChunks) continue;
+        const stored = await this.storeChunk(chunk, chunks);
+        if (stored.isErr()) return err(stored.error);
+      }
+    } catch (thrown) {
+      return refuse(FaultCode.InvalidInput, 'batch-items', describeThrown(thrown));
+    }
+    const last = builder.finish();
+    if (last !== undefined && storesChunks) {
+      const stored = await this.storeChunk(last, chunks);
+      if (stored.isErr()) return err(stored.error);
+    }
+    if (builder.itemCount === 0) {
+      return refuse(FaultCode.InvalidInput, 'batch-items', 'the job has no items');
+    }
+    return ok({ digest: hash.digest('hex'), itemCount: builder.itemCount, chunks });
+  }
+
+  private checkLimits(
+    submission: JobSubmission,
+    itemCount: number,
+    startedAt: number,
+  ): Result<void, Fault> {
+    if (itemCount > submission.maxItems) {
+      const message = `the job has more than ${submission.maxItems} items`;
+      return refuse(FaultCode.TooLarge, 'batch-items', message);
+    }
+    if (this.options.io.timer.now() - startedAt > ACCEPTANCE_TIMEOUT_MS) {
+      return refuse(FaultCode.Timeout, 'batch-items', 'the items arrived too slowly');
+    }
+    return ok(undefined);
+  }
+
+  private async storeChunk(chunk: BuiltChunk, chunks: JobChunk[]): Reply<void> {
+    const { firstItem, itemCount, content } = chunk;
+    const input = await this.options.segments.write(content);
+    // Nothing runs before the job record exists, whatever became of the segment.
+    if (input.isErr()) return err({ ...input.error, outcome: Outcome.NotRun });
+    chunks.push({
+      index: chunks.length,
+      firstItem,
+      itemCount,
+      input: input.value,
+      failedItems: 0,
+    });
+    return ok(undefined);
+  }
+
+  private createRecord(submission: JobSubmission, id: string, content: Content): JobRecord {
+    const { team, idempotencyKey, model, adapter, jobClass, maxAttempts, dueAt } = submission;
+    return {
+      id,
+      team,
+      idempotencyKey,
+      model,
+      ...(adapter === undefined ? {} : { adapter }),
+      ...(jobClass === undefined ? {} : { jobClass }),
+      maxAttempts,
+      ...content,
+      status: JobStatus.Open,
+      createdAt: this.options.io.timer.wallClock(),
+      dueAt,
+      fence: 0,
+    };
+  }
+
+  private async writeRecord(record: JobRecord): Reply<SubmittedJob> {
+    // Results add about as much to the record as inputs.
+    if (2 * Buffer.byteLength(encodeJob(record)) > MAX_VALUE_BYTES) {
+      return refuse(FaultCode.TooLarge, 'batch-items', 'the chunk table does not fit its record');
+    }
+    const { records } = this.options;
+    // The entry for lists is written first: without a job record it is skipped there.
+    const indexKey = createTeamKey(record.team, record.id);
+    const indexed = await records.writeValue(indexKey, String(record.createdAt), 0);
+    if (indexed.isErr()) return err({ ...indexed.error, outcome: Outcome.NotRun });
+    const written = await records.write(record, 0);
+    if (written.isErr()) return err(written.error);
+    if (written.value.status === WriteStatus.Written) return ok({ job: record, resent: false });
+    if (written.value.current === undefined) {
+      return refuse(FaultCode.Conflict, 'job-record', 'the job was removed at the same time');
+    }
+    return this.resolveResend(written.value.current.record, record.digest);
+  }
+
+  private resolveResend(job: JobRecord, digest: string): Result<SubmittedJob, Fault> {
+    if (job.digest === digest) return ok({ job, resent: true });
+    const message = 'another job was submitted under this idempotency key';
+    return refuse(FaultCode.KeyReused, 'job-record', message);
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/batch-job-service.ts
@@ -0,0 +1,155 @@
+/** Batch jobs as offered to callers on every entry VM. */
+import { FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
+import type {
+  BatchJobs,
+  EntryVmIo,
+  JobSubmission,
+  Membership,
+  SegmentStore,
+  ShardTable,
+  SubmittedJob,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { PeerMethod } from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import { JobStatus, type ItemResult, type JobRecord } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import { Acceptance } from './acceptance.js';
+import { FaultError, refuse } from './faults.js';
+import type { JobOwner } from './job-owner.js';
+import { JobRecords } from './job-records.js';
+import { updateJob } from './job-writer.js';
+import { createTeamPrefix } from './keys.js';
+import { parseResults } from './segment-lines.js';
+
+/** Newest jobs returned by a list. */
+const MAX_LISTED_JOBS = 100;
+const LIST_PAGE = 500;
+/** The owner also watches its jobs; notices only make changes known sooner. */
+const NOTICE_ATTEMPTS = 3;
+const NOTICE_RETRY_MS = 200;
+
+export interface BatchJobServiceOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'network' | 'createLog'>;
+  segments: SegmentStore;
+  shards: ShardTable;
+  membership: Membership;
+  /** Job owner in the same process. */
+  owner: JobOwner;
+}
+
+export class BatchJobService implements BatchJobs {
+  private readonly records: JobRecords;
+
+  private readonly acceptance: Acceptance;
+
+  private readonly log: Log;
+
+  constructor(private readonly options: BatchJobServiceOptions) {
+    this.records = new JobRecords(options.io);
+    this.log = options.io.createLog('batch-jobs');
+    this.acceptance = new Acceptance({ ...options, records: this.records });
+  }
+
+  async submit(submission: JobSubmission): Reply<SubmittedJob> {
+    const submitted = await this.acceptance.submit(submission);
+    if (submitted.isErr()) {
+      const { code, outcome, step, message } = submitted.error;
+      this.log.write('job-refused', { team: submission.team, code, outcome, step, message });
+      return submitted;
+    }
+    const { job, resent } = submitted.value;
+    const { id, team, itemCount } = job;
+    this.log.write('job-accepted', { job: id, team, items: itemCount, resent });
+    if (!resent) void this.notifyOwner(id);
+    return submitted;
+  }
+
+  async get(jobId: string): Reply<JobRecord> {
+    const stored = await this.records.read(jobId);
+    if (stored.isErr()) return err(stored.error);
+    if (stored.value === undefined) {
+      return refuse(FaultCode.NotFound, 'job-get', `no job ${jobId}`);
+    }
+    return ok(stored.value.record);
+  }
+
+  async list(team: string): Reply<JobRecord[]> {
+    const prefix = createTeamPrefix(team);
+    const index: { id: string; createdAt: number }[] = [];
+    for (let afterKey: string | undefined; ;) {
+      const page = await this.options.io.store.list(prefix, LIST_PAGE, afterKey);
+      if (page.isErr()) return err(page.error);
+      const { entries } = page.value;
+      index.push(
+        ...entries.map(({ key, value }) => ({
+          id: key.slice(prefix.length),
+          createdAt: Number(value),
+        })),
+      );
+      if (entries.length < LIST_PAGE) break;
+      afterKey = entries.at(-1)!.key;
+    }
+    const newest = index.toSorted((a, b) => b.createdAt - a.createdAt).slice(0, MAX_LISTED_JOBS);
+    const jobs: JobRecord[] = [];
+    for (const { id } of newest) {
+      const stored = await this.records.read(id);
+      if (stored.isErr()) return err(stored.error);
+      if (stored.value !== undefined) jobs.push(stored.value.record);
+    }
+    return ok(jobs);
+  }
+
+  /** A job that has completed stays completed and is returned as such. */
+  async cancel(jobId: string): Reply<JobRecord> {
+    const stored = await this.records.read(jobId);
+    if (stored.isErr()) return err({ ...stored.error, outcome: Outcome.NotRun });
+    if (stored.value === undefined) {
+      return refuse(FaultCode.NotFound, 'job-cancel', `no job ${jobId}`);
+    }
+    const endedAt = this.options.io.timer.wallClock();
+    const cancelled = await updateJob(this.records, stored.value, (record) =>
+      record.status === JobStatus.Open
+        ? { ...record, status: JobStatus.Cancelled, endedAt }
+        : undefined,
+    );
+    if (cancelled.isErr()) return err(cancelled.error);
+    if (cancelled.value === undefined) {
+      return refuse(FaultCode.NotFound, 'job-cancel', `no job ${jobId}`);
+    }
+    const { record } = cancelled.value;
+    this.log.write('job-cancelled', { job: jobId, status: record.status });
+    void this.notifyOwner(jobId);
+    return ok(record);
+  }
+
+  // eslint-disable-next-line @stylistic/generator-star-spacing -- conflicts with prettier
+  async *readResults(jobId: string, from: number, to: number): AsyncIterable<ItemResult> {
+    const job = await this.get(jobId);
+    if (job.isErr()) throw new FaultError(job.error);
+    for (const chunk of job.value.chunks) {
+      const end = chunk.firstItem + chunk.itemCount;
+      if (chunk.result === undefined || end <= from || chunk.firstItem >= to) continue;
+      const content = await this.options.segments.read(chunk.result);
+      const results = content.andThen(parseResults);
+      if (results.isErr()) throw new FaultError(results.error);
+      yield* results.value.filter(({ index }) => index >= from && index < to);
+    }
+  }
+
+  private async notifyOwner(jobId: string): Promise<void> {
+    const { shards, membership, io, owner } = this.options;
+    const notice = { shard: findShard(jobId), jobId };
+    for (let attempt = 0; attempt < NOTICE_ATTEMPTS; attempt += 1) {
+      const target = shards.ownerOf(notice.shard);
+      if (target !== undefined) {
+        const isSelf = target.entryVmId === membership.self().entryVmId;
+        const notified = isSelf
+          ? await owner.notifyJobChanged(notice)
+          : await io.network.call(target, PeerMethod.NotifyJobChanged, notice);
+        if (notified.isOk()) return;
+      }
+      await io.timer.sleep(NOTICE_RETRY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/chunk-builder.ts
@@ -0,0 +1,61 @@
+/** Splits the items of a job into chunks. */
+import type { SegmentItem } from '@jujubelanding/peer-protocol';
+import type { BatchItem } from '@jujubelanding/types';
+
+const MIN_CHUNK_ITEMS = 200;
+const MAX_CHUNK_ITEMS = 2000;
+/** Chunks grow with the job, so that 570,000 items need about 300 of them. */
+const GROWTH_DIVISOR = 8;
+/** Bounds the memory for a chunk of long items. */
+const MAX_CHUNK_BYTES = 8 * 1024 * 1024;
+
+const getTargetItems = (acceptedItems: number): number =>
+  Math.min(MAX_CHUNK_ITEMS, Math.max(MIN_CHUNK_ITEMS, Math.floor(acceptedItems / GROWTH_DIVISOR)));
+
+export interface BuiltChunk {
+  firstItem: number;
+  itemCount: number;
+  /** One JSON line per item. */
+  content: Uint8Array;
+}
+
+/** Collects items and returns a chunk whenever one is full. */
+export class ChunkBuilder {
+  private lines: string[] = [];
+
+  private bytes = 0;
+
+  private firstItem = 0;
+
+  private nextItem = 0;
+
+  get itemCount(): number {
+    return this.nextItem;
+  }
+
+  add(item: BatchItem): BuiltChunk | undefined {
+    const { itemId, messages, maxTokens } = item;
+    const line: SegmentItem = { index: this.nextItem, itemId, messages, maxTokens };
+    const text = `${JSON.stringify(line)}\n`;
+    this.lines.push(text);
+    this.bytes += Buffer.byteLength(text);
+    this.nextItem += 1;
+    const isFull =
+      this.lines.length >= getTargetItems(this.firstItem) || this.bytes >= MAX_CHUNK_BYTES;
+    return isFull ? this.finish() : undefined;
+  }
+
+  /** Returns the items left over, if any. */
+  finish(): BuiltChunk | undefined {
+    if (this.lines.length === 0) return undefined;
+    const chunk = {
+      firstItem: this.firstItem,
+      itemCount: this.lines.length,
+      content: Buffer.from(this.lines.join('')),
+    };
+    this.lines = [];
+    this.bytes = 0;
+    this.firstItem = this.nextItem;
+    return chunk;
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/codec.ts
@@ -0,0 +1,95 @@
+/** Compact form of job records: VM ids once, checksums in base64, positions left out. */
+import { FaultCode, describeThrown, type Fault } from '@jujubelanding/errors';
+import {
+  JobStatus,
+  type JobChunk,
+  type JobRecord,
+  type SegmentReference,
+} from '@jujubelanding/types';
+import { ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { refuse } from './faults.js';
+
+const FORMAT_VERSION = 1;
+
+const storedSegment = z.tuple([z.string(), z.number(), z.array(z.number())]);
+const storedChunk = z.tuple([z.number(), storedSegment, storedSegment.nullable(), z.number()]);
+
+const storedJob = z.object({
+  v: z.literal(FORMAT_VERSION),
+  id: z.string(),
+  team: z.string(),
+  idempotencyKey: z.string(),
+  model: z.string(),
+  adapter: z.string().optional(),
+  jobClass: z.string().optional(),
+  maxAttempts: z.number(),
+  digest: z.string(),
+  status: z.enum(JobStatus),
+  itemCount: z.number(),
+  createdAt: z.number(),
+  dueAt: z.number(),
+  endedAt: z.number().optional(),
+  fence: z.number(),
+  vms: z.array(z.string()),
+  /** Items, input, result, failed items. */
+  chunks: z.array(storedChunk),
+});
+
+type StoredSegment = z.infer<typeof storedSegment>;
+type StoredChunk = z.infer<typeof storedChunk>;
+
+const encodeChunks = (chunks: readonly JobChunk[]): { vms: string[]; chunks: StoredChunk[] } => {
+  const positions = new Map<string, number>();
+  const findPosition = (vm: string): number => {
+    if (!positions.has(vm)) positions.set(vm, positions.size);
+    return positions.get(vm)!;
+  };
+  const encodeSegment = (segment: SegmentReference): StoredSegment => [
+    Buffer.from(segment.id, 'hex').toString('base64url'),
+    segment.bytes,
+    segment.copies.map(findPosition),
+  ];
+  const encoded = chunks.map((chunk): StoredChunk => [
+    chunk.itemCount,
+    encodeSegment(chunk.input),
+    chunk.result === undefined ? null : encodeSegment(chunk.result),
+    chunk.failedItems,
+  ]);
+  return { vms: [...positions.keys()], chunks: encoded };
+};
+
+const decodeChunks = (vms: readonly string[], chunks: readonly StoredChunk[]): JobChunk[] => {
+  const decodeSegment = ([id, bytes, copies]: StoredSegment): SegmentReference => ({
+    id: Buffer.from(id, 'base64url').toString('hex'),
+    bytes,
+    copies: copies.map((position) => vms[position]!),
+  });
+  let firstItem = 0;
+  return chunks.map(([itemCount, input, result, failedItems], index) => {
+    const chunk = {
+      index,
+      firstItem,
+      itemCount,
+      input: decodeSegment(input),
+      ...(result === null ? {} : { result: decodeSegment(result) }),
+      failedItems,
+    };
+    firstItem += itemCount;
+    return chunk;
+  });
+};
+
+/** Encodes a job record as the value of its key. */
+export const encodeJob = (job: JobRecord): string =>
+  JSON.stringify({ v: FORMAT_VERSION, ...job, ...encodeChunks(job.chunks) });
+
+/** Decodes a stored job record. */
+export const decodeJob = (value: string): Result<JobRecord, Fault> => {
+  try {
+    const { v, vms, chunks, ...header } = storedJob.parse(JSON.parse(value));
+    return ok({ ...header, chunks: decodeChunks(vms, chunks) });
+  } catch (thrown) {
+    return refuse(FaultCode.Corrupt, 'job-decode', describeThrown(thrown));
+  }
+};
--- /dev/null
+++ b/packages/batch-jobs/src/commit-queue.ts
@@ -0,0 +1,142 @@
+/** Commits of finished chunks of one job, batched into at most one write per second. */
+import { FaultCode, type Fault, type Reply } from '@jujubelanding/errors';
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { CompletionStatus, type ChunkCompletion } from '@jujubelanding/peer-protocol';
+import type { Subscription } from '@jujubelanding/timer';
+import { JobStatus, type JobRecord } from '@jujubelanding/types';
+import { ok, type Result } from 'neverthrow';
+import { mergeResults, type FinishedChunk } from './commit.js';
+import { refuse } from './faults.js';
+import type { JobRecords, StoredJob } from './job-records.js';
+import { updateJob } from './job-writer.js';
+import type { OpenJob } from './schedule.js';
+
+const COMMIT_INTERVAL_MS = 1000;
+const MAX_RETRY_MS = 5000;
+
+type Answer = Result<{ status: CompletionStatus }, Fault>;
+
+interface Waiting extends FinishedChunk {
+  answers: ((answer: Answer) => void)[];
+}
+
+export interface CommitQueueOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random'>;
+  log: Log;
+  records: JobRecords;
+  job: OpenJob;
+  /** Fencing number of the job's shard while this VM certainly owns it. */
+  getFence: () => number | undefined;
+  /** Takes over a record that was read or written. */
+  applyRecord: (stored: StoredJob | undefined) => void;
+}
+
+export class CommitQueue {
+  private readonly waiting = new Map<number, Waiting>();
+
+  private lastWriteAt = Number.NEGATIVE_INFINITY;
+
+  private timer: Subscription | undefined;
+
+  private isWriting = false;
+
+  private isClosed = false;
+
+  private failures = 0;
+
+  constructor(private readonly options: CommitQueueOptions) {}
+
+  /** Resolves once the result is durable, or with a fault when this VM stops owning the job. */
+  add(completion: ChunkCompletion): Reply<{ status: CompletionStatus }> {
+    const { chunk, result, failedItems } = completion;
+    return new Promise((resolve) => {
+      const existing = this.waiting.get(chunk);
+      if (existing !== undefined) {
+        existing.answers.push(resolve);
+        return;
+      }
+      this.waiting.set(chunk, { result, failedItems, answers: [resolve] });
+      this.options.job.finished.add(chunk);
+      this.scheduleWrite();
+    });
+  }
+
+  /** Answers all completions that a record decides. */
+  settle(record: JobRecord | undefined): void {
+    for (const [chunk, { answers }] of this.waiting) {
+      const isCommitted = record?.chunks[chunk]?.result !== undefined;
+      if (!isCommitted && record?.status === JobStatus.Open) continue;
+      const status = isCommitted ? CompletionStatus.Committed : CompletionStatus.Rejected;
+      this.waiting.delete(chunk);
+      answers.forEach((answer) => answer(ok({ status })));
+    }
+  }
+
+  /** Refuses what is not yet durable; the executors send it to the next owner. */
+  close(): void {
+    this.isClosed = true;
+    this.timer?.cancel();
+    const refusal = refuse(FaultCode.NotOwner, 'complete-chunk', 'the shard was lost');
+    this.waiting.forEach(({ answers }) => answers.forEach((answer) => answer(refusal)));
+    this.waiting.clear();
+  }
+
+  private scheduleWrite(): void {
+    if (this.isWriting || this.isClosed || this.waiting.size === 0) return;
+    this.timer?.cancel();
+    const { timer } = this.options.io;
+    const dueIn = this.endsJob()
+      ? 0
+      : Math.max(0, this.lastWriteAt + COMMIT_INTERVAL_MS - timer.now());
+    this.timer = timer.after(dueIn, () => {
+      void this.write();
+    });
+  }
+
+  private endsJob(): boolean {
+    return this.options.job.record.chunks.every(
+      ({ index, result }) => result !== undefined || this.waiting.has(index),
+    );
+  }
+
+  private async write(): Promise<void> {
+    const { io, records, job, getFence, applyRecord } = this.options;
+    if (this.isWriting || this.isClosed) return;
+    const fence = getFence();
+    if (fence === undefined) {
+      // The lease may be renewed late under the same fencing number; otherwise the queue is closed.
+      this.retry(refuse(FaultCode.StaleFence, 'commit', 'no valid lease').error);
+      return;
+    }
+    this.isWriting = true;
+    this.lastWriteAt = io.timer.now();
+    const start = { record: job.record, revision: job.revision };
+    const written = await updateJob(
+      records,
+      start,
+      (record) => mergeResults(record, this.waiting, fence, io.timer.wallClock()),
+      () => !this.isClosed && getFence() === fence,
+    );
+    this.isWriting = false;
+    if (this.isClosed) return;
+    if (written.isErr()) {
+      this.retry(written.error);
+      return;
+    }
+    this.failures = 0;
+    applyRecord(written.value);
+    this.scheduleWrite();
+  }
+
+  private retry(fault: Fault): void {
+    const { io, log, job } = this.options;
+    this.failures += 1;
+    const delay = Math.min(MAX_RETRY_MS, 250 * 2 ** this.failures) * (0.5 + io.random.next());
+    const { code, message } = fault;
+    log.write('commit-failed', { job: job.record.id, code, message, retryMs: Math.round(delay) });
+    this.timer = io.timer.after(delay, () => {
+      void this.write();
+    });
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/copy-repair.ts
@@ -0,0 +1,212 @@
+/** Keeps enough good copies of the segments of owned jobs when VMs with a disk are lost. */
+import type { Reply } from '@jujubelanding/errors';
+import type { EntryVmIo, EntryVmSettings, Membership } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { CopyRequest } from '@jujubelanding/peer-protocol';
+import { chooseNextCopy, listDiskMembers } from '@jujubelanding/segments';
+import type { Subscription } from '@jujubelanding/timer';
+import type { JobRecord, Member, SegmentReference } from '@jujubelanding/types';
+import type { JobRecords, StoredJob } from './job-records.js';
+import { updateJob } from './job-writer.js';
+import { listHolders, type ShardJobs } from './shard-jobs.js';
+
+const CHECK_INTERVAL_MS = 5000;
+/** A restarted daemon is back within this time, with its disk. */
+const LOST_AFTER_MS = 30_000;
+
+/** Orders a VM to hold a copy of a segment. */
+export type OrderCopy = (holder: string, request: CopyRequest) => Reply<Record<string, never>>;
+
+export interface CopyRepairOptions {
+  io: Pick<EntryVmIo, 'timer'>;
+  settings: Pick<EntryVmSettings, 'segmentCopies'>;
+  membership: Membership;
+  segments: { orderCopy: OrderCopy };
+  log: Log;
+  records: JobRecords;
+  listShards: () => ShardJobs[];
+}
+
+type Replacements = Map<string, SegmentReference>;
+
+/** Replaces segment references of a record, unless it has changed them in the meantime. */
+const replaceCopies = (
+  record: JobRecord,
+  replacements: Replacements,
+  fence: number,
+): JobRecord | undefined => {
+  let isChanged = false;
+  const replace = (segment: SegmentReference): SegmentReference => {
+    const replacement = replacements.get(segment.id);
+    if (replacement === undefined) return segment;
+    isChanged = true;
+    return replacement;
+  };
+  const chunks = record.chunks.map((chunk) => ({
+    ...chunk,
+    input: replace(chunk.input),
+    ...(chunk.result === undefined ? {} : { result: replace(chunk.result) }),
+  }));
+  return isChanged ? { ...record, chunks, fence: Math.max(fence, record.fence) } : undefined;
+};
+
+const listSegments = (record: JobRecord): SegmentReference[] =>
+  record.chunks.flatMap(({ input, result }) => (result === undefined ? [input] : [input, result]));
+
+export class CopyRepair {
+  private subscription: Subscription | undefined;
+
+  /** Monotonic time since which a holder has been missing. */
+  private readonly missingSince = new Map<string, number>();
+
+  private readonly bootIds = new Map<string, string>();
+
+  /** Restarted holders whose copies are to be checked. */
+  private readonly suspects = new Set<string>();
+
+  private isBusy = false;
+
+  constructor(private readonly options: CopyRepairOptions) {}
+
+  start(): void {
+    this.subscription = this.options.io.timer.every(CHECK_INTERVAL_MS, () => {
+      void this.check();
+    });
+  }
+
+  stop(): void {
+    this.subscription?.cancel();
+  }
+
+  /** Repairs all jobs with copies on VMs that are gone or came back, one job after another. */
+  async check(): Promise<void> {
+    if (this.isBusy) return;
+    this.isBusy = true;
+    const members = listDiskMembers(this.options.membership.members());
+    const lost = this.findLost(members);
+    const suspects = this.takeSuspects(members);
+    if (lost.size > 0 || suspects.size > 0) {
+      for (const jobs of this.options.listShards()) await this.checkShard(jobs, lost, suspects);
+    }
+    this.isBusy = false;
+  }
+
+  private findLost(members: readonly Member[]): Set<string> {
+    const now = this.options.io.timer.now();
+    const present = new Set(members.map(({ entryVmId }) => entryVmId));
+    const holders = new Set<string>();
+    this.options.listShards().forEach((jobs) => {
+      jobs.open.forEach((job) => listHolders(job).forEach((holder) => holders.add(holder)));
+      jobs.ended.forEach((job) => job.holders.forEach((holder) => holders.add(holder)));
+    });
+    present.forEach((holder) => this.missingSince.delete(holder));
+    const lost = new Set<string>();
+    holders.forEach((holder) => {
+      if (present.has(holder)) return;
+      if (!this.missingSince.has(holder)) this.missingSince.set(holder, now);
+      if (now - this.missingSince.get(holder)! >= LOST_AFTER_MS) lost.add(holder);
+    });
+    return lost;
+  }
+
+  /** A restarted VM may have lost its disk. */
+  private takeSuspects(members: readonly Member[]): Set<string> {
+    members.forEach(({ entryVmId, bootId }) => {
+      const known = this.bootIds.get(entryVmId);
+      if (known !== undefined && known !== bootId) this.suspects.add(entryVmId);
+      this.bootIds.set(entryVmId, bootId);
+    });
+    const taken = new Set(this.suspects);
+    this.suspects.clear();
+    return taken;
+  }
+
+  private async checkShard(
+    jobs: ShardJobs,
+    lost: ReadonlySet<string>,
+    suspects: ReadonlySet<string>,
+  ): Promise<void> {
+    const affects = (holders: ReadonlySet<string>): boolean =>
+      [...holders].some((holder) => lost.has(holder) || suspects.has(holder));
+    const ids = [
+      ...[...jobs.open.values()]
+        .filter((job) => affects(listHolders(job)))
+        .map((job) => job.record.id),
+      ...[...jobs.ended.values()].filter((job) => affects(job.holders)).map((job) => job.id),
+    ];
+    for (const id of ids) {
+      if (!jobs.isOwned()) return;
+      const stored = await this.options.records.read(id);
+      if (stored.isErr() || stored.value === undefined) continue;
+      await this.verifyCopies(stored.value.record, suspects);
+      await this.replaceLost(jobs, stored.value, lost);
+    }
+  }
+
+  private async verifyCopies(record: JobRecord, suspects: ReadonlySet<string>): Promise<void> {
+    for (const segment of listSegments(record)) {
+      for (const holder of segment.copies.filter((copy) => suspects.has(copy))) {
+        const sources = segment.copies.filter((copy) => copy !== holder);
+        const checked = await this.options.segments.orderCopy(holder, {
+          segmentId: segment.id,
+          sources,
+        });
+        if (checked.isErr()) {
+          const { message } = checked.error;
+          this.options.log.write('copy-missing', { segment: segment.id, holder, message });
+          this.suspects.add(holder);
+        }
+      }
+    }
+  }
+
+  private async replaceLost(
+    jobs: ShardJobs,
+    stored: StoredJob,
+    lost: ReadonlySet<string>,
+  ): Promise<void> {
+    const replacements: Replacements = new Map();
+    for (const segment of listSegments(stored.record)) {
+      if (!segment.copies.some((copy) => lost.has(copy))) continue;
+      const repaired = await this.repairSegment(segment, lost);
+      if (repaired !== undefined) replacements.set(segment.id, repaired);
+    }
+    if (replacements.size === 0) return;
+    const updated = await updateJob(
+      this.options.records,
+      stored,
+      (record) => replaceCopies(record, replacements, jobs.fence),
+      () => jobs.isOwned(),
+    );
+    if (updated.isOk() && updated.value !== undefined) jobs.apply(updated.value);
+    const job = stored.record.id;
+    this.options.log.write('copies-repaired', { job, segments: replacements.size });
+  }
+
+  private async repairSegment(
+    segment: SegmentReference,
+    lost: ReadonlySet<string>,
+  ): Promise<SegmentReference | undefined> {
+    const { membership, segments, settings, log } = this.options;
+    const good = segment.copies.filter((copy) => !lost.has(copy));
+    const members = listDiskMembers(membership.members());
+    const holders = members.filter(({ entryVmId }) => good.includes(entryVmId));
+    let candidates = members;
+    while (holders.length < settings.segmentCopies) {
+      const target = chooseNextCopy(segment.id, candidates, holders);
+      if (target === undefined) break;
+      candidates = candidates.filter((member) => member !== target);
+      const { entryVmId } = target;
+      const ordered = await segments.orderCopy(entryVmId, { segmentId: segment.id, sources: good });
+      if (ordered.isErr()) {
+        const { message } = ordered.error;
+        log.write('copy-failed', { segment: segment.id, target: entryVmId, message });
+      } else {
+        holders.push(target);
+      }
+    }
+    const copies = [...new Set([...good, ...holders.map(({ entryVmId }) => entryVmId)])];
+    // With no new copy the record keeps naming the lost VM, which may still come back.
+    return copies.length > good.length ? { ...segment, copies } : undefined;
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/job-owner.ts
@@ -0,0 +1,295 @@
+/** Owner of the jobs of the shards that this VM holds: grants chunks and commits results. */
+import { FaultCode, type Reply } from '@jujubelanding/errors';
+import type {
+  Configuration,
+  EntryVmIo,
+  EntryVmSettings,
+  Membership,
+  SegmentStore,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import {
+  CompletionStatus,
+  PeerMethod,
+  ProgressVerdict,
+  type ChunkCompletion,
+  type ChunkGrant,
+  type ChunkRequest,
+  type JobNotice,
+  type ProgressReply,
+  type ProgressReport,
+} from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import type { Subscription } from '@jujubelanding/timer';
+import { JobControl, JobStatus, RecordKind } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import { CopyRepair, type OrderCopy } from './copy-repair.js';
+import { refuse } from './faults.js';
+import { JobRecords } from './job-records.js';
+import { updateJob } from './job-writer.js';
+import { removeExpired } from './retention.js';
+import {
+  GRANT_TIMEOUT_MS,
+  chooseChunks,
+  extendGrant,
+  type ChunkChoice,
+  type OpenJob,
+  type SchedulePolicy,
+} from './schedule.js';
+import { ShardJobs } from './shard-jobs.js';
+
+const CONTROL_INTERVAL_MS = 1000;
+const RETENTION_INTERVAL_MS = 60_000;
+
+export interface JobOwnerOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'network' | 'createLog' | 'metrics'>;
+  settings: Pick<EntryVmSettings, 'resultRetentionMs' | 'segmentCopies'>;
+  configuration: Configuration;
+  shards: ShardTable;
+  membership: Membership;
+  segments: SegmentStore & { orderCopy: OrderCopy };
+}
+
+export class JobOwner {
+  private readonly log: Log;
+
+  private readonly records: JobRecords;
+
+  private readonly repair: CopyRepair;
+
+  private readonly shardJobs = new Map<number, ShardJobs>();
+
+  private subscriptions: Subscription[] = [];
+
+  private isRunning = false;
+
+  constructor(private readonly options: JobOwnerOptions) {
+    this.log = options.io.createLog('job-owner');
+    this.records = new JobRecords(options.io);
+    this.repair = new CopyRepair({
+      ...options,
+      log: this.log,
+      records: this.records,
+      listShards: () => [...this.shardJobs.values()],
+    });
+  }
+
+  start(): void {
+    const { network, timer } = this.options.io;
+    this.isRunning = true;
+    network.handle(PeerMethod.RequestChunk, (request) => this.requestChunk(request));
+    network.handle(PeerMethod.ReportProgress, (report) => this.reportProgress(report));
+    network.handle(PeerMethod.CompleteChunk, (completion) => this.completeChunk(completion));
+    network.handle(PeerMethod.NotifyJobChanged, (notice) => this.notifyJobChanged(notice));
+    this.subscriptions = [
+      this.options.shards.onChange(() => this.followShards()),
+      this.options.configuration.onChange(() => this.applyControls()),
+      timer.every(CONTROL_INTERVAL_MS, () => this.applyControls()),
+      timer.every(RETENTION_INTERVAL_MS, () => {
+        void removeExpired({ ...this.options, log: this.log, shards: this.listLoaded() });
+      }),
+    ];
+    this.repair.start();
+    this.followShards();
+  }
+
+  stop(): void {
+    this.isRunning = false;
+    this.repair.stop();
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+    this.shardJobs.forEach((jobs) => jobs.close());
+    this.shardJobs.clear();
+  }
+
+  /** Grants chunks of all shards that this VM owns, whichever the executor asked for. */
+  async requestChunk(request: ChunkRequest): Reply<{ grants: ChunkGrant[] }> {
+    const { io, shards } = this.options;
+    const owned = this.listLoaded().filter((jobs) => this.findFence(jobs) !== undefined);
+    if (owned.length === 0 && shards.owned().length === 0) {
+      return refuse(
+        FaultCode.NotOwner,
+        'request-chunk',
+        `shard ${request.shard} is not owned here`,
+      );
+    }
+    const open = owned.flatMap((jobs) => [...jobs.open.values()]);
+    const choices = chooseChunks(open, request, this.createPolicy(), io.timer.now());
+    return ok({ grants: choices.map((choice) => this.grant(choice, request.executorId)) });
+  }
+
+  async reportProgress(report: ProgressReport): Reply<ProgressReply> {
+    const jobs = this.shardJobs.get(report.shard);
+    if (jobs?.loaded !== true || this.findFence(jobs) === undefined) {
+      return refuse(
+        FaultCode.NotOwner,
+        'report-progress',
+        `shard ${report.shard} is not ready here`,
+      );
+    }
+    const verdicts = report.grants.map(({ jobId, chunk, grantId }) => {
+      const job = jobs.open.get(jobId);
+      const isExtended =
+        job !== undefined && this.extend(job, chunk, { grantId, executorId: report.executorId });
+      if (!isExtended) this.log.write('grant-stopped', { job: jobId, chunk, grant: grantId });
+      return isExtended ? ProgressVerdict.Continue : ProgressVerdict.Stop;
+    });
+    return ok({ verdicts });
+  }
+
+  /** Answers `committed` only once the result is durable in the job record. */
+  async completeChunk(completion: ChunkCompletion): Reply<{ status: CompletionStatus }> {
+    const { shard, jobId, chunk } = completion;
+    const jobs = this.shardJobs.get(shard);
+    if (jobs?.loaded !== true || this.findFence(jobs) === undefined) {
+      return refuse(FaultCode.NotOwner, 'complete-chunk', `shard ${shard} is not ready here`);
+    }
+    const job = jobs.open.get(jobId);
+    const queue = jobs.getCommits(jobId);
+    if (job === undefined || queue === undefined) return this.answerFromRecord(completion);
+    if (job.record.chunks[chunk] === undefined) {
+      return refuse(FaultCode.InvalidInput, 'complete-chunk', `no chunk ${chunk}`);
+    }
+    if (job.record.chunks[chunk].result !== undefined) {
+      return ok({ status: CompletionStatus.Committed });
+    }
+    return queue.add(completion);
+  }
+
+  async notifyJobChanged({ shard, jobId }: JobNotice): Reply<Record<string, never>> {
+    const jobs = this.shardJobs.get(shard);
+    if (jobs?.loaded !== true) {
+      return refuse(FaultCode.NotOwner, 'notify-job', `shard ${shard} is not ready here`);
+    }
+    const stored = await this.records.read(jobId);
+    if (stored.isErr()) return err(stored.error);
+    if (stored.value !== undefined) jobs.apply(stored.value);
+    return ok({});
+  }
+
+  /** Open jobs of all owned shards. */
+  openJobs(): OpenJob[] {
+    return this.listLoaded().flatMap((jobs) => [...jobs.open.values()]);
+  }
+
+  private async answerFromRecord({
+    jobId,
+    chunk,
+  }: ChunkCompletion): Reply<{ status: CompletionStatus }> {
+    const stored = await this.records.read(jobId);
+    if (stored.isErr()) return err(stored.error);
+    const isCommitted = stored.value?.record.chunks[chunk]?.result !== undefined;
+    if (!isCommitted && stored.value?.record.status === JobStatus.Open) {
+      return refuse(FaultCode.Unavailable, 'complete-chunk', 'the job is not loaded yet');
+    }
+    return ok({ status: isCommitted ? CompletionStatus.Committed : CompletionStatus.Rejected });
+  }
+
+  private grant({ job, chunk }: ChunkChoice, executorId: string): ChunkGrant {
+    const { timer, random } = this.options.io;
+    const { record } = job;
+    const shard = findShard(record.id);
+    const grantId = random.createId();
+    const deadline = timer.now() + GRANT_TIMEOUT_MS;
+    job.grants.set(chunk.index, { grantId, executorId, deadline });
+    this.log.write('chunk-granted', { job: record.id, chunk: chunk.index, executorId, grantId });
+    return {
+      jobId: record.id,
+      shard,
+      fence: this.shardJobs.get(shard)!.fence,
+      grantId,
+      chunk: chunk.index,
+      firstItem: chunk.firstItem,
+      itemCount: chunk.itemCount,
+      model: record.model,
+      ...(record.adapter === undefined ? {} : { adapter: record.adapter }),
+      input: chunk.input,
+      dueAt: record.dueAt,
+      timeoutMs: GRANT_TIMEOUT_MS,
+    };
+  }
+
+  private extend(
+    job: OpenJob,
+    chunk: number,
+    report: { grantId: string; executorId: string },
+  ): boolean {
+    const now = this.options.io.timer.now();
+    const grant = extendGrant(job, chunk, report, this.createPolicy(), now);
+    if (grant === undefined) return false;
+    job.grants.set(chunk, grant);
+    return true;
+  }
+
+  private createPolicy(): SchedulePolicy {
+    const { configuration } = this.options;
+    return {
+      weightOf: (team) => configuration.get(RecordKind.Team, team)?.spec.batchWeight ?? 1,
+      controlOf: (jobClass) =>
+        (jobClass === undefined ? undefined : configuration.get(RecordKind.Job, jobClass)?.spec)
+          ?.control ?? JobControl.Running,
+    };
+  }
+
+  /** Cancels the open jobs of classes that an operator has cancelled. */
+  private applyControls(): void {
+    const policy = this.createPolicy();
+    this.listLoaded().forEach((jobs) => {
+      jobs.open.forEach((job) => {
+        if (policy.controlOf(job.record.jobClass) === JobControl.Cancelled) {
+          void this.cancel(jobs, job);
+        }
+      });
+    });
+  }
+
+  private async cancel(jobs: ShardJobs, job: OpenJob): Promise<void> {
+    const { record, revision } = job;
+    const endedAt = this.options.io.timer.wallClock();
+    const cancelled = await updateJob(
+      this.records,
+      { record, revision },
+      (current) =>
+        current.status === JobStatus.Open
+          ? { ...current, status: JobStatus.Cancelled, endedAt, fence: jobs.fence }
+          : undefined,
+      () => this.findFence(jobs) !== undefined,
+    );
+    if (cancelled.isErr()) return;
+    if (cancelled.value !== undefined) jobs.apply(cancelled.value);
+    this.log.write('job-cancelled', { job: record.id, jobClass: record.jobClass });
+  }
+
+  private listLoaded(): ShardJobs[] {
+    return [...this.shardJobs.values()].filter((jobs) => jobs.loaded);
+  }
+
+  private findFence(jobs: ShardJobs): number | undefined {
+    const fence = this.options.shards.fenceOf(jobs.shard);
+    return fence === jobs.fence ? fence : undefined;
+  }
+
+  /** Starts with the shards gained and drops all state of the shards lost. */
+  private followShards(): void {
+    if (!this.isRunning) return;
+    const owned = new Map(this.options.shards.owned().map(({ shard, fence }) => [shard, fence]));
+    this.shardJobs.forEach((jobs, shard) => {
+      if (owned.get(shard) === jobs.fence) return;
+      jobs.close();
+      this.shardJobs.delete(shard);
+    });
+    owned.forEach((fence, shard) => {
+      if (this.shardJobs.has(shard)) return;
+      const jobs: ShardJobs = new ShardJobs({
+        ...this.options,
+        log: this.log,
+        records: this.records,
+        shard,
+        fence,
+        getFence: () => this.findFence(jobs),
+      });
+      this.shardJobs.set(shard, jobs);
+      void jobs.run();
+    });
+  }
+}
--- /dev/null
+++ b/packages/batch-jobs/src/segment-lines.ts
@@ -0,0 +1,26 @@
+/** Content of item and result segments: one JSON line per entry. */
+import { FaultCode, describeThrown, type Fault } from '@jujubelanding/errors';
+import type { SegmentItem } from '@jujubelanding/peer-protocol';
+import type { ItemResult } from '@jujubelanding/types';
+import { ok, type Result } from 'neverthrow';
+import { refuse } from './faults.js';
+
+const parseLines = <T>(content: Uint8Array): Result<T[], Fault> => {
+  try {
+    const lines = Buffer.from(content).toString('utf8').split('\n');
+    return ok(lines.filter((line) => line !== '').map((line) => JSON.parse(line) as T));
+  } catch (thrown) {
+    return refuse(FaultCode.Corrupt, 'segment-parse', describeThrown(thrown));
+  }
+};
+
+/** Parses an item segment; its checksum was verified when it was read. */
+export const parseItems = (content: Uint8Array): Result<SegmentItem[], Fault> =>
+  parseLines<SegmentItem>(content);
+
+export const parseResults = (content: Uint8Array): Result<ItemResult[], Fault> =>
+  parseLines<ItemResult>(content);
+
+/** Encodes the results of a chunk, in order of items. */
+export const encodeResults = (results: readonly ItemResult[]): Uint8Array =>
+  Buffer.from(results.map((result) => `${JSON.stringify(result)}\n`).join(''));
--- /dev/null
+++ b/packages/batch-jobs/src/shard-jobs.ts
@@ -0,0 +1,207 @@
+/** Jobs of one owned shard: loaded when the shard is gained, then kept current by a watch. */
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { ChangeKind, type Change, type KeyValueEntry } from '@jujubelanding/platform';
+import { JobStatus } from '@jujubelanding/types';
+import { CommitQueue } from './commit-queue.js';
+import { decodeEntry, type JobRecords, type StoredJob } from './job-records.js';
+import { createShardPrefix } from './keys.js';
+import type { OpenJob } from './schedule.js';
+
+const PAGE_RECORDS = 16;
+const WATCH_WAIT_MS = 20_000;
+const FIRST_RETRY_MS = 200;
+const MAX_RETRY_MS = 5000;
+/** Two progress reports of the executors that still work for the previous owner. */
+const ADOPTION_MS = 1200;
+
+/** What is remembered of a job that has ended. */
+export interface EndedJob {
+  id: string;
+  team: string;
+  endedAt: number;
+  revision: number;
+  /** VMs that hold copies of its segments. */
+  holders: Set<string>;
+}
+
+export interface ShardJobsOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store'>;
+  log: Log;
+  records: JobRecords;
+  shard: number;
+  fence: number;
+  getFence: () => number | undefined;
+}
+
+/** Returns the VMs that hold copies of a job's segments. */
+export const listHolders = ({ record }: Pick<StoredJob, 'record'>): Set<string> =>
+  new Set(
+    record.chunks.flatMap(({ input, result }) => [...input.copies, ...(result?.copies ?? [])]),
+  );
+
+export class ShardJobs {
+  readonly open = new Map<string, OpenJob>();
+
+  readonly ended = new Map<string, EndedJob>();
+
+  private readonly commits = new Map<string, CommitQueue>();
+
+  private isClosed = false;
+
+  private isLoaded = false;
+
+  constructor(private readonly options: ShardJobsOptions) {}
+
+  get shard(): number {
+    return this.options.shard;
+  }
+
+  /** False as soon as the lease of the shard may have ended. */
+  isOwned(): boolean {
+    return this.options.getFence() !== undefined;
+  }
+
+  get fence(): number {
+    return this.options.fence;
+  }
+
+  get loaded(): boolean {
+    return this.isLoaded;
+  }
+
+  async run(): Promise<void> {
+    while (!this.isClosed) {
+      const revision = await this.load();
+      if (revision !== undefined) await this.watch(revision);
+    }
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.commits.forEach((queue) => queue.close());
+  }
+
+  getCommits(jobId: string): CommitQueue | undefined {
+    return this.commits.get(jobId);
+  }
+
+  /** Takes over a record unless a newer one is known. */
+  apply(stored: StoredJob): void {
+    if (this.isClosed) return;
+    const { record, revision } = stored;
+    const known = this.open.get(record.id);
+    const knownRevision = known?.revision ?? this.ended.get(record.id)?.revision ?? 0;
+    if (revision < knownRevision) return;
+    if (record.status !== JobStatus.Open) {
+      this.end(stored);
+      return;
+    }
+    if (known === undefined) {
+      this.add(stored);
+      return;
+    }
+    known.record = record;
+    known.revision = revision;
+    this.commits.get(record.id)?.settle(record);
+  }
+
+  remove(jobId: string): void {
+    this.commits.get(jobId)?.settle(undefined);
+    this.commits.delete(jobId);
+    this.open.delete(jobId);
+    this.ended.delete(jobId);
+  }
+
+  private add({ record, revision }: StoredJob): void {
+    const { io, log, records, getFence } = this.options;
+    const job: OpenJob = {
+      record,
+      revision,
+      grants: new Map(),
+      finished: new Set(),
+      // A job that appears after loading can't have grants of an earlier owner.
+      grantsFrom: this.isLoaded ? 0 : io.timer.now() + ADOPTION_MS,
+    };
+    const applyRecord = (stored: StoredJob | undefined): void => {
+      if (stored === undefined) this.remove(record.id);
+      else this.apply(stored);
+    };
+    this.open.set(record.id, job);
+    this.commits.set(record.id, new CommitQueue({ io, log, records, job, getFence, applyRecord }));
+  }
+
+  private end(stored: StoredJob): void {
+    const { record, revision } = stored;
+    this.commits.get(record.id)?.settle(record);
+    this.commits.delete(record.id);
+    this.open.delete(record.id);
+    this.ended.set(record.id, {
+      id: record.id,
+      team: record.team,
+      endedAt: record.endedAt ?? record.createdAt,
+      revision,
+      holders: listHolders(stored),
+    });
+  }
+
+  /** Lists the shard's records; returns the revision from which to watch. */
+  private async load(): Promise<number | undefined> {
+    const { io, shard, log } = this.options;
+    let revision: number | undefined;
+    for (let afterKey: string | undefined, failures = 0; !this.isClosed;) {
+      const page = await io.store.list(createShardPrefix(shard), PAGE_RECORDS, afterKey);
+      if (page.isErr()) {
+        failures += 1;
+        await this.backOff(failures);
+        continue;
+      }
+      const { entries } = page.value;
+      revision ??= page.value.revision;
+      entries.forEach((entry) => this.applyEntry(entry));
+      if (entries.length < PAGE_RECORDS) break;
+      afterKey = entries.at(-1)!.key;
+    }
+    if (this.isClosed) return undefined;
+    this.isLoaded = true;
+    log.write('shard-loaded', { shard, fence: this.fence, open: this.open.size });
+    return revision;
+  }
+
+  private async watch(start: number): Promise<void> {
+    const { io, shard } = this.options;
+    let revision = start;
+    let failures = 0;
+    while (!this.isClosed) {
+      const seen = await io.store.watch(createShardPrefix(shard), revision, WATCH_WAIT_MS);
+      if (this.isClosed) return;
+      if (seen.isErr()) {
+        failures += 1;
+        await this.backOff(failures);
+        continue;
+      }
+      failures = 0;
+      if (seen.value.compacted) return;
+      seen.value.changes.forEach((change) => this.applyChange(change));
+      revision = seen.value.revision;
+    }
+  }
+
+  private applyChange({ kind, entry }: Change): void {
+    if (kind === ChangeKind.Put) this.applyEntry(entry);
+    else this.remove(entry.key.slice(createShardPrefix(this.options.shard).length));
+  }
+
+  private applyEntry(entry: KeyValueEntry): void {
+    const { log } = this.options;
+    const stored = decodeEntry(entry);
+    if (stored.isOk()) this.apply(stored.value);
+    else log.write('record-unreadable', { key: entry.key, message: stored.error.message });
+  }
+
+  private backOff(failures: number): Promise<void> {
+    const { timer, random } = this.options.io;
+    const delay = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures);
+    return timer.sleep(delay * (0.5 + random.next()));
+  }
+}
