--- /dev/null
+++ b/packages/stand-ins/src/http/control.ts
@@ -0,0 +1,68 @@
+/** Endpoints that switch faults and read counters of a running emulator. */
+import type { Context } from 'hono';
+import { z } from 'zod';
+import { Reachability, type LinkFaults } from '../link.js';
+import type { App } from './server.js';
+
+const chance = z.number().min(0).max(1);
+
+export const linkFaultsSchema = z
+  .strictObject({
+    reachability: z.enum(Reachability),
+    latency: z.strictObject({ floorMs: z.number().min(0), meanExtraMs: z.number().min(0) }),
+    lostRequestChance: chance,
+    lostReplyChance: chance,
+  })
+  .partial();
+
+export const plainServiceFaultsSchema = z
+  .strictObject({ refusalChance: chance, failureChance: chance, wrongIdChance: chance })
+  .partial();
+
+export const streamFaultsSchema = z
+  .strictObject({
+    breakChance: chance,
+    breakAfterTokens: z.number().int().min(0),
+    wrongIdChance: chance,
+    swapChance: chance,
+    gapChance: chance,
+    truncateChance: chance,
+    failChance: chance,
+  })
+  .partial();
+
+export interface ControlOptions<T> {
+  schema: z.ZodType<T>;
+  apply: (change: T) => void;
+  readFaults: () => object;
+  readCounters: () => object;
+}
+
+/** Adds GET and PUT /faults and GET /counters; they answer also while faults are on. */
+export const addControl = <T>(app: App, options: ControlOptions<T>): void => {
+  app.get('/faults', (context) => context.json(options.readFaults()));
+  app.put('/faults', async (context: Context) => {
+    const change = options.schema.safeParse(await context.req.json());
+    if (!change.success) return context.json({ error: z.prettifyError(change.error) }, 400);
+    options.apply(change.data);
+    return context.json(options.readFaults());
+  });
+  app.get('/counters', (context) => context.json(options.readCounters()));
+};
+
+/** Control of an emulator that has faults of its path only. */
+export const addLinkControl = (
+  app: App,
+  faults: LinkFaults,
+  readCounters: () => object,
+  onChange: () => void = () => {},
+): void =>
+  addControl(app, {
+    schema: linkFaultsSchema,
+    apply: (change) => {
+      Object.assign(faults, change);
+      onChange();
+    },
+    readFaults: () => faults,
+    readCounters,
+  });
--- /dev/null
+++ b/packages/stand-ins/src/http/key-value-app.ts
@@ -0,0 +1,112 @@
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { Hono, type Context } from 'hono';
+import { ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { KeyValueService } from '../key-value-service.js';
+import { addLinkControl } from './control.js';
+import { applyFaults, sendFault, sendResult, type App, type Bindings } from './server.js';
+
+const writeSchema = z.object({
+  key: z.string().min(1),
+  value: z.string(),
+  expectedRevision: z.number().int().min(0),
+  leaseId: z.string().optional(),
+});
+
+const listSchema = z.object({
+  prefix: z.string(),
+  limit: z.coerce.number().int().positive().optional(),
+  afterKey: z.string().optional(),
+});
+
+const removeSchema = z.object({
+  key: z.string().min(1),
+  expectedRevision: z.coerce.number().int().min(0),
+});
+
+const watchSchema = z.object({
+  prefix: z.string(),
+  afterRevision: z.coerce.number().int().min(0),
+  waitMs: z.coerce.number().min(0).max(300_000),
+});
+
+const leaseSchema = z.object({ ttlMs: z.number().positive() });
+
+const createInputFault = (error: z.ZodError): Fault => ({
+  code: FaultCode.InvalidInput,
+  outcome: Outcome.NotRun,
+  step: 'readRequest',
+  peer: 'key-value',
+  message: z.prettifyError(error),
+});
+
+/** Runs a counted call on checked input. */
+const answer = async <I, O>(
+  context: Context,
+  schema: z.ZodType<I>,
+  input: unknown,
+  run: (input: I) => Result<O, Fault> | Promise<Result<O, Fault>>,
+): Promise<Response> => {
+  const checked = schema.safeParse(input);
+  if (!checked.success) return sendFault(context, createInputFault(checked.error));
+  return sendResult(context, await run(checked.data));
+};
+
+const addKeyRoutes = (app: App, { state, counters }: KeyValueService): void => {
+  app.get('/v1/key', (context) => {
+    counters.add('get');
+    return context.json({ entry: state.get(context.req.query('key') ?? '') });
+  });
+  app.get('/v1/keys', (context) => {
+    counters.add('list');
+    return answer(context, listSchema, context.req.query(), ({ prefix, limit, afterKey }) =>
+      ok(state.list(prefix, limit, afterKey)),
+    );
+  });
+  app.put('/v1/key', async (context) => {
+    counters.add('write');
+    return answer(context, writeSchema, await context.req.json(), (write) => state.write(write));
+  });
+  app.delete('/v1/key', (context) => {
+    counters.add('remove');
+    return answer(context, removeSchema, context.req.query(), ({ key, expectedRevision }) =>
+      state.remove(key, expectedRevision),
+    );
+  });
+  app.get('/v1/watch', (context) => {
+    counters.add('watch');
+    return answer(context, watchSchema, context.req.query(), async (query) =>
+      ok(await state.watch(query.prefix, query.afterRevision, query.waitMs)),
+    );
+  });
+};
+
+const addLeaseRoutes = (app: App, { state, counters }: KeyValueService): void => {
+  app.post('/v1/leases', async (context) => {
+    counters.add('grantLease');
+    return answer(context, leaseSchema, await context.req.json(), ({ ttlMs }) =>
+      ok(state.grantLease(ttlMs)),
+    );
+  });
+  app.post('/v1/leases/:id/renew', (context) => {
+    counters.add('renewLease');
+    return sendResult(context, state.renewLease(context.req.param('id')));
+  });
+  app.delete('/v1/leases/:id', (context) => {
+    counters.add('revokeLease');
+    state.endLease(context.req.param('id'));
+    return context.json({});
+  });
+};
+
+/** Creates the HTTP interface of a key-value service. */
+export const createKeyValueApp = (service: KeyValueService, timer: Timer, random: Random): App => {
+  const app = new Hono<Bindings>();
+  addLinkControl(app, service.faults, () => service.readCounters());
+  app.use('/v1/*', applyFaults({ timer, random, faults: service.faults }));
+  addKeyRoutes(app, service);
+  addLeaseRoutes(app, service);
+  return app;
+};
--- /dev/null
+++ b/packages/stand-ins/src/http/server.ts
@@ -0,0 +1,93 @@
+/** Serves an emulator over HTTP and applies its switchable faults to the connections. */
+import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:http';
+import { serve, type HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { getStatus, type Fault } from '@jujubelanding/errors';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { Hono, type Context, type MiddlewareHandler } from 'hono';
+import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import type { Result } from 'neverthrow';
+import { drawLatency, Reachability, type LinkFaults } from '../link.js';
+
+export interface Bindings {
+  Bindings: HttpBindings;
+}
+
+export type App = Hono<Bindings>;
+
+/** A listening program. */
+export interface Listener {
+  /** host:port */
+  address: string;
+  close(): Promise<void>;
+}
+
+export interface FaultedPath {
+  timer: Timer;
+  random: Random;
+  faults: LinkFaults;
+}
+
+/** Answers with a fault, its outcome in the header x-outcome. */
+export const sendFault = (context: Context, fault: Fault): Response =>
+  context.json(fault, getStatus(fault) as ContentfulStatusCode, { 'x-outcome': fault.outcome });
+
+/** Answers with the value of a result, or with its fault. */
+export const sendResult = <T>(context: Context, result: Result<T, Fault>): Response =>
+  result.match(
+    (value) => context.json(value ?? {}),
+    (fault) => sendFault(context, fault),
+  );
+
+/** Resets the connection without an answer. */
+const resetConnection = (context: Context<Bindings>): Response => {
+  context.env.incoming.socket.destroy();
+  return RESPONSE_ALREADY_SENT;
+};
+
+/** Leaves the request without an answer until its connection ends. */
+export const hang = (context: Context<Bindings>): Promise<Response> =>
+  new Promise((resolve) => {
+    context.env.incoming.socket.once('close', () => resolve(RESPONSE_ALREADY_SENT));
+  });
+
+/** Applies the faults of a path to each request: losses, resets and latency. */
+export const applyFaults = ({
+  timer,
+  random,
+  faults,
+}: FaultedPath): MiddlewareHandler<Bindings> => {
+  const happens = (chance: number): boolean => chance > 0 && random.next() < chance;
+  const wait = async (): Promise<void> => {
+    const delay = drawLatency(random, [faults.latency]);
+    if (delay > 0) await timer.sleep(delay);
+  };
+  return async (context, next) => {
+    if (faults.reachability === Reachability.Refusing) return resetConnection(context);
+    if (faults.reachability === Reachability.Cut) return hang(context);
+    if (happens(faults.lostRequestChance)) return resetConnection(context);
+    await wait();
+    await next();
+    if (happens(faults.lostReplyChance)) return resetConnection(context);
+    await wait();
+    return undefined;
+  };
+};
+
+/** Listens on a port of the loopback address; 0 chooses a free one. */
+export const listen = (app: App, port: number): Promise<Listener> =>
+  new Promise((resolve, reject) => {
+    const server = serve({ fetch: app.fetch, port, hostname: '127.0.0.1' }, (info: AddressInfo) => {
+      resolve({
+        address: `127.0.0.1:${info.port}`,
+        close: () =>
+          new Promise((closed) => {
+            server.close(() => closed());
+            server.closeAllConnections();
+          }),
+      });
+    }) as Server;
+    server.once('error', reject);
+  });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -13,3 +13,8 @@
 export { StreamFault, type StreamSink } from './engine/stream.js';
 export * from './backend-server-group.js';
 export type { BackendServerGroupOptions, BackendServersClient } from './group-client.js';
+export { listen, type App, type Listener } from './http/server.js';
+export { createKeyValueApp } from './http/key-value-app.js';
+export { createVmListApp, createWeightStoreApp } from './http/fleet-apps.js';
+export { createModelEngineApp, EngineOperation } from './http/model-engine-app.js';
+export { createPlainServiceApp } from './http/plain-service-app.js';
