--- /dev/null
+++ b/packages/cli/src/client/jobs.ts
@@ -0,0 +1,24 @@
+/** Requests for batch jobs. */
+import type { Fault } from '@jujubelanding/errors';
+import type { Result } from 'neverthrow';
+import { type Client, Repetition } from './client.js';
+import { BATCH_JOB, type BatchJob } from './shapes.js';
+
+export const JOBS_PATH = '/v1/batches';
+
+/** Path of a job or of something under it. */
+export const createJobPath = (jobId: string, part?: string): string =>
+  [JOBS_PATH, encodeURIComponent(jobId), ...(part === undefined ? [] : [part])].join('/');
+
+export const readJob = (client: Client, jobId: string): Promise<Result<BatchJob, Fault>> =>
+  client.send(
+    { method: 'GET', path: createJobPath(jobId), repetition: Repetition.Safe },
+    BATCH_JOB,
+  );
+
+/** Cancels a job; cancelling it twice has no further effect. */
+export const cancelJob = (client: Client, jobId: string): Promise<Result<BatchJob, Fault>> =>
+  client.send(
+    { method: 'POST', path: createJobPath(jobId, 'cancel'), repetition: Repetition.Safe },
+    BATCH_JOB,
+  );
--- /dev/null
+++ b/packages/cli/src/client/problem.ts
@@ -0,0 +1,105 @@
+/** Conversion of unsuccessful HTTP answers and transport errors to faults. */
+import { describeThrown, type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
+import { z } from 'zod';
+
+const PROBLEM_PREFIX = 'urn:jujubelanding:problem:';
+
+const PROBLEM = z.object({
+  type: z.string(),
+  detail: z.string().default(''),
+  outcome: z.enum(Outcome),
+  step: z.string().default(''),
+  peer: z.string().optional(),
+  requestId: z.string().optional(),
+  retryAfterMs: z.number().optional(),
+  details: z.record(z.string(), z.string()).optional(),
+});
+
+const CODE_BY_STATUS: Record<number, FaultCode> = {
+  400: FaultCode.InvalidInput,
+  401: FaultCode.Unauthorized,
+  403: FaultCode.Unauthorized,
+  404: FaultCode.NotFound,
+  409: FaultCode.Conflict,
+  413: FaultCode.TooLarge,
+  429: FaultCode.RateLimited,
+  503: FaultCode.Unavailable,
+  504: FaultCode.Timeout,
+};
+
+const KNOWN_CODES = new Set<string>(Object.values(FaultCode));
+
+const toCode = (type: string, status: number): FaultCode => {
+  const code = type.startsWith(PROBLEM_PREFIX) ? type.slice(PROBLEM_PREFIX.length) : '';
+  if (KNOWN_CODES.has(code)) return code as FaultCode;
+  return CODE_BY_STATUS[status] ?? FaultCode.Upstream;
+};
+
+// A proxy in between may answer 5xx after passing the request on, so only 4xx is conclusive.
+const describePlainAnswer = (status: number, peer: string): Fault => ({
+  code: CODE_BY_STATUS[status] ?? FaultCode.Upstream,
+  outcome: status < 500 ? Outcome.Failed : Outcome.OutcomeUnknown,
+  step: 'answer',
+  peer,
+  message: `HTTP status ${status} without problem details`,
+});
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+/** Converts an answer with an error status. */
+export const toFault = (status: number, body: string, peer: string): Fault => {
+  const problem = PROBLEM.safeParse(parseJson(body));
+  if (!problem.success) return describePlainAnswer(status, peer);
+  const { type, detail, requestId, details, outcome, step, retryAfterMs } = problem.data;
+  return {
+    code: toCode(type, status),
+    outcome,
+    step,
+    peer: problem.data.peer ?? peer,
+    message: requestId === undefined ? detail : `${detail} (request ${requestId})`,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    ...(details === undefined ? {} : { details }),
+  };
+};
+
+const CONNECT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+const isConnectError = (thrown: unknown): boolean => {
+  const { code, syscall } = thrown as { code?: string; syscall?: string };
+  return syscall === 'connect' || CONNECT_CODES.has(code ?? '');
+};
+
+/** Converts a transport error; without a connection no byte was sent. */
+export const describeTransportError = (thrown: unknown, peer: string): Fault => {
+  if (isConnectError(thrown)) {
+    return {
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step: 'connect',
+      peer,
+      message: describeThrown(thrown),
+    };
+  }
+  return {
+    code: FaultCode.Interrupted,
+    outcome: Outcome.OutcomeUnknown,
+    step: 'exchange',
+    peer,
+    message: `no complete answer: ${describeThrown(thrown)}`,
+  };
+};
+
+/** The fault of a request that got no answer in time. */
+export const describeTimeout = (peer: string): Fault => ({
+  code: FaultCode.Timeout,
+  outcome: Outcome.OutcomeUnknown,
+  step: 'exchange',
+  peer,
+  message: 'no answer in time',
+});
--- /dev/null
+++ b/packages/cli/src/client/records.ts
@@ -0,0 +1,105 @@
+/** Requests for operator records. */
+import { type Fault, FaultCode } from '@jujubelanding/errors';
+import { MemberState, type RecordKind } from '@jujubelanding/types';
+import { ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { type Client, Repetition } from './client.js';
+import { FLEET_STATUS, type FleetStatus, RECORD, type StoredRecord } from './shapes.js';
+
+const RECORDS_PATH = '/admin/v1/records';
+
+/** Path of a record or of all records of a kind. */
+export const createRecordPath = (...parts: readonly string[]): string =>
+  [RECORDS_PATH, ...parts.map(encodeURIComponent)].join('/');
+
+export const readRecord = (
+  client: Client,
+  kind: RecordKind,
+  name: string,
+): Promise<Result<StoredRecord, Fault>> =>
+  client.send(
+    { method: 'GET', path: createRecordPath(kind, name), repetition: Repetition.Safe },
+    RECORD,
+  );
+
+/** Reads a record that may not exist. */
+export const findRecord = async (
+  client: Client,
+  kind: RecordKind,
+  name: string,
+): Promise<Result<StoredRecord | undefined, Fault>> => {
+  const record = await readRecord(client, kind, name);
+  if (record.isErr() && record.error.code === FaultCode.NotFound) return ok(undefined);
+  return record;
+};
+
+export interface RecordWrite {
+  kind: RecordKind;
+  name: string;
+  schemaVersion: number;
+  spec: Record<string, unknown>;
+  /** 0 for a record that must not exist. */
+  expectedRevision: number;
+}
+
+/** Writes a record; all attempts carry one write id, so that it is applied once. */
+export const writeRecord = (
+  client: Client,
+  { kind, name, ...content }: RecordWrite,
+): Promise<Result<StoredRecord, Fault>> =>
+  client.send(
+    {
+      method: 'PUT',
+      path: createRecordPath(kind, name),
+      repetition: Repetition.Safe,
+      headers: { 'content-type': 'application/json', 'x-write-id': client.createId() },
+      createBody: () => JSON.stringify(content),
+    },
+    RECORD,
+  );
+
+const DELETION = z.looseObject({ revision: z.number() });
+
+/** Deletes a record; all attempts carry one write id. */
+export const removeRecord = async (
+  client: Client,
+  kind: RecordKind,
+  name: string,
+  expectedRevision: number,
+): Promise<Result<number, Fault>> => {
+  const deletion = await client.send(
+    {
+      method: 'DELETE',
+      path: `${createRecordPath(kind, name)}?expectedRevision=${expectedRevision}`,
+      repetition: Repetition.Safe,
+      headers: { 'x-write-id': client.createId() },
+    },
+    DELETION,
+  );
+  return deletion.map(({ revision }) => revision);
+};
+
+export const readStatus = (client: Client): Promise<Result<FleetStatus, Fault>> =>
+  client.send(
+    { method: 'GET', path: '/admin/v1/status', repetition: Repetition.Safe },
+    FLEET_STATUS,
+  );
+
+/** Tells whether all live entry VMs have a revision in force. */
+export const isInForce = ({ entryVms }: FleetStatus, revision: number): boolean =>
+  entryVms.every(
+    ({ state, activeRevision }) => state === MemberState.Dead || activeRevision >= revision,
+  );
+
+const POLL_INTERVAL_MS = 250;
+
+/** Waits until a revision is in force everywhere; false when the time is over first. */
+export const waitUntilInForce = async (client: Client, revision: number): Promise<boolean> => {
+  while (!client.isTimeOver()) {
+    const status = await readStatus(client);
+    // An entry VM that does not answer now may do so until the time is over.
+    if (status.isOk() && isInForce(status.value, revision)) return true;
+    await client.pause(POLL_INTERVAL_MS);
+  }
+  return false;
+};
--- /dev/null
+++ b/packages/cli/src/client/shapes.ts
@@ -0,0 +1,70 @@
+/** Shapes of the answers of entry VMs. */
+import { ItemStatus, JobStatus, MemberState, RecordKind } from '@jujubelanding/types';
+import { z } from 'zod';
+
+export const SPEC = z.record(z.string(), z.unknown());
+
+/** A record as operators write it. */
+export const RECORD = z.object({
+  kind: z.enum(RecordKind),
+  name: z.string().min(1),
+  schemaVersion: z.number().int().positive(),
+  spec: SPEC,
+  revision: z.number().int().nonnegative(),
+});
+
+export type StoredRecord = z.infer<typeof RECORD>;
+
+export const RECORD_LIST = z.object({ records: z.array(RECORD) });
+
+const REVISION = z.looseObject({
+  revision: z.number(),
+  schemaVersion: z.number().optional(),
+  spec: SPEC.optional(),
+});
+
+export type Revision = z.infer<typeof REVISION>;
+
+export const HISTORY = z.object({ revisions: z.array(REVISION) });
+
+export const ENTRY_VM_STATUS = z.object({
+  entryVmId: z.string(),
+  availabilityZone: z.string(),
+  state: z.enum(MemberState),
+  heldRevision: z.number(),
+  activeRevision: z.number(),
+});
+
+export const FLEET_STATUS = z.object({
+  acceptedRevision: z.number(),
+  inForceEverywhere: z.boolean(),
+  entryVms: z.array(ENTRY_VM_STATUS),
+});
+
+export type FleetStatus = z.infer<typeof FLEET_STATUS>;
+
+export const BATCH_JOB = z.looseObject({
+  id: z.string(),
+  status: z.enum(JobStatus),
+  itemCount: z.number(),
+  completedItems: z.number(),
+  failedItems: z.number(),
+  createdAt: z.number(),
+  dueAt: z.number(),
+  endedAt: z.number().nullish(),
+});
+
+export type BatchJob = z.infer<typeof BATCH_JOB>;
+
+export const BATCH_JOB_LIST = z.object({ batches: z.array(BATCH_JOB) });
+
+export const ITEM_RESULT = z.looseObject({
+  index: z.number().int().nonnegative(),
+  itemId: z.string(),
+  status: z.enum(ItemStatus),
+});
+
+export const ENTRY_POINT_ANSWER = z.object({
+  entryPoints: z.array(z.object({ address: z.string(), availabilityZone: z.string() })),
+  lifetimeMs: z.number(),
+});
--- /dev/null
+++ b/packages/cli/src/command-line/parse.ts
@@ -0,0 +1,152 @@
+/** Parsing of the command line with meow; all faults are collected. */
+import type { Readable } from 'node:stream';
+import meow from 'meow';
+import { Err, Ok, Result } from 'ts-results-es';
+import type { Arguments, Command } from './command.js';
+import { Flag, FlagKind, FLAGS, GLOBAL_FLAGS } from './flags.js';
+
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+export interface ParsedCommandLine {
+  /** Name of the command, such as `jobs list`; absent when only global flags are given. */
+  name?: string;
+  command?: Command;
+  args: Arguments;
+  entryVms: string[];
+}
+
+interface RawCommandLine {
+  input: string[];
+  flags: Record<string, unknown>;
+}
+
+const toCamelCase = (flag: string): string =>
+  flag.replaceAll(/-([a-z])/g, (_, letter: string) => letter.toUpperCase());
+
+const ALL_FLAGS = Object.values(Flag);
+const FLAGS_BY_CAMEL_CASE = new Map(ALL_FLAGS.map((flag) => [toCamelCase(flag), flag]));
+
+const MEOW_FLAGS = Object.fromEntries(
+  ALL_FLAGS.map((flag) => [
+    toCamelCase(flag),
+    FLAGS[flag].kind === FlagKind.Switch
+      ? { type: 'boolean' as const }
+      : // A list, because meow throws when a single flag is repeated.
+        { type: 'string' as const, isMultiple: true as const },
+  ]),
+);
+
+const parseRaw = (argv: readonly string[]): RawCommandLine => {
+  const { input, flags } = meow('', {
+    importMeta: import.meta,
+    argv,
+    pkg: { name: 'jujubelanding', bin: 'jujubelanding' },
+    flags: MEOW_FLAGS,
+    // Meow would print and exit by itself.
+    autoHelp: false,
+    autoVersion: false,
+    allowUnknownFlags: true,
+  });
+  return { input: input.map(String), flags };
+};
+
+const spellFlag = (name: string): string =>
+  name.length === 1
+    ? `-${name}`
+    : `--${name.replaceAll(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+
+const isGiven = (value: unknown): boolean =>
+  value !== false && value !== undefined && [value].flat().length > 0;
+
+const checkKnown = (name: string, accepted: readonly Flag[]): Result<Flag, string> => {
+  const flag = FLAGS_BY_CAMEL_CASE.get(name);
+  if (flag !== undefined && accepted.includes(flag)) return Ok(flag);
+  const allowed = accepted.map((other) => `--${other}`).join(', ');
+  return Err(`${spellFlag(name)}: unknown flag for this command; allowed: ${allowed}`);
+};
+
+const readValue = (flag: Flag, value: unknown): Result<[Flag, string], string> => {
+  const { kind, placeholder = '' } = FLAGS[flag];
+  const values = [value].flat();
+  if (values.length > 1 && kind !== FlagKind.List) {
+    return Err(`--${flag}: given ${values.length} times; allowed: once`);
+  }
+  const isValid = values.every((text) => typeof text === 'string' && text !== '');
+  return isValid
+    ? Ok([flag, values.join(',')])
+    : Err(`--${flag}: no value; allowed: ${placeholder}`);
+};
+
+const readFlags = (
+  flags: Record<string, unknown>,
+  accepted: readonly Flag[],
+): [Arguments['values'], Set<Flag>, string[]] => {
+  const given = Object.entries(flags).filter(([, value]) => isGiven(value));
+  const [known, unknown] = Result.partition(given.map(([name]) => checkKnown(name, accepted)));
+  const isSwitch = (flag: Flag): boolean => FLAGS[flag].kind === FlagKind.Switch;
+  const [values, invalid] = Result.partition(
+    known
+      .filter((flag) => !isSwitch(flag))
+      .map((flag) => readValue(flag, flags[toCamelCase(flag)])),
+  );
+  return [Object.fromEntries(values), new Set(known.filter(isSwitch)), [...unknown, ...invalid]];
+};
+
+const addVariables = (values: Arguments['values'], environment: Environment): void => {
+  for (const flag of ALL_FLAGS) {
+    const { variable } = FLAGS[flag];
+    const text = variable === undefined ? undefined : environment[variable];
+    if (text !== undefined && text !== '') values[flag] ??= text;
+  }
+};
+
+/** Finds the command by its first word or its first two. */
+const findCommand = (
+  words: readonly string[],
+  commands: Readonly<Record<string, Command>>,
+): [string | undefined, Command | undefined] => {
+  const name = [2, 1]
+    .map((count) => words.slice(0, count).join(' '))
+    .find((candidate) => Object.hasOwn(commands, candidate));
+  return name === undefined ? [undefined, undefined] : [name, commands[name]];
+};
+
+const checkPositional = (
+  name: string | undefined,
+  command: Command | undefined,
+  words: readonly string[],
+  commands: Readonly<Record<string, Command>>,
+): string[] => {
+  if (name === undefined || command === undefined) {
+    const given = words.length === 0 ? 'no command' : `${words.slice(0, 2).join(' ')}: no command`;
+    return [`${given}; allowed: ${Object.keys(commands).join(', ')}`];
+  }
+  const count = words.length - name.split(' ').length;
+  if (count === command.positional.length) return [];
+  const usage = ['jujubelanding', name, ...command.positional].join(' ');
+  return [`${name}: ${count} arguments given; allowed: ${usage}`];
+};
+
+/** Parses the command line for one of the commands. */
+export const parseCommandLine = (
+  argv: readonly string[],
+  environment: Environment,
+  standardInput: Readable,
+  commands: Readonly<Record<string, Command>>,
+): Result<ParsedCommandLine, string[]> => {
+  const { input, flags } = parseRaw(argv);
+  const [name, command] = findCommand(input, commands);
+  const [values, switches, faults] = readFlags(flags, [...(command?.flags ?? []), ...GLOBAL_FLAGS]);
+  const needsCommand = !switches.has(Flag.Help) && !switches.has(Flag.Version);
+  if (needsCommand) faults.push(...checkPositional(name, command, input, commands));
+  if (faults.length > 0) return Err(faults);
+  addVariables(values, environment);
+  const positional = name === undefined ? input : input.slice(name.split(' ').length);
+  const entryVms = (values[Flag.EntryVm] ?? '').split(/[,\s]+/).filter((text) => text !== '');
+  return Ok({
+    ...(name === undefined ? {} : { name }),
+    ...(command === undefined ? {} : { command }),
+    args: { positional, values, switches, standardInput },
+    entryVms,
+  });
+};
--- /dev/null
+++ b/packages/cli/src/command-line/values.ts
@@ -0,0 +1,45 @@
+/** Values of flags and arguments with a type. */
+import { parseAddress, parseDuration } from '@jujubelanding/settings';
+import { RecordKind } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import type { Arguments } from './command.js';
+import { Flag } from './flags.js';
+
+/** Reads a whole number that is not negative. */
+export const readInteger = (args: Arguments, flag: Flag): Result<number | undefined, string> => {
+  const text = args.values[flag];
+  if (text === undefined) return ok(undefined);
+  return /^\d{1,15}$/.test(text)
+    ? ok(Number(text))
+    : err(`--${flag}: ${JSON.stringify(text)} is not allowed; allowed: a whole number from 0`);
+};
+
+export const readTimeout = (args: Arguments): Result<number | undefined, string> => {
+  const text = args.values[Flag.Timeout];
+  if (text === undefined) return ok(undefined);
+  return parseDuration(text).mapErr(
+    (problem) => `--${Flag.Timeout}: ${JSON.stringify(text)} is not allowed; ${problem}`,
+  );
+};
+
+/** Checks the addresses of entry VMs. */
+export const checkEntryVms = (entryVms: readonly string[]): string[] => {
+  if (entryVms.length === 0) {
+    return [`--${Flag.EntryVm} (JUJUBELANDING_ENTRY_VMS): missing; allowed: host:port, repeated`];
+  }
+  return entryVms
+    .filter((text) => !parseAddress(text).isOk())
+    .map(
+      (text) =>
+        `--${Flag.EntryVm}: ${JSON.stringify(text)} is not allowed; allowed: IPv4:port or [IPv6]:port`,
+    );
+};
+
+const KINDS = Object.values(RecordKind);
+
+export const readKind = (text: string | undefined): Result<RecordKind, string> => {
+  const kind = KINDS.find((known) => known === text);
+  return kind === undefined
+    ? err(`KIND: ${JSON.stringify(text)} is not allowed; allowed: ${KINDS.join(', ')}`)
+    : ok(kind);
+};
--- /dev/null
+++ b/packages/cli/src/commands/apply/index.test.ts
@@ -0,0 +1,135 @@
+import test from 'ava';
+import { RecordKind } from '@jujubelanding/types';
+import { ExitCode } from '../../exit-code.js';
+import { addRecordRoutes, TestRecords } from '../../fixtures/record-routes.js';
+import { runTool, SelfAdvancingTimer } from '../../fixtures/run-tool.js';
+import { Misbehaviour, TestEntryVm } from '../../fixtures/test-fleet.js';
+
+const WEIGHT = { kind: RecordKind.Version, name: 'v1', schemaVersion: 1, spec: { weight: 'w1' } };
+const MODEL = {
+  kind: RecordKind.Model,
+  name: 'advisor',
+  schemaVersion: 2,
+  spec: { service: 'glass-advisor', version: 'v1', minWorkers: 1, maxTokens: 800 },
+};
+const FILE = `${JSON.stringify(WEIGHT)}\n\n${JSON.stringify(MODEL)}\n`;
+
+interface Fleet {
+  records: TestRecords;
+  first: TestEntryVm;
+  second: TestEntryVm;
+}
+
+const startFleet = async (t: { teardown: (end: () => Promise<void>) => void }): Promise<Fleet> => {
+  const fleet = {
+    records: new TestRecords(),
+    first: new TestEntryVm(),
+    second: new TestEntryVm(),
+  };
+  for (const entryVm of [fleet.first, fleet.second]) {
+    addRecordRoutes(entryVm, fleet.records);
+    await entryVm.start();
+    t.teardown(() => entryVm.stop());
+  }
+  return fleet;
+};
+
+test('records of all file formats are created, and unchanged ones are not written again', async (t) => {
+  const { records, first } = await startFleet(t);
+  const created = await runTool(['apply', '-'], [first], { input: FILE });
+  t.snapshot(created);
+  const array = await runTool(['apply', '-'], [first], { input: JSON.stringify([WEIGHT, MODEL]) });
+  t.is(array.code, ExitCode.Ok);
+  const single = await runTool(['apply', '-'], [first], { input: JSON.stringify(MODEL, null, 2) });
+  t.is(single.code, ExitCode.Ok);
+  t.is(records.applied, 2);
+});
+
+test('a write whose reply was lost is repeated under its write id and applied once', async (t) => {
+  const { records, first } = await startFleet(t);
+  first.misbehave('PUT', Misbehaviour.LoseReply);
+  first.misbehave('PUT', Misbehaviour.LoseRequest);
+  const { code } = await runTool(['apply', '-'], [first], { input: JSON.stringify(WEIGHT) });
+  t.is(code, ExitCode.Ok);
+  t.is(records.applied, 1);
+  const ids = first.requests.filter(({ line }) => line.startsWith('PUT')).map(({ id }) => id);
+  t.is(ids.length, 3);
+  t.is(new Set(ids).size, 1);
+});
+
+test('a write is not sent elsewhere after a lost reply, and its outcome stays unknown', async (t) => {
+  const { first, second } = await startFleet(t);
+  for (let count = 0; count < 10; count += 1) first.misbehave('PUT', Misbehaviour.LoseRequest);
+  const input = JSON.stringify(WEIGHT);
+  const { code, stderr } = await runTool(['apply', '-'], [first, second], { input });
+  t.is(code, ExitCode.OutcomeUnknown);
+  t.true(stderr.includes('outcome-unknown'));
+  t.deepEqual(second.requests, []);
+});
+
+test('a conflict met by a repetition does not hide that the first attempt may have run', async (t) => {
+  const { records, first } = await startFleet(t);
+  first.misbehave('PUT', Misbehaviour.LoseRequest);
+  const timer = new SelfAdvancingTimer();
+  // Another operator writes while the tool pauses before its repetition.
+  timer.after(1, () => records.put({ ...WEIGHT, spec: { weight: 'other' } }));
+  const { code } = await runTool(['apply', '-'], [first], { input: JSON.stringify(WEIGHT), timer });
+  t.is(code, ExitCode.OutcomeUnknown);
+});
+
+test('a change made since the revision in the file or on the command line is a conflict', async (t) => {
+  const { records, first } = await startFleet(t);
+  const { revision } = records.put(MODEL);
+  records.put({ ...MODEL, spec: { ...MODEL.spec, maxTokens: 900 } });
+  const input = JSON.stringify({ ...MODEL, revision, spec: { ...MODEL.spec, minWorkers: 2 } });
+  const inFile = await runTool(['apply', '-'], [first], { input });
+  t.snapshot(inFile);
+  const argv = ['apply', '-', '--expected-revision', String(revision), '--json'];
+  const given = await runTool(argv, [first], { input });
+  t.is(given.code, ExitCode.Conflict);
+  t.is(JSON.parse(given.stderr).fault.details.currentRevision, '12');
+});
+
+test('a dry run shows the differences and writes nothing', async (t) => {
+  const { records, first } = await startFleet(t);
+  records.put({ ...MODEL, spec: { maxTokens: 900, minWorkers: 1, service: 'stock', spare: [1] } });
+  const { stdout, code } = await runTool(['apply', '-', '--dry-run'], [first], { input: FILE });
+  t.is(code, ExitCode.Ok);
+  t.snapshot(stdout);
+  t.is(records.applied, 1);
+});
+
+test('all faults of a file are reported with their place, and nothing is written', async (t) => {
+  const { first } = await startFleet(t);
+  const faulty = [WEIGHT, WEIGHT, { ...MODEL, kind: 'modell', schemaVersion: 0, nmae: 'x' }];
+  const lines = [...faulty.map((record) => JSON.stringify(record)), '{"kind":'];
+  const broken = await runTool(['apply', '-'], [first], { input: lines.join('\n') });
+  const shapes = await runTool(['apply', '-'], [first], { input: JSON.stringify(faulty) });
+  const missing = await runTool(['apply', 'no-such-file.json'], [first]);
+  t.deepEqual([broken.code, shapes.code, missing.code], [2, 2, 2]);
+  t.regex(broken.stderr, /^line 4: [^\n]+\n$/);
+  t.snapshot([shapes.stderr, missing.stderr]);
+  t.deepEqual(first.requests, []);
+});
+
+test('waiting ends when every live entry VM has the revision in force, or with its own code', async (t) => {
+  const { first } = await startFleet(t);
+  let activeRevision = 0;
+  first.route('GET', '/admin/v1/status', () => {
+    activeRevision += 3;
+    const shared = { availabilityZone: 'jhb-east', heldRevision: 11 };
+    return Response.json({
+      acceptedRevision: 11,
+      inForceEverywhere: activeRevision >= 11,
+      entryVms: [
+        { ...shared, entryVmId: 'vm-1', state: 'alive', activeRevision },
+        { ...shared, entryVmId: 'vm-2', state: 'dead', activeRevision: 0 },
+      ],
+    });
+  });
+  const argv = ['apply', '-', '--wait', '--timeout'];
+  const input = JSON.stringify(WEIGHT);
+  const late = await runTool([...argv, '500ms'], [first], { input });
+  t.is(late.code, ExitCode.TimedOut);
+  t.is((await runTool([...argv, '10s'], [first], { input })).code, ExitCode.Ok);
+});
--- /dev/null
+++ b/packages/cli/src/commands/apply/plan.ts
@@ -0,0 +1,74 @@
+/** What an `apply` will do with each record. */
+import type { Fault } from '@jujubelanding/errors';
+import { err, ok, type Result } from 'neverthrow';
+import type { Client } from '../../client/client.js';
+import { findRecord, type RecordWrite } from '../../client/records.js';
+import type { StoredRecord } from '../../client/shapes.js';
+import type { FileRecord } from '../../input/records.js';
+import { type Difference, findDifferences, formatDifference } from '../../output/differences.js';
+
+export enum Action {
+  Create = 'create',
+  Update = 'update',
+  Unchanged = 'unchanged',
+}
+
+export interface PlannedChange {
+  action: Action;
+  write: RecordWrite;
+  differences: Difference[];
+}
+
+const chooseAction = (current: StoredRecord | undefined, differences: Difference[]): Action => {
+  if (current === undefined) return Action.Create;
+  return differences.length === 0 ? Action.Unchanged : Action.Update;
+};
+
+const planRecord = (
+  { revision, ...record }: FileRecord,
+  current: StoredRecord | undefined,
+  expectedRevision?: number,
+): PlannedChange => {
+  const { schemaVersion, spec } = record;
+  const differences = findDifferences(
+    current === undefined ? {} : { schemaVersion: current.schemaVersion, spec: current.spec },
+    { schemaVersion, spec },
+  );
+  return {
+    action: chooseAction(current, differences),
+    write: { ...record, expectedRevision: expectedRevision ?? revision ?? current?.revision ?? 0 },
+    differences,
+  };
+};
+
+/** Reads the current records and compares them with the file; nothing is written. */
+export const planChanges = async (
+  client: Client,
+  records: readonly FileRecord[],
+  expectedRevision?: number,
+): Promise<Result<PlannedChange[], Fault>> => {
+  const changes: PlannedChange[] = [];
+  for (const record of records) {
+    const current = await findRecord(client, record.kind, record.name);
+    if (current.isErr()) return err(current.error);
+    changes.push(planRecord(record, current.value, expectedRevision));
+  }
+  return ok(changes);
+};
+
+/** Plans a write at a given revision without reading the record. */
+export const planAtRevision = (record: FileRecord, expectedRevision: number): PlannedChange => ({
+  action: expectedRevision === 0 ? Action.Create : Action.Update,
+  write: planRecord(record, undefined, expectedRevision).write,
+  differences: [],
+});
+
+/** Formats a plan for people. */
+export const formatPlan = (changes: readonly PlannedChange[]): string =>
+  changes
+    .flatMap(({ action, write, differences }) => [
+      `${action} ${write.kind} ${write.name} at revision ${write.expectedRevision}`,
+      ...differences.map(formatDifference),
+    ])
+    .map((line) => `${line}\n`)
+    .join('');
--- /dev/null
+++ b/packages/cli/src/commands/chat/index.ts
@@ -0,0 +1,47 @@
+/** `chat TEXT`: asks a model and streams its answer. */
+import { Repetition } from '../../client/client.js';
+import { type Command, Credential } from '../../command-line/command.js';
+import { Flag } from '../../command-line/flags.js';
+import { readInteger } from '../../command-line/values.js';
+import { ExitCode } from '../../exit-code.js';
+import { Format, reportFault, reportUsage, writeAnswer } from '../../output/output.js';
+import { readAnswer } from './read-answer.js';
+
+const DEFAULT_MAX_TOKENS = 512;
+
+export const chat: Command = {
+  description: 'Asks a model and streams its answer.',
+  positional: ['TEXT'],
+  flags: [Flag.Model, Flag.Adapter, Flag.MaxTokens],
+  credential: Credential.Team,
+  run: async (args, client, output) => {
+    const { values, positional } = args;
+    const maxTokens = readInteger(args, Flag.MaxTokens);
+    if (maxTokens.isErr()) return reportUsage(output, [maxTokens.error]);
+    if (values[Flag.Model] === undefined) {
+      return reportUsage(output, [`--${Flag.Model}: missing; allowed: the name of a model record`]);
+    }
+    const body = JSON.stringify({
+      model: values[Flag.Model],
+      adapter: values[Flag.Adapter],
+      messages: [{ role: 'user', content: positional[0] }],
+      max_tokens: maxTokens.value ?? DEFAULT_MAX_TOKENS,
+      stream: true,
+    });
+    const opened = await client.open({
+      method: 'POST',
+      path: '/v1/chat/completions',
+      repetition: Repetition.Unsafe,
+      headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
+      createBody: () => body,
+    });
+    if (opened.isErr()) return reportFault(output, opened.error);
+    const answer = await readAnswer(opened.value.body, opened.value.peer, (text) => {
+      if (output.format === Format.Table) output.write(text);
+    });
+    if (output.format === Format.Table) output.write('\n');
+    if (answer.isErr()) return reportFault(output, answer.error);
+    if (output.format === Format.Json) writeAnswer(output, answer.value, () => '');
+    return ExitCode.Ok;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/chat/read-answer.ts
@@ -0,0 +1,104 @@
+/** Reading of a streamed answer (server-sent events). */
+import type { Readable } from 'node:stream';
+import { describeThrown, type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
+import { createParser } from 'eventsource-parser';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { toFault } from '../../client/problem.js';
+import { parseJson } from '../../input/files.js';
+
+const CHUNK = z.looseObject({
+  choices: z.array(
+    z.looseObject({
+      delta: z.looseObject({ content: z.string().nullish() }),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+});
+
+const END_MARK = '[DONE]';
+
+export interface ChatAnswer {
+  text: string;
+  finishReason: string;
+}
+
+const createFault = (code: FaultCode, message: string): Fault => ({
+  code,
+  outcome: Outcome.Failed,
+  step: 'stream',
+  message,
+});
+
+/** Collects the events of one stream; an answer counts as complete only after its end event. */
+class AnswerCollector {
+  #text = '';
+
+  #finishReason: string | undefined;
+
+  #isEnded = false;
+
+  #fault: Fault | undefined;
+
+  constructor(
+    private readonly peer: string,
+    private readonly onText: (text: string) => void,
+  ) {}
+
+  takeEvent(event: string | undefined, data: string): void {
+    if (this.#isEnded || this.#fault !== undefined) return;
+    if (event === 'error') this.#fault = toFault(500, data, this.peer);
+    else if (data === END_MARK) this.#isEnded = true;
+    else this.#takeChunk(data);
+  }
+
+  finish(): Result<ChatAnswer, Fault> {
+    if (this.#fault !== undefined) return err(this.#fault);
+    if (!this.#isEnded || this.#finishReason === undefined) {
+      return err(createFault(FaultCode.Interrupted, 'the answer ended before its end event'));
+    }
+    return ok({ text: this.#text, finishReason: this.#finishReason });
+  }
+
+  #takeChunk(data: string): void {
+    const chunk = CHUNK.safeParse(parseJson(data).unwrapOr(undefined));
+    if (!chunk.success) {
+      this.#fault = createFault(FaultCode.InvalidStream, 'an event has an unexpected shape');
+      return;
+    }
+    const [choice] = chunk.data.choices;
+    const text = choice?.delta.content ?? '';
+    this.#text += text;
+    this.#finishReason = choice?.finish_reason ?? this.#finishReason;
+    if (text !== '') this.onText(text);
+  }
+}
+
+/** Reads an answer to its end and passes each piece of text on. */
+export const readAnswer = async (
+  body: Readable,
+  peer: string,
+  onText: (text: string) => void,
+): Promise<Result<ChatAnswer, Fault>> => {
+  const collector = new AnswerCollector(peer, onText);
+  const parser = createParser({
+    onEvent: ({ event, data }) => collector.takeEvent(event, data),
+  });
+  const decoder = new TextDecoder();
+  try {
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+    }
+  } catch (thrown) {
+    return collector
+      .finish()
+      .orElse((fault) =>
+        err(
+          fault.code === FaultCode.Interrupted
+            ? createFault(FaultCode.Interrupted, describeThrown(thrown))
+            : fault,
+        ),
+      );
+  }
+  return collector.finish();
+};
--- /dev/null
+++ b/packages/cli/src/commands/delete/index.ts
@@ -0,0 +1,41 @@
+/** `delete KIND NAME`: deletes a record. */
+import { ok } from 'neverthrow';
+import { readRecord, removeRecord, waitUntilInForce } from '../../client/records.js';
+import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
+import { Flag } from '../../command-line/flags.js';
+import { readInteger, readKind } from '../../command-line/values.js';
+import { ExitCode } from '../../exit-code.js';
+import { reportFault, reportUsage, writeAnswer, writeNote } from '../../output/output.js';
+
+export const deleteRecord: Command = {
+  description: 'Deletes a record.',
+  positional: ['KIND', 'NAME'],
+  flags: [Flag.ExpectedRevision, Flag.Wait],
+  credential: Credential.Operator,
+  defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
+  run: async (args, client, output) => {
+    const [kindText, name = ''] = args.positional;
+    const kind = readKind(kindText);
+    const expected = readInteger(args, Flag.ExpectedRevision);
+    if (kind.isErr()) return reportUsage(output, [kind.error]);
+    if (expected.isErr()) return reportUsage(output, [expected.error]);
+    const current =
+      expected.value === undefined
+        ? (await readRecord(client, kind.value, name)).map((record) => record.revision)
+        : ok(expected.value);
+    if (current.isErr()) return reportFault(output, current.error);
+    const deletion = await removeRecord(client, kind.value, name, current.value);
+    if (deletion.isErr()) return reportFault(output, deletion.error);
+    const revision = deletion.value;
+    writeAnswer(
+      output,
+      { kind: kind.value, name, revision },
+      () => `${kind.value} ${name} deleted at revision ${revision}\n`,
+    );
+    if (!args.switches.has(Flag.Wait) || (await waitUntilInForce(client, revision))) {
+      return ExitCode.Ok;
+    }
+    writeNote(output, `revision ${revision} is not yet in force everywhere`);
+    return ExitCode.TimedOut;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/entry-points/index.ts
@@ -0,0 +1,38 @@
+/** `entry-points`: shows the entry VMs that a caller should use. */
+import { Repetition } from '../../client/client.js';
+import { ENTRY_POINT_ANSWER } from '../../client/shapes.js';
+import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
+import { Flag } from '../../command-line/flags.js';
+import { ExitCode } from '../../exit-code.js';
+import { reportFault, writeAnswer } from '../../output/output.js';
+import { formatTable } from '../../output/table.js';
+
+export const entryPoints: Command = {
+  description: 'Shows the entry VMs that a caller should use.',
+  positional: [],
+  flags: [Flag.AvailabilityZone],
+  credential: Credential.None,
+  defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
+  run: async ({ values }, client, output) => {
+    const zone = values[Flag.AvailabilityZone];
+    const query = zone === undefined ? '' : `?availabilityZone=${encodeURIComponent(zone)}`;
+    const answer = await client.send(
+      { method: 'GET', path: `/v1/entry-points${query}`, repetition: Repetition.Safe },
+      ENTRY_POINT_ANSWER,
+    );
+    if (answer.isErr()) return reportFault(output, answer.error);
+    writeAnswer(output, answer.value, () =>
+      [
+        formatTable(
+          ['ADDRESS', 'ZONE'],
+          answer.value.entryPoints.map(({ address, availabilityZone }) => [
+            address,
+            availabilityZone,
+          ]),
+        ),
+        `\nvalid for ${answer.value.lifetimeMs} ms\n`,
+      ].join(''),
+    );
+    return ExitCode.Ok;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/history/index.ts
@@ -0,0 +1,35 @@
+/** `history KIND NAME`: lists the revisions of a record. */
+import { Repetition } from '../../client/client.js';
+import { createRecordPath } from '../../client/records.js';
+import { HISTORY } from '../../client/shapes.js';
+import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
+import { readKind } from '../../command-line/values.js';
+import { ExitCode } from '../../exit-code.js';
+import { reportFault, reportUsage, writeAnswer } from '../../output/output.js';
+import { formatTable } from '../../output/table.js';
+
+export const history: Command = {
+  description: 'Lists the revisions of a record.',
+  positional: ['KIND', 'NAME'],
+  flags: [],
+  credential: Credential.Operator,
+  defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
+  run: async ({ positional: [kindText, name = ''] }, client, output) => {
+    const kind = readKind(kindText);
+    if (kind.isErr()) return reportUsage(output, [kind.error]);
+    const path = `${createRecordPath(kind.value, name)}/history`;
+    const answer = await client.send({ method: 'GET', path, repetition: Repetition.Safe }, HISTORY);
+    if (answer.isErr()) return reportFault(output, answer.error);
+    writeAnswer(output, answer.value, () =>
+      formatTable(
+        ['REVISION', 'SCHEMA', 'SPEC'],
+        answer.value.revisions.map(({ revision, schemaVersion, spec }) => [
+          revision,
+          schemaVersion,
+          spec === undefined ? 'deleted' : JSON.stringify(spec),
+        ]),
+      ),
+    );
+    return ExitCode.Ok;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/jobs-results/index.ts
@@ -0,0 +1,68 @@
+/** `jobs results ID`: writes the results of a batch job as NDJSON. */
+import { describeThrown } from '@jujubelanding/errors';
+import { err, ok, type Result } from 'neverthrow';
+import { readJob } from '../../client/jobs.js';
+import type { BatchJob } from '../../client/shapes.js';
+import { type Arguments, type Command, Credential } from '../../command-line/command.js';
+import { Flag } from '../../command-line/flags.js';
+import { readInteger } from '../../command-line/values.js';
+import { ExitCode } from '../../exit-code.js';
+import { type Output, reportFault, reportUsage, writeNote } from '../../output/output.js';
+import { type ItemRange, ResultReader } from './read-results.js';
+import { openSink, type Sink } from './sink.js';
+
+const readRange = (args: Arguments, { itemCount }: BatchJob): Result<ItemRange, string> => {
+  const from = readInteger(args, Flag.From);
+  const to = readInteger(args, Flag.To);
+  if (from.isErr()) return err(from.error);
+  if (to.isErr()) return err(to.error);
+  const range = { from: from.value ?? 0, to: to.value ?? itemCount };
+  return range.from <= range.to && range.to <= itemCount
+    ? ok(range)
+    : err(
+        `--${Flag.From} ${range.from}, --${Flag.To} ${range.to}: not allowed; allowed: ` +
+          `0 <= from <= to <= ${itemCount}`,
+      );
+};
+
+const finish = async (
+  output: Output,
+  job: BatchJob,
+  sink: Sink,
+  reader: ResultReader,
+): Promise<ExitCode> => {
+  const count = await reader.read();
+  if (count.isErr()) {
+    await sink.discard();
+    return reportFault(output, count.error);
+  }
+  await sink.finish();
+  writeNote(output, `${count.value} results of ${job.itemCount} items, job ${job.status}`);
+  return ExitCode.Ok;
+};
+
+const openFile = async (args: Arguments, output: Output): Promise<Result<Sink, string>> => {
+  const path = args.values[Flag.Output];
+  try {
+    return ok(await openSink(path, output));
+  } catch (thrown) {
+    return err(`--${Flag.Output}: ${describeThrown(thrown)}; allowed: a file that can be written`);
+  }
+};
+
+export const jobsResults: Command = {
+  description: 'Writes the results of a batch job as NDJSON.',
+  positional: ['ID'],
+  flags: [Flag.From, Flag.To, Flag.Output],
+  credential: Credential.Team,
+  run: async (args, client, output) => {
+    const job = await readJob(client, args.positional[0]!);
+    if (job.isErr()) return reportFault(output, job.error);
+    const range = readRange(args, job.value);
+    if (range.isErr()) return reportUsage(output, [range.error]);
+    const sink = await openFile(args, output);
+    if (sink.isErr()) return reportUsage(output, [sink.error]);
+    const reader = new ResultReader(client, job.value, range.value, sink.value);
+    return finish(output, job.value, sink.value, reader);
+  },
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,9 @@
+/** The command-line tool, callable without a process. */
+export { ExitCode, getExitCode } from './exit-code.js';
+export { type ProcessIo, runCommandLine } from './run.js';
+export { COMMANDS } from './commands/index.js';
+export { type Arguments, type Command, Credential } from './command-line/command.js';
+export { Flag, FLAGS } from './command-line/flags.js';
+export { Client, type ClientOptions, type ClientRequest, Repetition } from './client/client.js';
+export { createTransport, type Transport } from './client/transport.js';
+export { Format, type Output } from './output/output.js';
--- /dev/null
+++ b/packages/cli/src/input/items.ts
@@ -0,0 +1,51 @@
+/** Batch items in an NDJSON file. */
+import { describeThrown } from '@jujubelanding/errors';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { type OpenInput, parseJson, readLines } from './files.js';
+
+const ITEM = z.looseObject({
+  itemId: z.string().min(1),
+  messages: z.array(z.looseObject({ role: z.string(), content: z.string() })).min(1),
+  maxTokens: z.number().int().positive(),
+});
+
+// A file in another format has a fault in each line.
+const MAX_REPORTED_FAULTS = 20;
+
+const checkLine = (line: string, seen: Set<string>): string[] => {
+  const item = parseJson(line);
+  if (item.isErr()) return [item.error];
+  const parsed = ITEM.safeParse(item.value);
+  if (!parsed.success) {
+    return parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+  }
+  const { itemId } = parsed.data;
+  if (seen.has(itemId)) return [`itemId: ${JSON.stringify(itemId)} is given more than once`];
+  seen.add(itemId);
+  return [];
+};
+
+const checkLines = async (open: OpenInput): Promise<Result<number, string[]>> => {
+  const seen = new Set<string>();
+  const faults: string[] = [];
+  let number = 0;
+  for await (const line of readLines(open())) {
+    number += 1;
+    if (line.trim() === '') continue;
+    const place = `line ${number}`;
+    faults.push(...checkLine(line, seen).map((fault) => `${place}: ${fault}`));
+    if (faults.length >= MAX_REPORTED_FAULTS) return err([...faults, 'further lines not checked']);
+  }
+  if (faults.length > 0) return err(faults);
+  return seen.size > 0 ? ok(seen.size) : err(['no items; allowed: one JSON object per line']);
+};
+
+/** Checks all items before any is sent, and counts them. */
+export const checkItems = async (open: OpenInput): Promise<Result<number, string[]>> => {
+  try {
+    return await checkLines(open);
+  } catch (thrown) {
+    return err([describeThrown(thrown)]);
+  }
+};
--- /dev/null
+++ b/packages/cli/src/output/differences.ts
@@ -0,0 +1,43 @@
+/** Differences between two specs, field by field. */
+
+export interface Difference {
+  path: string;
+  /** Absent when the field is added. */
+  before?: unknown;
+  /** Absent when the field is removed. */
+  after?: unknown;
+}
+
+const isObject = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+const serialize = (value: unknown): string =>
+  JSON.stringify(value, (_, part: unknown) =>
+    isObject(part) ? Object.fromEntries(Object.entries(part).toSorted()) : part,
+  );
+
+/** Lists the fields that differ; the order of fields does not count. */
+export const findDifferences = (before: unknown, after: unknown, path = ''): Difference[] => {
+  if (isObject(before) && isObject(after)) {
+    return [...new Set([...Object.keys(before), ...Object.keys(after)])]
+      .toSorted()
+      .flatMap((key) =>
+        findDifferences(before[key], after[key], path === '' ? key : `${path}.${key}`),
+      );
+  }
+  if (before === after || serialize(before) === serialize(after)) return [];
+  return [
+    {
+      path,
+      ...(before === undefined ? {} : { before }),
+      ...(after === undefined ? {} : { after }),
+    },
+  ];
+};
+
+/** Formats a difference as one line. */
+export const formatDifference = ({ path, before, after }: Difference): string => {
+  if (before === undefined) return `  + ${path}: ${JSON.stringify(after)}`;
+  if (after === undefined) return `  - ${path}: ${JSON.stringify(before)}`;
+  return `  ~ ${path}: ${JSON.stringify(before)} -> ${JSON.stringify(after)}`;
+};
--- /dev/null
+++ b/packages/cli/src/output/output.ts
@@ -0,0 +1,59 @@
+/** Where commands write, for people or for programs. */
+import type { Fault } from '@jujubelanding/errors';
+import { ExitCode, getExitCode } from '../exit-code.js';
+
+export enum Format {
+  Table = 'table',
+  Json = 'json',
+}
+
+export interface Output {
+  format: Format;
+  /** Where progress is drawn; absent when no person watches. */
+  terminal?: NodeJS.WritableStream;
+  write(text: string): void;
+  /** Resolves when what was written has been handed over; keeps large outputs out of memory. */
+  drain(): Promise<void>;
+  writeError(text: string): void;
+}
+
+/** Writes one JSON document, or the text for people. */
+export const writeAnswer = (output: Output, value: unknown, createText: () => string): void => {
+  output.write(
+    output.format === Format.Json ? `${JSON.stringify(value, null, 2)}\n` : createText(),
+  );
+};
+
+/** Writes progress for people; programs do not get it. */
+export const writeNote = (output: Output, text: string): void => {
+  if (output.format === Format.Table) output.writeError(`${text}\n`);
+};
+
+const formatFault = (fault: Fault): string => {
+  const origin = [fault.step, fault.peer].filter((part) => part).join(' at ');
+  const details = Object.entries(fault.details ?? {}).map(([name, text]) => `  ${name}: ${text}`);
+  const retry =
+    fault.retryAfterMs === undefined
+      ? []
+      : [`  a retry may succeed after ${fault.retryAfterMs} ms`];
+  const head = `${fault.code} (${fault.outcome}, ${origin}): ${fault.message}`;
+  return [head, ...details, ...retry, ''].join('\n');
+};
+
+/** Reports a fault and returns its exit code. */
+export const reportFault = (output: Output, fault: Fault): ExitCode => {
+  output.writeError(
+    output.format === Format.Json ? `${JSON.stringify({ fault })}\n` : formatFault(fault),
+  );
+  return getExitCode(fault);
+};
+
+/** Reports faults in arguments or input. */
+export const reportUsage = (output: Output, faults: readonly string[]): ExitCode => {
+  output.writeError(
+    output.format === Format.Json
+      ? `${JSON.stringify({ usage: faults })}\n`
+      : faults.map((fault) => `${fault}\n`).join(''),
+  );
+  return ExitCode.Usage;
+};
--- /dev/null
+++ b/packages/cli/src/output/table.ts
@@ -0,0 +1,46 @@
+/** Tables for people. */
+import Table from 'cli-table3';
+
+export type Cell = string | number | undefined;
+
+const NO_BORDERS = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: '  ',
+};
+
+const EMPTY_CELL = '-';
+
+/** Formats rows under column names, without borders so that lines can be searched and cut. */
+export const formatTable = (
+  columns: readonly string[],
+  rows: readonly (readonly Cell[])[],
+): string => {
+  const table = new Table({
+    head: [...columns],
+    chars: NO_BORDERS,
+    style: { head: [], border: [], 'padding-left': 0, 'padding-right': 0 },
+    colAligns: columns.map((_, index) =>
+      rows.length > 0 && rows.every((row) => typeof row[index] === 'number') ? 'right' : 'left',
+    ),
+  });
+  table.push(...rows.map((row) => row.map((cell) => cell ?? EMPTY_CELL)));
+  const lines = table.toString().split('\n');
+  return `${lines.map((line) => line.trimEnd()).join('\n')}\n`;
+};
+
+/** Formats a point in time given in epoch milliseconds. */
+export const formatTime = (epochMs: number | null | undefined): string | undefined =>
+  epochMs === null || epochMs === undefined ? undefined : new Date(epochMs).toISOString();
--- /dev/null
+++ b/packages/cli/src/run.ts
@@ -0,0 +1,104 @@
+/** Runs one command line. */
+import type { Readable } from 'node:stream';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { Client } from './client/client.js';
+import { createTransport } from './client/transport.js';
+import { type Arguments, type Command, Credential } from './command-line/command.js';
+import { Flag, FLAGS } from './command-line/flags.js';
+import { createCommandHelp, createHelp } from './command-line/help.js';
+import { type Environment, parseCommandLine } from './command-line/parse.js';
+import { checkEntryVms, readTimeout } from './command-line/values.js';
+import { COMMANDS } from './commands/index.js';
+import { ExitCode } from './exit-code.js';
+import { Format, type Output, reportUsage } from './output/output.js';
+
+/** What the tool uses of its process. */
+export interface ProcessIo {
+  timer: Timer;
+  random: Random;
+  standardInput: Readable;
+  /** Where progress is drawn; absent when no person watches. */
+  terminal?: NodeJS.WritableStream;
+  version: string;
+  write(text: string): void;
+  drain(): Promise<void>;
+  writeError(text: string): void;
+}
+
+const CREDENTIAL_FLAGS: Record<Credential, Flag | undefined> = {
+  [Credential.Operator]: Flag.Token,
+  [Credential.Team]: Flag.TeamKey,
+  [Credential.None]: undefined,
+};
+
+const checkCredential = (command: Command, args: Arguments): string[] => {
+  const flag = CREDENTIAL_FLAGS[command.credential];
+  if (flag === undefined || args.values[flag] !== undefined) return [];
+  return [`--${flag} (${FLAGS[flag].variable}): missing; this command needs it`];
+};
+
+const runCommand = async (
+  command: Command,
+  args: Arguments,
+  entryVms: string[],
+  output: Output,
+  { timer, random }: ProcessIo,
+): Promise<ExitCode> => {
+  const timeout = readTimeout(args);
+  const faults = [
+    ...checkEntryVms(entryVms),
+    ...checkCredential(command, args),
+    ...(timeout.isErr() ? [timeout.error] : []),
+  ];
+  if (faults.length > 0) return reportUsage(output, faults);
+  const credentialFlag = CREDENTIAL_FLAGS[command.credential];
+  const credential = credentialFlag === undefined ? undefined : args.values[credentialFlag];
+  const timeoutMs = timeout.unwrapOr(undefined) ?? command.defaultTimeoutMs;
+  const transport = createTransport(timer);
+  const client = new Client({
+    entryVms,
+    timer,
+    random,
+    transport,
+    ...(credential === undefined ? {} : { authorization: `Bearer ${credential}` }),
+    ...(timeoutMs === undefined ? {} : { timeoutMs }),
+  });
+  try {
+    return await command.run(args, client, output);
+  } finally {
+    await transport.close();
+  }
+};
+
+/** Runs a command line and returns the exit code; never exits by itself. */
+export const runCommandLine = async (
+  argv: readonly string[],
+  environment: Environment,
+  io: ProcessIo,
+): Promise<ExitCode> => {
+  const parsed = parseCommandLine(argv, environment, io.standardInput, COMMANDS);
+  const format = argv.includes(`--${Flag.Json}`) ? Format.Json : Format.Table;
+  const output: Output = {
+    format,
+    ...(io.terminal === undefined ? {} : { terminal: io.terminal }),
+    write: (text) => io.write(text),
+    drain: () => io.drain(),
+    writeError: (text) => io.writeError(text),
+  };
+  if (parsed.isErr()) return reportUsage(output, parsed.error);
+  const { name, command, args, entryVms } = parsed.value;
+  if (args.switches.has(Flag.Version)) {
+    output.write(`${io.version}\n`);
+    return ExitCode.Ok;
+  }
+  if (name === undefined || command === undefined || args.switches.has(Flag.Help)) {
+    output.write(
+      name === undefined || command === undefined
+        ? createHelp(COMMANDS)
+        : createCommandHelp(name, command),
+    );
+    return ExitCode.Ok;
+  }
+  return runCommand(command, args, entryVms, output, io);
+};
