--- /dev/null
+++ b/packages/caller-api/src/api.ts
@@ -0,0 +1,89 @@
+/** The caller interface: which filters a request passes and who answers it. */
+import { describeThrown, FaultCode, Outcome } from '@jujubelanding/errors';
+import { Hono } from 'hono';
+import { createBatches } from './batches.js';
+import { createChat } from './chat.js';
+import {
+  createRefusal,
+  release,
+  respondFault,
+  type CallerApiOptions,
+  type ExchangeEnvironment,
+} from './exchange.js';
+import { createFilters, type Filters } from './filters.js';
+import { createServices } from './services.js';
+
+type Api = Hono<ExchangeEnvironment>;
+
+/** Routes without a team key; open while the VM is not ready, so that callers find another one. */
+const mountOpen = (app: Api, options: CallerApiOptions, filters: Filters): void => {
+  app.get('/healthz', (exchange) => exchange.json({ status: 'ok' }));
+  app.get('/readyz', filters.requireReady, (exchange) => exchange.json({ status: 'ready' }));
+  app.get('/v1/entry-points', (exchange) => {
+    const caller = exchange.req.query('caller') ?? exchange.get('requestId');
+    return exchange.json(options.entryPoints.choose(caller, exchange.req.query('zone')));
+  });
+};
+
+const mountOnline = (app: Api, options: CallerApiOptions, filters: Filters): void => {
+  const { limitBody, limitTeam, claim, shedOverload } = filters;
+  const chat = createChat(options);
+  const services = createServices(options);
+  app.post(
+    '/v1/chat/completions',
+    limitBody,
+    limitTeam,
+    chat.parse,
+    claim,
+    shedOverload,
+    chat.answer,
+  );
+  app.all(
+    '/services/:service/*',
+    limitBody,
+    limitTeam,
+    services.parse,
+    claim,
+    shedOverload,
+    services.answer,
+  );
+};
+
+/** Bodies of batches are parsed as a stream; limits are on each item and on the number of items. */
+const mountBatches = (app: Api, options: CallerApiOptions, filters: Filters): void => {
+  const batches = createBatches(options);
+  app.post('/v1/batches', filters.limitTeam, batches.submit);
+  app.get('/v1/batches', batches.list);
+  app.get('/v1/batches/:id', batches.show);
+  app.post('/v1/batches/:id/cancel', batches.cancel);
+  app.get('/v1/batches/:id/results', batches.readResults);
+};
+
+const mountErrors = (app: Api, options: CallerApiOptions): void => {
+  const log = options.io.createLog('caller-api');
+  app.notFound((exchange) => {
+    const message = `no route for ${exchange.req.method} ${exchange.req.path}`;
+    return respondFault(exchange, createRefusal(FaultCode.NotFound, 'routes', message));
+  });
+  app.onError((thrown, exchange) => {
+    release(exchange);
+    log.write('error', { path: exchange.req.path, message: describeThrown(thrown) });
+    const fault = createRefusal(FaultCode.Internal, 'caller-api', 'internal error');
+    return respondFault(exchange, { ...fault, outcome: Outcome.OutcomeUnknown });
+  });
+};
+
+/** Creates the HTTP application of an entry VM. */
+export const createCallerApi = (options: CallerApiOptions): Api => {
+  const app: Api = new Hono<ExchangeEnvironment>();
+  const filters = createFilters(options);
+  app.use(filters.assignRequestId);
+  mountOpen(app, options, filters);
+  app.use('/v1/*', filters.requireReady, filters.authenticate);
+  app.use('/services/*', filters.requireReady, filters.authenticate);
+  mountOnline(app, options, filters);
+  mountBatches(app, options, filters);
+  if (options.admin !== undefined) app.route('/admin', options.admin);
+  mountErrors(app, options);
+  return app;
+};
--- /dev/null
+++ b/packages/caller-api/src/chat.ts
@@ -0,0 +1,262 @@
+/** Chat completions: parsing, whole answers and server-sent events. */
+import { FaultCode, toProblem, type Fault } from '@jujubelanding/errors';
+import type { OnlineGeneration } from '@jujubelanding/interfaces';
+import { computeChecksum } from '@jujubelanding/random';
+import {
+  FinishReason,
+  Idempotency,
+  RecordKind,
+  type StreamEnd,
+  type Token,
+} from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  createRefusal,
+  release,
+  respondFault,
+  type CallerApiOptions,
+  type Exchange,
+  type Filter,
+} from './exchange.js';
+import { readIdempotency } from './idempotency.js';
+import { parseInput } from './request-body.js';
+import { chatSchema, type ChatRequest } from './schemas.js';
+import { openEventStream, type EventStream } from './event-stream.js';
+
+/** Applies to models whose service has no record yet. */
+const DEFAULT_TIMEOUT_MS = 60_000;
+
+const FINISH_REASONS: Record<FinishReason, string> = {
+  [FinishReason.Stop]: 'stop',
+  [FinishReason.Length]: 'length',
+  [FinishReason.Cancelled]: 'cancelled',
+};
+
+interface ResolvedModel {
+  model: string;
+  adapter?: string;
+  service: string;
+  maxTokens: number;
+  timeoutMs: number;
+}
+
+/** Finds the model; an adapter's name may stand in its place. */
+const resolveModel = (
+  { configuration }: CallerApiOptions,
+  chat: ChatRequest,
+): Result<ResolvedModel, Fault> => {
+  const named = configuration.get(RecordKind.Adapter, chat.model);
+  const adapter = chat.adapter ?? named?.name;
+  const adapterRecord =
+    adapter === undefined ? undefined : configuration.get(RecordKind.Adapter, adapter);
+  const name = named?.spec.model ?? chat.model;
+  const model = configuration.get(RecordKind.Model, name);
+  if (model === undefined) {
+    const message = `model ${chat.model} is not known`;
+    return err(createRefusal(FaultCode.NotFound, 'model', message, { field: 'model' }));
+  }
+  if (adapter !== undefined && adapterRecord?.spec.model !== name) {
+    const message = `adapter ${adapter} of model ${name} is not known`;
+    return err(createRefusal(FaultCode.NotFound, 'model', message, { field: 'adapter' }));
+  }
+  const { service, maxTokens } = model.spec;
+  const timeoutMs =
+    configuration.get(RecordKind.Service, service)?.spec.requestTimeoutMs ?? DEFAULT_TIMEOUT_MS;
+  return ok({
+    model: name,
+    ...(adapter === undefined ? {} : { adapter }),
+    service,
+    maxTokens,
+    timeoutMs,
+  });
+};
+
+interface PreparedChat {
+  generation: OnlineGeneration;
+  service: string;
+  isStreamed: boolean;
+}
+
+const prepareChat = (
+  options: CallerApiOptions,
+  exchange: Exchange,
+): Result<PreparedChat, Fault> => {
+  const text = new TextDecoder().decode(exchange.get('body'));
+  const parsed = parseInput(text, chatSchema);
+  if (parsed.isErr()) return err(parsed.error);
+  const chat = parsed.value;
+  const resolved = resolveModel(options, chat);
+  if (resolved.isErr()) return err(resolved.error);
+  const idempotency = readIdempotency(exchange, Idempotency.Idempotent);
+  if (idempotency.isErr()) return err(idempotency.error);
+  const { model, adapter, service, maxTokens, timeoutMs } = resolved.value;
+  const asked = chat.max_completion_tokens ?? chat.max_tokens ?? maxTokens;
+  if (asked > maxTokens) {
+    const details = { field: 'max_tokens', value: String(asked), maximum: String(maxTokens) };
+    const message = `field max_tokens: ${asked} exceeds ${maxTokens}, the maximum of model ${model}`;
+    return err(createRefusal(FaultCode.InvalidInput, 'body', message, details));
+  }
+  return ok({
+    service,
+    isStreamed: chat.stream === true,
+    generation: {
+      generation: {
+        requestId: exchange.get('requestId'),
+        model,
+        ...(adapter === undefined ? {} : { adapter }),
+        messages: chat.messages,
+        maxTokens: asked,
+      },
+      idempotency: idempotency.value,
+      team: exchange.get('team').name,
+      deadline: options.io.timer.now() + timeoutMs,
+    },
+  });
+};
+
+/** Shapes of the widely known interface. */
+class ChatShape {
+  constructor(
+    private readonly requestId: string,
+    private readonly model: string,
+    private readonly createdSeconds: number,
+  ) {}
+
+  chunk(delta: Record<string, string>, finishReason: string | null = null, end?: StreamEnd) {
+    return {
+      ...this.describe('chat.completion.chunk'),
+      choices: [{ index: 0, delta, finish_reason: finishReason }],
+      ...(end === undefined ? {} : { usage: this.count(end) }),
+    };
+  }
+
+  whole(content: string, end: StreamEnd) {
+    return {
+      ...this.describe('chat.completion'),
+      choices: [
+        {
+          index: 0,
+          message: { role: 'assistant', content },
+          finish_reason: FINISH_REASONS[end.finishReason],
+        },
+      ],
+      usage: this.count(end),
+    };
+  }
+
+  private describe(object: string) {
+    return {
+      id: `chatcmpl-${this.requestId}`,
+      object,
+      created: this.createdSeconds,
+      model: this.model,
+    };
+  }
+
+  /** Engines do not report the number of prompt tokens. */
+  private count(end: StreamEnd) {
+    return {
+      completion_tokens: end.tokenCount,
+      prompt_tokens_details: { cached_tokens: end.cachedTokens },
+    };
+  }
+}
+
+const finishStream = (
+  stream: EventStream,
+  shape: ChatShape,
+  answer: Result<StreamEnd, Fault>,
+  requestId: string,
+): void => {
+  answer.match(
+    (end) => {
+      stream.send(JSON.stringify(shape.chunk({}, FINISH_REASONS[end.finishReason], end)));
+      stream.send('[DONE]');
+    },
+    (fault) => stream.send(JSON.stringify(toProblem(fault, requestId)), 'error'),
+  );
+  stream.close();
+};
+
+/** Streams tokens as events; a fault before the first token is answered with its own status. */
+const streamChat = async (
+  options: CallerApiOptions,
+  exchange: Exchange,
+  generation: OnlineGeneration,
+  shape: ChatShape,
+): Promise<Response> => {
+  const stream = openEventStream(exchange.req.raw.signal);
+  let announceToken = (): void => {};
+  const started = new Promise<void>((resolve) => {
+    announceToken = resolve;
+  });
+  let isFirst = true;
+  const onToken = (token: Token): void => {
+    const role: Record<string, string> = isFirst ? { role: 'assistant' } : {};
+    stream.send(JSON.stringify(shape.chunk({ ...role, content: token.text })));
+    isFirst = false;
+    announceToken();
+  };
+  exchange.set('isStreaming', true);
+  const finished = options.dispatcher.generate(generation, onToken, stream.signal);
+  void finished.then(
+    () => release(exchange),
+    () => release(exchange),
+  );
+  await Promise.race([started, finished]);
+  if (isFirst) {
+    const answer = await finished;
+    if (answer.isErr()) return respondFault(exchange, answer.error);
+  }
+  const { requestId } = generation.generation;
+  void finished.then(
+    (answer) => finishStream(stream, shape, answer, requestId),
+    (thrown) => stream.fail(thrown),
+  );
+  return stream.response;
+};
+
+const answerWhole = async (
+  options: CallerApiOptions,
+  exchange: Exchange,
+  generation: OnlineGeneration,
+  shape: ChatShape,
+): Promise<Response> => {
+  const texts: string[] = [];
+  const answer = await options.dispatcher.generate(
+    generation,
+    (token) => texts.push(token.text),
+    exchange.req.raw.signal,
+  );
+  if (answer.isErr()) return respondFault(exchange, answer.error);
+  return exchange.json(shape.whole(texts.join(''), answer.value));
+};
+
+export interface ChatSteps {
+  parse: Filter;
+  answer: (exchange: Exchange) => Promise<Response>;
+}
+
+/** Parsing as a filter, because claim and overload depend on the model; and the handler. */
+export const createChat = (options: CallerApiOptions): ChatSteps => {
+  const prepared = new WeakMap<Exchange, PreparedChat>();
+  return {
+    parse: async (exchange, next) => {
+      const chat = prepareChat(options, exchange);
+      if (chat.isErr()) return respondFault(exchange, chat.error);
+      prepared.set(exchange, chat.value);
+      const { idempotency } = chat.value.generation;
+      const digest = computeChecksum(exchange.get('body'));
+      exchange.set('target', { service: chat.value.service, idempotency, digest });
+      return next();
+    },
+    answer: (exchange) => {
+      const { generation, isStreamed } = prepared.get(exchange)!;
+      const createdSeconds = Math.floor(options.io.timer.wallClock() / 1000);
+      const { requestId, model } = generation.generation;
+      const shape = new ChatShape(requestId, model, createdSeconds);
+      const answer = isStreamed ? streamChat : answerWhole;
+      return answer(options, exchange, generation, shape);
+    },
+  };
+};
--- /dev/null
+++ b/packages/caller-api/src/exchange.ts
@@ -0,0 +1,91 @@
+/** State of one request on its way through the filters. */
+import type { Fault } from '@jujubelanding/errors';
+import { FaultCode, getStatus, Outcome, toProblem } from '@jujubelanding/errors';
+import type {
+  ActiveRecord,
+  BatchJobs,
+  Claims,
+  Configuration,
+  EntryPoints,
+  EntryVmIo,
+  OnlineDispatcher,
+  TeamLimits,
+} from '@jujubelanding/interfaces';
+import type { OverloadGate } from '@jujubelanding/limits';
+import type { Idempotency, RecordKind } from '@jujubelanding/types';
+import type { Context, Hono, MiddlewareHandler } from 'hono';
+
+export interface CallerApiOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'createLog' | 'metrics'>;
+  dispatcher: OnlineDispatcher;
+  batchJobs: BatchJobs;
+  limits: TeamLimits;
+  claims: Claims;
+  overload: Pick<OverloadGate, 'admit'>;
+  entryPoints: EntryPoints;
+  configuration: Configuration;
+  /** False while the VM starts or stops. */
+  isReady: () => boolean;
+  /** Mounted under /admin. */
+  admin?: Hono;
+}
+
+/** An online request once its body is understood. */
+export interface OnlineTarget {
+  service: string;
+  idempotency: Idempotency;
+  /** Tells a retry from another request under the same idempotency key. */
+  digest: string;
+}
+
+/** Variables that filters hand on. */
+export interface ExchangeVariables {
+  requestId: string;
+  team: ActiveRecord<RecordKind.Team>;
+  body: Uint8Array;
+  target: OnlineTarget;
+  /** Run when the response has ended, also after a stream. */
+  releases: (() => void)[];
+  /** Set by handlers whose response ends later than they return. */
+  isStreaming: boolean;
+}
+
+export interface ExchangeEnvironment {
+  Variables: ExchangeVariables;
+}
+
+export type Exchange = Context<ExchangeEnvironment>;
+
+export type Filter = MiddlewareHandler<ExchangeEnvironment>;
+
+/** Answers with problem details. */
+export const respondFault = (exchange: Exchange, fault: Fault): Response => {
+  const problem = toProblem(fault, exchange.get('requestId'));
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
+  if (fault.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.max(1, Math.ceil(fault.retryAfterMs / 1000)));
+  }
+  return new Response(JSON.stringify(problem), { status: getStatus(fault), headers });
+};
+
+/** Runs everything that waits for the end of the response. */
+export const release = (exchange: Exchange): void => {
+  exchange
+    .get('releases')
+    .splice(0)
+    .forEach((run) => run());
+};
+
+/** A fault of a request that was refused before anything ran. */
+export const createRefusal = (
+  code: FaultCode,
+  step: string,
+  message: string,
+  details?: Record<string, string>,
+): Fault => ({
+  code,
+  outcome: Outcome.NotRun,
+  step,
+  message,
+  ...(details === undefined ? {} : { details }),
+});
--- /dev/null
+++ b/packages/caller-api/src/job-view.ts
@@ -0,0 +1,24 @@
+/** Jobs as callers see them. */
+import type { JobRecord } from '@jujubelanding/types';
+
+const formatTime = (epochMs: number): string => new Date(epochMs).toISOString();
+
+/** Leaves out the chunk table and other internals. */
+export const describeJob = (job: JobRecord) => {
+  const finished = job.chunks.filter((chunk) => chunk.result !== undefined);
+  const completedItems = finished.reduce((sum, chunk) => sum + chunk.itemCount, 0);
+  return {
+    id: job.id,
+    status: job.status,
+    model: job.model,
+    ...(job.adapter === undefined ? {} : { adapter: job.adapter }),
+    ...(job.jobClass === undefined ? {} : { job: job.jobClass }),
+    idempotencyKey: job.idempotencyKey,
+    itemCount: job.itemCount,
+    completedItems,
+    failedItems: finished.reduce((sum, chunk) => sum + chunk.failedItems, 0),
+    createdAt: formatTime(job.createdAt),
+    dueAt: formatTime(job.dueAt),
+    ...(job.endedAt === undefined ? {} : { endedAt: formatTime(job.endedAt) }),
+  };
+};
--- /dev/null
+++ b/packages/caller-api/src/json-item-scanner.ts
@@ -0,0 +1,139 @@
+/** Finds the elements of the array `items` in a JSON object without holding the whole body. */
+import { FaultCode } from '@jujubelanding/errors';
+import { createRefusal } from './exchange.js';
+import { InputRejection } from './request-body.js';
+
+export enum ScannedKind {
+  /** JSON object of the fields before `items`. */
+  Fields = 'fields',
+  Item = 'item',
+}
+
+export interface Scanned {
+  kind: ScannedKind;
+  text: string;
+  /** Line on which the text starts, counted from 1. */
+  line: number;
+  /** Position in the array, counted from 0. */
+  index: number;
+}
+
+const ITEMS_START = /^\s*\{[\s\S]*"items"\s*:\s*$/;
+
+const WHITESPACE = /\s/;
+
+/**
+ * Splits on structure only (nesting depth and strings); the parts are parsed and checked by the
+ * reader. Fields must come before `items`, so that the job is known before its items are stored.
+ */
+export class JsonItemScanner {
+  private depth = 0;
+
+  private isInString = false;
+
+  private isEscaped = false;
+
+  private line = 1;
+
+  private text = '';
+
+  private startLine = 1;
+
+  private index = 0;
+
+  private isInItems = false;
+
+  private isPastItems = false;
+
+  private expectsItem = false;
+
+  constructor(private readonly maxItemLength: number) {}
+
+  async *scan(texts: AsyncIterable<string>): AsyncGenerator<Scanned> {
+    for await (const text of texts) {
+      for (const character of text) {
+        const scanned = this.step(character);
+        if (scanned !== undefined) yield scanned;
+        if (this.text.length > this.maxItemLength) {
+          this.refuse(
+            FaultCode.TooLarge,
+            `a part of the body exceeds ${this.maxItemLength} characters`,
+          );
+        }
+      }
+    }
+    if (!this.isPastItems || this.depth !== 0) {
+      this.refuse(FaultCode.InvalidInput, 'the body ends before its JSON is complete');
+    }
+  }
+
+  private step(character: string): Scanned | undefined {
+    if (character === '\n') this.line += 1;
+    if (this.isPastItems) return this.stepAfterItems(character);
+    if (this.isInItems && this.depth === 2) return this.stepBetweenItems(character);
+    this.text += character;
+    this.trackStructure(character);
+    if (this.isInItems) return this.depth === 2 && !this.isInString ? this.takeItem() : undefined;
+    return character === '[' && this.depth === 2 && !this.isInString ? this.openItems() : undefined;
+  }
+
+  private trackStructure(character: string): void {
+    if (this.isInString) {
+      if (this.isEscaped) this.isEscaped = false;
+      else if (character === '\\') this.isEscaped = true;
+      else if (character === '"') this.isInString = false;
+      return;
+    }
+    if (character === '"') this.isInString = true;
+    else if (character === '{' || character === '[') this.depth += 1;
+    else if (character === '}' || character === ']') this.depth -= 1;
+  }
+
+  /** Turns the fields before the array into an object of their own. */
+  private openItems(): Scanned | undefined {
+    const before = this.text.slice(0, -1);
+    if (!ITEMS_START.test(before)) return undefined;
+    const fields = before.replace(/,?\s*"items"\s*:\s*$/, '');
+    this.isInItems = true;
+    this.text = '';
+    return { kind: ScannedKind.Fields, text: `${fields}}`, line: 1, index: -1 };
+  }
+
+  private stepBetweenItems(character: string): undefined {
+    if (WHITESPACE.test(character)) return undefined;
+    if (character === ']' && !this.expectsItem) {
+      this.isPastItems = true;
+      this.depth = 1;
+    } else if (character === ',' && this.index > 0 && !this.expectsItem) {
+      this.expectsItem = true;
+    } else if (character === '{' && (this.index === 0 || this.expectsItem)) {
+      this.expectsItem = false;
+      this.startLine = this.line;
+      this.text = character;
+      this.depth = 3;
+    } else {
+      this.refuse(FaultCode.InvalidInput, `unexpected ${character} between items`);
+    }
+    return undefined;
+  }
+
+  private takeItem(): Scanned {
+    const { text, index, startLine } = this;
+    this.text = '';
+    this.index += 1;
+    return { kind: ScannedKind.Item, text, line: startLine, index };
+  }
+
+  private stepAfterItems(character: string): undefined {
+    if (WHITESPACE.test(character)) return undefined;
+    if (character === '}' && this.depth === 1) this.depth = 0;
+    else this.refuse(FaultCode.InvalidInput, 'fields must come before items');
+    return undefined;
+  }
+
+  private refuse(code: FaultCode, problem: string): never {
+    const location = { line: String(this.line), item: String(this.index) };
+    const message = `line ${this.line}, item ${this.index}: ${problem}`;
+    throw new InputRejection(createRefusal(code, 'body', message, location));
+  }
+}
--- /dev/null
+++ b/packages/caller-api/src/request-body.ts
@@ -0,0 +1,92 @@
+/** Reading of request bodies, whole or in parts. */
+import { describeThrown, FaultCode, type Fault } from '@jujubelanding/errors';
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+import { createRefusal } from './exchange.js';
+
+/** Input that is refused while it is read; carries the fault for the caller. */
+export class InputRejection extends Error {
+  constructor(readonly fault: Fault) {
+    super(fault.message);
+  }
+}
+
+/** Chunks of a body as they arrive. */
+export async function* readChunks(request: Request): AsyncGenerator<Uint8Array> {
+  if (request.body === null) return;
+  const reader = request.body.getReader();
+  try {
+    for (;;) {
+      const { done, value } = await reader.read();
+      if (done) return;
+      yield value;
+    }
+  } finally {
+    reader.releaseLock();
+  }
+}
+
+const createTooLarge = (maxBytes: number): Fault =>
+  createRefusal(FaultCode.TooLarge, 'body-limit', `the body exceeds ${maxBytes} bytes`, {
+    maxBytes: String(maxBytes),
+  });
+
+/** Reads a whole body up to a size; a larger one is refused before it is held in memory. */
+export const readBounded = async (
+  request: Request,
+  maxBytes: number,
+): Promise<Result<Uint8Array, Fault>> => {
+  if (Number(request.headers.get('content-length') ?? 0) > maxBytes) {
+    return err(createTooLarge(maxBytes));
+  }
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of readChunks(request)) {
+      size += chunk.byteLength;
+      if (size > maxBytes) return err(createTooLarge(maxBytes));
+      chunks.push(chunk);
+    }
+  } catch (thrown) {
+    const message = `the body could not be read: ${describeThrown(thrown)}`;
+    return err(createRefusal(FaultCode.InvalidInput, 'body', message));
+  }
+  return ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+};
+
+/** Returns where in the body a part stands, as the start of a message. */
+export const describeLocation = (location: Record<string, string>): string => {
+  const places = Object.entries(location).map(([name, position]) => `${name} ${position}`);
+  return places.length === 0 ? '' : `${places.join(', ')}: `;
+};
+
+/** Checks a value against a schema; the fault names the first wrong field. */
+export const checkInput = <T>(
+  value: unknown,
+  schema: z.ZodType<T>,
+  location: Record<string, string> = {},
+): Result<T, Fault> => {
+  const checked = schema.safeParse(value);
+  if (checked.success) return ok(checked.data);
+  const issue = checked.error.issues[0]!;
+  const field = issue.path.join('.') || '(whole value)';
+  const message = `${describeLocation(location)}field ${field}: ${issue.message}`;
+  const details = { ...location, field, problem: issue.message };
+  return err(createRefusal(FaultCode.InvalidInput, 'body', message, details));
+};
+
+/** Parses JSON text against a schema; faults name the field, and the line where there is one. */
+export const parseInput = <T>(
+  text: string,
+  schema: z.ZodType<T>,
+  location: Record<string, string> = {},
+): Result<T, Fault> => {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (thrown) {
+    const message = `${describeLocation(location)}not valid JSON: ${describeThrown(thrown)}`;
+    return err(createRefusal(FaultCode.InvalidInput, 'body', message, location));
+  }
+  return checkInput(value, schema, location);
+};
--- /dev/null
+++ b/packages/caller-api/src/services.ts
@@ -0,0 +1,94 @@
+/** Plain services: calls are passed through unchanged. */
+import { FaultCode, type Fault } from '@jujubelanding/errors';
+import type { OnlineCall } from '@jujubelanding/interfaces';
+import { computeChecksum } from '@jujubelanding/random';
+import { Idempotency, RecordKind, ServiceKind } from '@jujubelanding/types';
+import { err, type Result } from 'neverthrow';
+import {
+  createRefusal,
+  respondFault,
+  type CallerApiOptions,
+  type Exchange,
+  type Filter,
+} from './exchange.js';
+import { readIdempotency } from './idempotency.js';
+
+/** Headers about one connection, or about the caller's access to this system. */
+const DROPPED_HEADERS = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'idempotency-key',
+  'idempotent',
+  'keep-alive',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Statuses whose responses have no body. */
+const BODILESS_STATUSES = new Set([204, 205, 304]);
+
+const selectHeaders = (headers: Iterable<[string, string]>): Record<string, string> =>
+  Object.fromEntries([...headers].filter(([name]) => !DROPPED_HEADERS.has(name.toLowerCase())));
+
+const prepareCall = (options: CallerApiOptions, exchange: Exchange): Result<OnlineCall, Fault> => {
+  const service = exchange.req.param('service') ?? '';
+  const record = options.configuration.get(RecordKind.Service, service);
+  if (record?.spec.kind !== ServiceKind.PlainService) {
+    const message = `plain service ${service} is not known`;
+    return err(createRefusal(FaultCode.NotFound, 'service', message));
+  }
+  const url = new URL(exchange.req.url);
+  const path = url.pathname.slice(`/services/${service}`.length) || '/';
+  const isMarked = record.spec.nonIdempotentPaths.some((prefix) => path.startsWith(prefix));
+  const byRecord = isMarked ? Idempotency.NonIdempotent : Idempotency.Idempotent;
+  return readIdempotency(exchange, byRecord).map((idempotency) => ({
+    service,
+    request: {
+      requestId: exchange.get('requestId'),
+      method: exchange.req.method,
+      path: `${path}${url.search}`,
+      headers: selectHeaders(exchange.req.raw.headers.entries()),
+      body: exchange.get('body'),
+    },
+    idempotency,
+    team: exchange.get('team').name,
+    deadline: options.io.timer.now() + record.spec.requestTimeoutMs,
+  }));
+};
+
+export interface ServiceSteps {
+  parse: Filter;
+  answer: (exchange: Exchange) => Promise<Response>;
+}
+
+export const createServices = (options: CallerApiOptions): ServiceSteps => {
+  const prepared = new WeakMap<Exchange, OnlineCall>();
+  return {
+    parse: async (exchange, next) => {
+      const call = prepareCall(options, exchange);
+      if (call.isErr()) return respondFault(exchange, call.error);
+      prepared.set(exchange, call.value);
+      const { service, idempotency, request } = call.value;
+      const bodyDigest = computeChecksum(request.body);
+      const digest = computeChecksum(`${service} ${request.method} ${request.path} ${bodyDigest}`);
+      exchange.set('target', { service, idempotency, digest });
+      return next();
+    },
+    answer: async (exchange) => {
+      const call = prepared.get(exchange)!;
+      const answer = await options.dispatcher.call(call, exchange.req.raw.signal);
+      if (answer.isErr()) return respondFault(exchange, answer.error);
+      const { status, headers, body } = answer.value;
+      return new Response(BODILESS_STATUSES.has(status) ? null : Buffer.from(body), {
+        status,
+        headers: selectHeaders(Object.entries(headers)),
+      });
+    },
+  };
+};
