Add batch execution and placement

Executors pull chunks for idle slots of owned workers and preempt on online bursts; a chunk grant names the attempts per item, which only the job record held.

--- /dev/null
+++ b/packages/batch-execution/src/batch-executor.ts
@@ -0,0 +1,291 @@
+/** Runs batch items on the workers whose shards this VM owns. */
+import { createBatchRequestId, type CapacityPolicy } from '@jujubelanding/batch-capacity';
+import type { JobOwner } from '@jujubelanding/batch-jobs';
+import type { Fault } from '@jujubelanding/errors';
+import type {
+  Configuration,
+  Directory,
+  EntryVmIo,
+  Membership,
+  OwnedWorkers,
+  SegmentStore,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import type { Worker } from '@jujubelanding/types';
+import type { Result } from 'neverthrow';
+import { AttemptDecision, CancelCause, decideAttempt } from './attempt-decision.js';
+import { ChunkPoller } from './chunk-poller.js';
+import { ChunkSet, MAX_CHUNKS } from './chunk-set.js';
+import { ChunkPhase, type ChunkWork } from './chunk-work.js';
+import { chooseItem, type ItemChoice } from './item-choice.js';
+import { cancelIfStalled, createItemRunner, formatReason, type RunItem } from './item-runner.js';
+import { OwnerCalls } from './owner-calls.js';
+import { cancelItem, type RunningItem, type WorkerLane } from './worker-lane.js';
+import { WorkerPool } from './worker-pool.js';
+
+/** The reserve of a worker shrinks while time passes, without any event. */
+const TICK_MS = 50;
+const PROGRESS_INTERVAL_MS = 500;
+/** A worker that refused an item is not asked again at once. */
+const REFUSAL_PAUSE_MS = 250;
+const DEFAULT_STALL_MS = 30_000;
+/** Chunks are requested before the last items have started, by this share of the limit. */
+const PREFETCH_SHARE = 0.25;
+
+export interface BatchExecutorOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'network' | 'backendServers' | 'createLog' | 'metrics'>;
+  configuration: Configuration;
+  shards: ShardTable;
+  membership: Membership;
+  directory: Directory;
+  workers: OwnedWorkers;
+  segments: SegmentStore;
+  policy: CapacityPolicy;
+  /** Job owner in the same process. */
+  owner: Pick<JobOwner, 'requestChunk' | 'reportProgress' | 'completeChunk'>;
+}
+
+export class BatchExecutor {
+  private readonly log: Log;
+
+  private readonly pool: WorkerPool;
+
+  private readonly chunks: ChunkSet;
+
+  private readonly poller: ChunkPoller;
+
+  private readonly runItem: RunItem;
+
+  private readonly dispatcherId: string;
+
+  private subscriptions: Subscription[] = [];
+
+  private isRunning = false;
+
+  constructor(private readonly options: BatchExecutorOptions) {
+    const { io, membership } = options;
+    const { entryVmId, bootId } = membership.self();
+    const calls = new OwnerCalls(options);
+    this.log = io.createLog('batch-execution');
+    this.dispatcherId = `${entryVmId}.${bootId}`;
+    this.pool = new WorkerPool({ ...options, dispatcherId: this.dispatcherId });
+    this.chunks = new ChunkSet({
+      ...options,
+      calls,
+      executorId: entryVmId,
+      log: this.log,
+      onStop: (chunk) => this.cancelChunk(chunk),
+    });
+    this.poller = new ChunkPoller({
+      io,
+      calls,
+      executorId: entryVmId,
+      getDemand: () => this.measureDemand(),
+      onGrants: (grants, requestedAt) => {
+        grants.forEach((grant) => {
+          void this.chunks.add(grant, requestedAt).then(() => this.fill());
+        });
+      },
+    });
+    this.runItem = createItemRunner(io);
+  }
+
+  start(): void {
+    const { io, workers, shards, directory } = this.options;
+    this.isRunning = true;
+    this.subscriptions = [
+      workers.onOnlineChange((workerId) => this.handleOnlineChange(workerId)),
+      shards.onChange(() => this.tick()),
+      directory.onChange(() => this.tick()),
+      io.timer.every(TICK_MS, () => this.tick()),
+      io.timer.every(PROGRESS_INTERVAL_MS, () => {
+        void this.chunks.reportProgress();
+      }),
+    ];
+  }
+
+  /** Cancels all streams; the chunks are granted to other executors. */
+  stop(): void {
+    this.isRunning = false;
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+    this.chunks.list().forEach((chunk) => this.chunks.stop(chunk, 'shutdown'));
+  }
+
+  /** Batch items in progress on a worker. */
+  countRunning(workerId: string): number {
+    return this.pool.find(workerId)?.running.size ?? 0;
+  }
+
+  private tick(): void {
+    if (!this.isRunning) return;
+    this.pool.refresh();
+    this.pool.list().forEach((lane) => this.review(lane));
+    this.chunks.list().forEach((chunk) => this.dropWithoutWorkers(chunk));
+    this.fill();
+    this.poller.poll();
+  }
+
+  private handleOnlineChange(workerId: string): void {
+    const lane = this.pool.find(workerId);
+    if (lane === undefined || !this.isRunning) return;
+    this.pool.updateLimit(lane);
+    this.preempt(lane);
+    this.fill();
+  }
+
+  /** Cancels what must not continue on a worker. */
+  private review(lane: WorkerLane): void {
+    const { directory, io } = this.options;
+    const worker = directory.find(lane.workerId);
+    const now = io.timer.now();
+    if (this.pool.findFence(lane.workerId) === undefined) {
+      lane.running.forEach((running) => cancelItem(running, CancelCause.WorkerLost));
+      return;
+    }
+    if (worker !== undefined) {
+      const timeout = this.pool.findStallTimeout(worker, DEFAULT_STALL_MS);
+      lane.running.forEach((running) => cancelIfStalled(running, timeout, now));
+    }
+    this.preempt(lane);
+  }
+
+  private preempt(lane: WorkerLane): void {
+    const { workerId, limit } = lane;
+    lane.listExcess().forEach((running) => {
+      const { work, requestId } = running;
+      const tokens = work.tokens.length;
+      this.log.write('item-preempted', { worker: workerId, request: requestId, tokens, limit });
+      this.options.io.metrics.increment('batch.preemptions');
+      cancelItem(running, CancelCause.Preempted);
+    });
+  }
+
+  /** Starts items on all free slots, one slot per worker in turn. */
+  private fill(): void {
+    if (!this.isRunning) return;
+    const chunks = this.chunks.list().filter(({ pending }) => pending.length > 0);
+    if (chunks.length === 0) return;
+    const workersFor = this.createWorkerLookup();
+    let lanes = this.pool.list().filter((lane) => lane.free > 0);
+    while (lanes.length > 0) {
+      lanes = lanes.filter((lane) => this.startNext(lane, chunks, workersFor) && lane.free > 0);
+    }
+  }
+
+  /** Looks up the workers of each chunk once. */
+  private createWorkerLookup(): (chunk: ChunkWork) => readonly string[] {
+    const known = new Map<ChunkWork, string[]>();
+    return (chunk) => {
+      const { model, adapter } = chunk.grant;
+      if (!known.has(chunk)) known.set(chunk, this.pool.listWorkersFor(model, adapter));
+      return known.get(chunk)!;
+    };
+  }
+
+  private startNext(
+    lane: WorkerLane,
+    chunks: readonly ChunkWork[],
+    workersFor: (chunk: ChunkWork) => readonly string[],
+  ): boolean {
+    const now = this.options.io.timer.now();
+    const worker = this.pool.findReady(lane);
+    if (worker === undefined) return false;
+    const choice = chooseItem(chunks, lane.workerId, workersFor, now);
+    const fence = this.pool.findFence(lane.workerId);
+    if (choice === undefined || fence === undefined) return false;
+    void this.run(lane, worker, choice, fence);
+    return true;
+  }
+
+  private async run(
+    lane: WorkerLane,
+    worker: Worker,
+    { chunk, work }: ItemChoice,
+    fence: number,
+  ): Promise<void> {
+    const { workerId } = lane;
+    const now = this.options.io.timer.now();
+    const { jobId, grantId } = chunk.grant;
+    const { index } = work.item;
+    const requestId = createBatchRequestId(this.dispatcherId, grantId, index);
+    const abort = new AbortController();
+    const running = { requestId, chunk, work, workerId, startedAt: now, lastTokenAt: now, abort };
+    chunk.take(work);
+    work.lastWorker = workerId;
+    lane.running.add(running);
+    this.reportCount(lane);
+    const resumed = work.tokens.length;
+    this.log.write('item-placed', { job: jobId, item: index, worker: workerId, resumed, fence });
+    const end = await this.runItem(worker, running, fence);
+    lane.running.delete(running);
+    this.reportCount(lane);
+    this.settle(lane, running, end);
+    this.fill();
+  }
+
+  private settle(lane: WorkerLane, running: RunningItem, end: Result<unknown, Fault>): void {
+    const { chunk, work } = running;
+    if (chunk.phase !== ChunkPhase.Running) return;
+    if (end.isOk()) chunk.succeed(work);
+    else this.settleFault(lane, running, end.error);
+    if (chunk.isDone) {
+      void this.chunks.finish(chunk);
+      this.poller.poll();
+    }
+  }
+
+  private settleFault(lane: WorkerLane, running: RunningItem, fault: Fault): void {
+    const { chunk, work, workerId, cause } = running;
+    const decision = decideAttempt(fault, cause, work.attempts, chunk.maxAttempts);
+    if (cause === undefined) {
+      const { code, outcome, message } = fault;
+      const item = work.item.index;
+      this.log.write('item-fault', { worker: workerId, item, code, outcome, decision, message });
+      if (decision === AttemptDecision.Repeat) {
+        lane.pausedUntil = this.options.io.timer.now() + REFUSAL_PAUSE_MS;
+      }
+    }
+    if (decision !== AttemptDecision.Repeat) {
+      work.attempts += 1;
+      work.failedOn.add(workerId);
+    }
+    if (decision === AttemptDecision.Fail) chunk.fail(work, formatReason(fault));
+    else chunk.putBack(work);
+  }
+
+  private reportCount(lane: WorkerLane): void {
+    this.options.workers.setBatch(lane.workerId, lane.running.size);
+  }
+
+  private cancelChunk(chunk: ChunkWork): void {
+    this.pool.list().forEach((lane) => {
+      lane.running.forEach((running) => {
+        if (running.chunk === chunk) cancelItem(running, CancelCause.ChunkStopped);
+      });
+    });
+  }
+
+  /** Gives a chunk back when no owned worker can run it any more. */
+  private dropWithoutWorkers(chunk: ChunkWork): void {
+    const { model, adapter } = chunk.grant;
+    if (chunk.phase !== ChunkPhase.Running) return;
+    if (this.pool.listWorkersFor(model, adapter).length === 0) this.chunks.stop(chunk, 'no worker');
+  }
+
+  /** Idle slots that the items in hand will not fill. */
+  private measureDemand(): { models: string[]; slots: number } {
+    if (!this.isRunning || this.chunks.size >= MAX_CHUNKS) return { models: [], slots: 0 };
+    const pending = this.chunks.countPendingByTarget();
+    const models: string[] = [];
+    let slots = 0;
+    this.pool.measureCapacity().forEach(({ free, limit }, target) => {
+      const missing = free + Math.ceil(limit * PREFETCH_SHARE) - (pending.get(target) ?? 0);
+      if (missing <= 0) return;
+      models.push(target);
+      slots = Math.max(slots, missing);
+    });
+    return { models, slots };
+  }
+}
--- /dev/null
+++ b/packages/batch-execution/src/chunk-finisher.ts
@@ -0,0 +1,64 @@
+/** Stores the results of a chunk and reports them until the job owner has answered. */
+import type { EntryVmIo, SegmentStore } from '@jujubelanding/interfaces';
+import { encodeResults } from '@jujubelanding/batch-jobs';
+import type { Log } from '@jujubelanding/log';
+import type { CompletionStatus } from '@jujubelanding/peer-protocol';
+import { ItemStatus, type SegmentReference } from '@jujubelanding/types';
+import { ChunkPhase, type ChunkWork } from './chunk-work.js';
+import type { OwnerCalls } from './owner-calls.js';
+
+const FIRST_RETRY_MS = 200;
+const MAX_RETRY_MS = 2000;
+/** Half the time after which a segment that no job refers to may be removed. */
+const GIVE_UP_MS = 30 * 60 * 1000;
+
+export interface ChunkFinisherOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random'>;
+  segments: SegmentStore;
+  calls: OwnerCalls;
+  log: Log;
+}
+
+export class ChunkFinisher {
+  constructor(private readonly options: ChunkFinisherOptions) {}
+
+  /** Returns the owner's answer, or undefined when the chunk was stopped or given up. */
+  async finish(chunk: ChunkWork): Promise<CompletionStatus | undefined> {
+    const startedAt = this.options.io.timer.now();
+    const results = chunk.listResults();
+    const content = encodeResults(results);
+    const failedItems = results.filter(({ status }) => status === ItemStatus.Failed).length;
+    let result: SegmentReference | undefined;
+    for (let failures = 0; this.mayContinue(chunk, startedAt); failures += 1) {
+      if (result === undefined) {
+        const written = await this.options.segments.write(content);
+        if (written.isOk()) result = written.value;
+        else this.logFailure(chunk, written.error.message);
+      }
+      if (result !== undefined && chunk.phase !== ChunkPhase.Stopped) {
+        const { shard, jobId, chunk: index, grantId } = chunk.grant;
+        const completion = { shard, jobId, chunk: index, grantId, result, failedItems };
+        const answer = await this.options.calls.completeChunk(completion);
+        if (answer.isOk()) return answer.value.status;
+        this.logFailure(chunk, answer.error.message);
+      }
+      await this.backOff(failures);
+    }
+    return undefined;
+  }
+
+  private mayContinue(chunk: ChunkWork, startedAt: number): boolean {
+    const isInTime = this.options.io.timer.now() - startedAt < GIVE_UP_MS;
+    return chunk.phase !== ChunkPhase.Stopped && isInTime;
+  }
+
+  private logFailure({ grant }: ChunkWork, message: string): void {
+    this.options.log.write('finish-failed', { job: grant.jobId, chunk: grant.chunk, message });
+  }
+
+  private backOff(failures: number): Promise<void> {
+    const { timer, random } = this.options.io;
+    const delay = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** failures);
+    return timer.sleep(delay * (0.5 + 0.5 * random.next()));
+  }
+}
--- /dev/null
+++ b/packages/batch-execution/src/chunk-set.ts
@@ -0,0 +1,126 @@
+/** Chunks in work at this executor, with their contact to the job owners. */
+import type { EntryVmIo, SegmentStore } from '@jujubelanding/interfaces';
+import { formatTarget, parseItems } from '@jujubelanding/batch-jobs';
+import type { Log } from '@jujubelanding/log';
+import { ProgressVerdict, type ChunkGrant } from '@jujubelanding/peer-protocol';
+import { ChunkFinisher } from './chunk-finisher.js';
+import { ChunkPhase, ChunkWork } from './chunk-work.js';
+import { mayDispatch } from './item-choice.js';
+import type { OwnerCalls } from './owner-calls.js';
+
+/** Bounds the memory for items in work. */
+export const MAX_CHUNKS = 32;
+/** Longer than an outage of an owner; the chunk is then run again from its input. */
+const ABANDON_MS = 10 * 60 * 1000;
+
+export interface ChunkSetOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random'>;
+  segments: SegmentStore;
+  calls: OwnerCalls;
+  executorId: string;
+  log: Log;
+  /** Called when a chunk must no longer run. */
+  onStop: (chunk: ChunkWork) => void;
+}
+
+export class ChunkSet {
+  private readonly chunks = new Map<string, ChunkWork>();
+
+  /** Grants whose items are being read. */
+  private readonly loading = new Map<string, ChunkGrant>();
+
+  private readonly finisher: ChunkFinisher;
+
+  constructor(private readonly options: ChunkSetOptions) {
+    this.finisher = new ChunkFinisher(options);
+  }
+
+  get size(): number {
+    return this.chunks.size + this.loading.size;
+  }
+
+  /** Chunks in order of their due times. */
+  list(): ChunkWork[] {
+    return [...this.chunks.values()].toSorted((a, b) => a.grant.dueAt - b.grant.dueAt);
+  }
+
+  /** Items that wait or will wait for a slot, by what they need. */
+  countPendingByTarget(): Map<string, number> {
+    const now = this.options.io.timer.now();
+    const pending = new Map<string, number>();
+    const add = ({ model, adapter }: ChunkGrant, count: number): void => {
+      const target = formatTarget(model, adapter);
+      pending.set(target, (pending.get(target) ?? 0) + count);
+    };
+    this.chunks.forEach((chunk) => {
+      if (mayDispatch(chunk, now)) add(chunk.grant, chunk.pending.length);
+    });
+    this.loading.forEach((grant) => add(grant, grant.itemCount));
+    return pending;
+  }
+
+  /** Reads the items of a granted chunk; without them the grant times out at its owner. */
+  async add(grant: ChunkGrant, requestedAt: number): Promise<void> {
+    const { jobId, chunk, grantId } = grant;
+    this.loading.set(grantId, grant);
+    const content = await this.options.segments.read(grant.input);
+    const items = content.andThen(parseItems);
+    this.loading.delete(grantId);
+    if (items.isErr()) {
+      const { message } = items.error;
+      this.options.log.write('chunk-unreadable', { job: jobId, chunk, message });
+      return;
+    }
+    this.chunks.set(grantId, new ChunkWork(grant, items.value, requestedAt));
+  }
+
+  /** Sends one progress report per shard and obeys the verdicts. */
+  async reportProgress(): Promise<void> {
+    const byShard = new Map<number, ChunkWork[]>();
+    this.chunks.forEach((chunk) => {
+      const { shard } = chunk.grant;
+      byShard.set(shard, [...(byShard.get(shard) ?? []), chunk]);
+    });
+    await Promise.all([...byShard].map(([shard, chunks]) => this.reportShard(shard, chunks)));
+  }
+
+  async finish(chunk: ChunkWork): Promise<void> {
+    chunk.phase = ChunkPhase.Finishing;
+    const { jobId, chunk: index } = chunk.grant;
+    const status = await this.finisher.finish(chunk);
+    this.chunks.delete(chunk.grant.grantId);
+    this.options.log.write('chunk-finished', {
+      job: jobId,
+      chunk: index,
+      status: status ?? 'none',
+    });
+  }
+
+  stop(chunk: ChunkWork, reason: string): void {
+    const { jobId, chunk: index, grantId } = chunk.grant;
+    if (chunk.phase === ChunkPhase.Stopped) return;
+    chunk.phase = ChunkPhase.Stopped;
+    this.chunks.delete(grantId);
+    this.options.log.write('chunk-stopped', { job: jobId, chunk: index, reason });
+    this.options.onStop(chunk);
+  }
+
+  private async reportShard(shard: number, chunks: readonly ChunkWork[]): Promise<void> {
+    const { calls, executorId, io } = this.options;
+    const sentAt = io.timer.now();
+    const grants = chunks.map(({ grant: { jobId, chunk, grantId } }) => ({
+      jobId,
+      chunk,
+      grantId,
+    }));
+    const reply = await calls.reportProgress({ shard, executorId, grants });
+    chunks.forEach((chunk, index) => {
+      if (reply.isErr()) {
+        if (io.timer.now() - chunk.lastContactAt > ABANDON_MS) this.stop(chunk, 'no contact');
+        return;
+      }
+      if (reply.value.verdicts[index] === ProgressVerdict.Stop) this.stop(chunk, 'told by owner');
+      else chunk.lastContactAt = Math.max(chunk.lastContactAt, sentAt);
+    });
+  }
+}
--- /dev/null
+++ b/packages/batch-execution/src/index.ts
@@ -0,0 +1,6 @@
+/** Execution of batch items on owned workers. */
+export * from './attempt-decision.js';
+export * from './batch-executor.js';
+export * from './chunk-work.js';
+export * from './item-choice.js';
+export * from './worker-lane.js';
--- /dev/null
+++ b/packages/batch-execution/src/owner-calls.ts
@@ -0,0 +1,80 @@
+/** Calls to the owners of jobs, in process where this VM is the owner itself. */
+import { FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
+import type { EntryVmIo, Membership, ShardOwner, ShardTable } from '@jujubelanding/interfaces';
+import type { JobOwner } from '@jujubelanding/batch-jobs';
+import {
+  PeerMethod,
+  type ChunkCompletion,
+  type ChunkRequest,
+  type PeerCalls,
+  type ProgressReport,
+} from '@jujubelanding/peer-protocol';
+import { SHARD_COUNT } from '@jujubelanding/types';
+import { err } from 'neverthrow';
+
+/** The owner commits at most once a second per job, and the write itself takes a while. */
+const COMPLETION_TIMEOUT_MS = 5000;
+
+export interface OwnerCallsOptions {
+  io: Pick<EntryVmIo, 'network'>;
+  shards: ShardTable;
+  membership: Membership;
+  owner: Pick<JobOwner, 'requestChunk' | 'reportProgress' | 'completeChunk'>;
+}
+
+export class OwnerCalls {
+  constructor(private readonly options: OwnerCallsOptions) {}
+
+  /** One shard for each VM that owns any. */
+  listOwners(): Map<string, number> {
+    const owners = new Map<string, number>();
+    for (let shard = 0; shard < SHARD_COUNT; shard += 1) {
+      const owner = this.options.shards.ownerOf(shard);
+      if (owner !== undefined && !owners.has(owner.entryVmId)) owners.set(owner.entryVmId, shard);
+    }
+    return owners;
+  }
+
+  requestChunk(request: ChunkRequest): Reply<PeerCalls[PeerMethod.RequestChunk]['output']> {
+    return this.route(
+      request.shard,
+      () => this.options.owner.requestChunk(request),
+      (owner) => this.options.io.network.call(owner, PeerMethod.RequestChunk, request),
+    );
+  }
+
+  reportProgress(report: ProgressReport): Reply<PeerCalls[PeerMethod.ReportProgress]['output']> {
+    return this.route(
+      report.shard,
+      () => this.options.owner.reportProgress(report),
+      (owner) => this.options.io.network.call(owner, PeerMethod.ReportProgress, report),
+    );
+  }
+
+  completeChunk(completion: ChunkCompletion): Reply<PeerCalls[PeerMethod.CompleteChunk]['output']> {
+    const { network } = this.options.io;
+    return this.route(
+      completion.shard,
+      () => this.options.owner.completeChunk(completion),
+      (owner) => network.call(owner, PeerMethod.CompleteChunk, completion, COMPLETION_TIMEOUT_MS),
+    );
+  }
+
+  private async route<T>(
+    shard: number,
+    callSelf: () => Reply<T>,
+    callPeer: (owner: ShardOwner) => Reply<T>,
+  ): Reply<T> {
+    const owner = this.options.shards.ownerOf(shard);
+    if (owner === undefined) {
+      return err({
+        code: FaultCode.NotOwner,
+        outcome: Outcome.NotRun,
+        step: 'find-owner',
+        message: `shard ${shard} has no known owner`,
+      });
+    }
+    const isSelf = owner.entryVmId === this.options.membership.self().entryVmId;
+    return isSelf ? callSelf() : callPeer(owner);
+  }
+}
--- /dev/null
+++ b/packages/batch-execution/src/worker-lane.ts
@@ -0,0 +1,69 @@
+/** Batch streams of one worker and what is known of its capacity. */
+import {
+  choosePreemptions,
+  type CapacityPolicy,
+  type CapacityState,
+  type WorkerReading,
+} from '@jujubelanding/batch-capacity';
+import type { CancelCause } from './attempt-decision.js';
+import type { ChunkWork, ItemWork } from './chunk-work.js';
+
+/** A batch item in progress on a worker. */
+export interface RunningItem {
+  requestId: string;
+  chunk: ChunkWork;
+  work: ItemWork;
+  workerId: string;
+  startedAt: number;
+  lastTokenAt: number;
+  abort: AbortController;
+  /** Set once the executor has cancelled the stream. */
+  cause?: CancelCause;
+}
+
+/** Cancels a stream and notes why. */
+export const cancelItem = (running: RunningItem, cause: CancelCause): void => {
+  if (running.cause !== undefined) return;
+  running.cause = cause;
+  running.abort.abort();
+};
+
+export class WorkerLane {
+  readonly running = new Set<RunningItem>();
+
+  limit = 0;
+
+  /** Monotonic time until which nothing is dispatched after a refusal. */
+  pausedUntil = 0;
+
+  private state: CapacityState | undefined;
+
+  constructor(
+    readonly workerId: string,
+    private readonly policy: CapacityPolicy,
+  ) {}
+
+  /** Streams that end soon still occupy their slots. */
+  get free(): number {
+    return Math.max(0, this.limit - this.running.size);
+  }
+
+  updateLimit(reading: WorkerReading, now: number): void {
+    const { limit, state } = this.policy.decide(this.state, reading, now);
+    this.state = state;
+    this.limit = limit;
+  }
+
+  /** Streams above the limit, those with the least progress first. */
+  listExcess(): RunningItem[] {
+    const active = [...this.running]
+      .filter(({ cause }) => cause === undefined)
+      .map((running) => ({
+        running,
+        requestId: running.requestId,
+        tokens: running.work.tokens.length,
+        startedAt: running.startedAt,
+      }));
+    return choosePreemptions(active, this.limit).map(({ running }) => running);
+  }
+}
--- /dev/null
+++ b/packages/batch-execution/src/worker-pool.ts
@@ -0,0 +1,135 @@
+/** The owned workers that may run batch items now. */
+import {
+  findDispatchStart,
+  listForeignStreams,
+  type CapacityPolicy,
+} from '@jujubelanding/batch-capacity';
+import type {
+  Configuration,
+  Directory,
+  EntryVmIo,
+  OwnedWorkers,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import { formatTarget } from '@jujubelanding/batch-jobs';
+import { findShard } from '@jujubelanding/random';
+import { FencingMode, RecordKind, VmState, type Worker } from '@jujubelanding/types';
+import { WorkerLane } from './worker-lane.js';
+
+export interface WorkerPoolOptions {
+  io: Pick<EntryVmIo, 'timer'>;
+  configuration: Configuration;
+  shards: ShardTable;
+  directory: Directory;
+  workers: OwnedWorkers;
+  policy: CapacityPolicy;
+  /** Part of the request ids of this process. */
+  dispatcherId: string;
+}
+
+export class WorkerPool {
+  private readonly lanes = new Map<string, WorkerLane>();
+
+  constructor(private readonly options: WorkerPoolOptions) {}
+
+  list(): WorkerLane[] {
+    return [...this.lanes.values()];
+  }
+
+  find(workerId: string): WorkerLane | undefined {
+    return this.lanes.get(workerId);
+  }
+
+  /** Adds lanes of workers gained; removes those of workers lost once their streams have ended. */
+  refresh(): void {
+    const owned = new Set(this.options.workers.workerIds());
+    owned.forEach((id) => {
+      if (!this.lanes.has(id)) this.lanes.set(id, new WorkerLane(id, this.options.policy));
+      this.updateLimit(this.lanes.get(id)!);
+    });
+    this.lanes.forEach((lane, id) => {
+      if (!owned.has(id) && lane.running.size === 0) this.lanes.delete(id);
+    });
+  }
+
+  updateLimit(lane: WorkerLane): void {
+    const { workers, io, dispatcherId } = this.options;
+    const { workerId } = lane;
+    const foreignBatch = listForeignStreams(workers.report(workerId), dispatcherId).length;
+    const reading = {
+      slots: workers.slots(workerId),
+      online: workers.online(workerId),
+      foreignBatch,
+    };
+    lane.updateLimit(reading, io.timer.now());
+  }
+
+  /** Fencing number under which this VM may dispatch to the worker at this moment. */
+  findFence(workerId: string): number | undefined {
+    return this.options.shards.fenceOf(findShard(workerId));
+  }
+
+  /** The worker, if new items may be started on it. */
+  findReady(lane: WorkerLane): Worker | undefined {
+    const { workers, directory, io, shards } = this.options;
+    const { workerId, pausedUntil } = lane;
+    const now = io.timer.now();
+    const worker = directory.find(workerId);
+    const ownedSince = shards.ownedSince(findShard(workerId));
+    if (worker?.state !== VmState.Live || ownedSince === undefined) return undefined;
+    if (pausedUntil > now || this.findFence(workerId) === undefined) return undefined;
+    if (!workers.isComplete(workerId)) return undefined;
+    const start = findDispatchStart(this.findFencing(worker), ownedSince);
+    return start <= now ? worker : undefined;
+  }
+
+  /** Owned workers, except leaving ones, that have the model and the adapter loaded. */
+  listWorkersFor(model: string, adapter?: string): string[] {
+    return this.list()
+      .map(({ workerId }) => workerId)
+      .filter((workerId) => this.options.directory.find(workerId)?.state === VmState.Live)
+      .filter((workerId) => this.offers(workerId, model, adapter));
+  }
+
+  /** Idle slots and limits by what the workers have loaded, for chunk requests. */
+  measureCapacity(): Map<string, { free: number; limit: number }> {
+    const capacity = new Map<string, { free: number; limit: number }>();
+    this.list()
+      .filter((lane) => this.findReady(lane) !== undefined)
+      .forEach((lane) => {
+        this.listTargets(lane.workerId).forEach((target) => {
+          const { free, limit } = capacity.get(target) ?? { free: 0, limit: 0 };
+          capacity.set(target, { free: free + lane.free, limit: limit + lane.limit });
+        });
+      });
+    return capacity;
+  }
+
+  findStallTimeout(worker: Pick<Worker, 'service'>, fallbackMs: number): number {
+    const { configuration } = this.options;
+    return (
+      configuration.get(RecordKind.Service, worker.service)?.spec.requestTimeoutMs ?? fallbackMs
+    );
+  }
+
+  private offers(workerId: string, model: string, adapter?: string): boolean {
+    const report = this.options.workers.report(workerId);
+    if (report === undefined || !report.models.includes(model)) return false;
+    return adapter === undefined || report.adapters.includes(adapter);
+  }
+
+  private listTargets(workerId: string): string[] {
+    const report = this.options.workers.report(workerId);
+    if (report === undefined) return [];
+    return report.models.flatMap((model) => [
+      model,
+      ...report.adapters.map((adapter) => formatTarget(model, adapter)),
+    ]);
+  }
+
+  private findFencing({ service }: Worker): FencingMode {
+    const record = this.options.configuration.get(RecordKind.Service, service);
+    // Without a record it is unknown whether the worker checks fencing numbers.
+    return record?.spec.fencing ?? FencingMode.Ignored;
+  }
+}
--- a/packages/batch-jobs/src/job-owner.ts
+++ b/packages/batch-jobs/src/job-owner.ts
@@ -205,6 +205,7 @@
       ...(record.adapter === undefined ? {} : { adapter: record.adapter }),
       input: chunk.input,
       dueAt: record.dueAt,
+      maxAttempts: record.maxAttempts,
       timeoutMs: GRANT_TIMEOUT_MS,
     };
   }
--- a/packages/peer-protocol/src/calls.ts
+++ b/packages/peer-protocol/src/calls.ts
@@ -57,6 +57,8 @@
   adapter?: string;
   input: SegmentReference;
   dueAt: number;
+  /** Attempts per item before it ends as failed. */
+  maxAttempts?: number;
   /** Without progress report within this time the chunk is granted again. */
   timeoutMs: number;
 }
--- /dev/null
+++ b/packages/placement/src/placement-controller.ts
@@ -0,0 +1,219 @@
+/** Orders models and adapters onto workers; active on the owner of shard 0 only. */
+import type {
+  Configuration,
+  Directory,
+  EntryVmIo,
+  ShardTable,
+  WorkerLoads,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import { OrderKind, RecordKind, VmState, type Worker } from '@jujubelanding/types';
+import { LoadPace } from './load-pace.js';
+import {
+  decidePlacement,
+  updateDemand,
+  type Demand,
+  type PlacementOrder,
+  type PlacementWorker,
+  type Target,
+} from './placement-decision.js';
+import { WorkerReports } from './worker-reports.js';
+
+const PLACEMENT_SHARD = 0;
+const TICK_MS = 1000;
+/** An ordered load that does not show in reports after twice its duration is ordered again. */
+const MIN_LOAD_WAIT_MS = 60_000;
+
+export interface PlacementControllerOptions {
+  io: Pick<EntryVmIo, 'timer' | 'backendServers' | 'weightStore' | 'createLog'>;
+  configuration: Configuration;
+  shards: ShardTable;
+  directory: Directory;
+  loads: WorkerLoads;
+}
+
+interface Loading {
+  target: string;
+  version: string;
+  until: number;
+}
+
+export class PlacementController {
+  private readonly log: Log;
+
+  private readonly reports: WorkerReports;
+
+  private readonly pace: LoadPace;
+
+  private readonly demands = new Map<string, Demand>();
+
+  /** Loads that were ordered, by worker. */
+  private readonly loading = new Map<string, Loading[]>();
+
+  /** Versions by worker and target, as ordered or as in force when first seen. */
+  private readonly versions = new Map<string, Map<string, string>>();
+
+  private fence: number | undefined;
+
+  private subscription: Subscription | undefined;
+
+  private isBusy = false;
+
+  constructor(private readonly options: PlacementControllerOptions) {
+    this.log = options.io.createLog('placement');
+    this.reports = new WorkerReports(options.io, options.directory);
+    this.pace = new LoadPace(options.io);
+  }
+
+  start(): void {
+    this.subscription = this.options.io.timer.every(TICK_MS, () => {
+      void this.run();
+    });
+  }
+
+  stop(): void {
+    this.subscription?.cancel();
+  }
+
+  private async run(): Promise<void> {
+    if (this.isBusy || !this.options.configuration.isReady()) return;
+    this.isBusy = true;
+    this.followOwnership();
+    if (this.fence !== undefined) {
+      await this.reports.readNext();
+      if (this.reports.isComplete()) await this.place();
+    }
+    this.isBusy = false;
+  }
+
+  /** A new owner knows nothing of the loads in progress and of what an older owner saw. */
+  private followOwnership(): void {
+    const fence = this.options.shards.fenceOf(PLACEMENT_SHARD);
+    if (fence === this.fence) return;
+    this.fence = fence;
+    this.reports.forget();
+    this.demands.clear();
+    this.loading.clear();
+    this.versions.clear();
+  }
+
+  private async place(): Promise<void> {
+    const now = this.options.io.timer.now();
+    const targets = this.listTargets();
+    const workers = this.options.directory.all().map((worker) => this.describe(worker, targets));
+    targets.forEach((target) => {
+      const demand = updateDemand(this.demands.get(target.name), workers, target, now);
+      this.demands.set(target.name, demand);
+    });
+    for (const order of decidePlacement(workers, targets, this.demands, now)) {
+      await this.execute(order);
+    }
+  }
+
+  private listTargets(): Target[] {
+    const { configuration } = this.options;
+    const models = configuration.list(RecordKind.Model).map(({ name, spec }): Target => ({
+      name,
+      service: spec.service,
+      version: spec.version,
+      minWorkers: spec.minWorkers,
+      load: OrderKind.LoadModel,
+      unload: OrderKind.UnloadModel,
+    }));
+    const adapters = configuration.list(RecordKind.Adapter).flatMap(({ name, spec }): Target[] => {
+      const model = configuration.get(RecordKind.Model, spec.model);
+      if (model === undefined) return [];
+      return [
+        {
+          name,
+          service: model.spec.service,
+          version: spec.version,
+          minWorkers: spec.minWorkers,
+          load: OrderKind.LoadAdapter,
+          unload: OrderKind.UnloadAdapter,
+          base: spec.model,
+        },
+      ];
+    });
+    return [...models, ...adapters];
+  }
+
+  private describe(worker: Worker, targets: readonly Target[]): PlacementWorker {
+    const report = this.reports.get(worker.id);
+    const load = this.options.loads.get(worker.id);
+    const names = [...(report?.models ?? []), ...(report?.adapters ?? [])];
+    const versions = this.versions.get(worker.id) ?? new Map<string, string>();
+    this.versions.set(worker.id, versions);
+    [...versions.keys()]
+      .filter((name) => !names.includes(name))
+      .forEach((name) => versions.delete(name));
+    this.noteLoaded(worker.id, names, versions);
+    targets.forEach(({ name, version }) => {
+      if (names.includes(name) && !versions.has(name)) versions.set(name, version);
+    });
+    return {
+      id: worker.id,
+      service: worker.service,
+      isLive: worker.state === VmState.Live && report !== undefined,
+      slots: report?.slots ?? load.slots,
+      online: load.online,
+      isBusy: load.online > 0 || (report?.running ?? 0) + (report?.waiting ?? 0) > 0,
+      loaded: new Map(names.map((name) => [name, versions.get(name)])),
+      loading: new Set((this.loading.get(worker.id) ?? []).map(({ target }) => target)),
+    };
+  }
+
+  /** Ends the waits for loads that show in the report or took too long. */
+  private noteLoaded(workerId: string, names: string[], versions: Map<string, string>): void {
+    const now = this.options.io.timer.now();
+    const waiting = this.loading.get(workerId) ?? [];
+    waiting
+      .filter(({ target }) => names.includes(target))
+      .forEach(({ target, version }) => versions.set(target, version));
+    const rest = waiting.filter(({ target, until }) => !names.includes(target) && until > now);
+    this.loading.set(workerId, rest);
+  }
+
+  private async execute({ workerId, kind, target, reason }: PlacementOrder): Promise<void> {
+    const { io, directory, shards } = this.options;
+    const isLoad = kind === target.load;
+    if (isLoad && !this.pace.isFree()) return;
+    const duration = isLoad ? await this.estimate(target) : 0;
+    const worker = directory.find(workerId);
+    const fence = shards.fenceOf(PLACEMENT_SHARD);
+    if (duration === undefined || worker === undefined) return;
+    if (fence === undefined || fence !== this.fence) return;
+    const sent = await io.backendServers.sendOrder(worker, { kind, target: target.name, fence });
+    const result = sent.isOk() ? 'ok' : sent.error.code;
+    const { name, version } = target;
+    this.log.write('order', {
+      worker: workerId,
+      kind,
+      target: name,
+      version,
+      reason,
+      fence,
+      result,
+    });
+    if (!isLoad) return;
+    // A load whose order had no answer may have begun, so it uses up the rate too.
+    this.pace.reserve(duration);
+    if (sent.isErr()) return;
+    const until = io.timer.now() + Math.max(MIN_LOAD_WAIT_MS, 2 * duration);
+    const waiting = this.loading.get(workerId) ?? [];
+    this.loading.set(workerId, [...waiting, { target: name, version, until }]);
+  }
+
+  private async estimate({ name, version }: Target): Promise<number | undefined> {
+    const weight = this.options.configuration.get(RecordKind.Version, version)?.spec.weight;
+    if (weight === undefined) {
+      this.log.write('load-waits', { target: name, reason: `no version record ${version}` });
+      return undefined;
+    }
+    const duration = await this.pace.estimate(weight);
+    if (duration.isOk()) return duration.value;
+    this.log.write('load-waits', { target: name, reason: duration.error.message });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/placement-decision.ts
@@ -0,0 +1,168 @@
+/** Pure decision on the models and adapters that workers load and unload. */
+import { OrderKind } from '@jujubelanding/types';
+
+/** A model or an adapter that is to be available. */
+export interface Target {
+  name: string;
+  service: string;
+  version: string;
+  minWorkers: number;
+  load: OrderKind.LoadModel | OrderKind.LoadAdapter;
+  unload: OrderKind.UnloadModel | OrderKind.UnloadAdapter;
+  /** Model that an adapter needs on the same worker. */
+  base?: string;
+}
+
+export interface PlacementWorker {
+  id: string;
+  service: string;
+  isLive: boolean;
+  slots: number;
+  /** Online requests in progress. */
+  online: number;
+  /** True while any request runs or waits on the worker. */
+  isBusy: boolean;
+  /** Models and adapters loaded, with the version where it is known. */
+  loaded: ReadonlyMap<string, string | undefined>;
+  /** Targets that were ordered and are not loaded yet. */
+  loading: ReadonlySet<string>;
+}
+
+export enum PlacementReason {
+  BelowMinimum = 'below-minimum',
+  Demand = 'demand',
+  OldVersion = 'old-version',
+  Surplus = 'surplus',
+}
+
+export interface PlacementOrder {
+  workerId: string;
+  kind: OrderKind;
+  target: Target;
+  reason: PlacementReason;
+}
+
+/** Demand for a target over time. */
+export interface Demand {
+  highSince?: number;
+  lowSince?: number;
+}
+
+/** Share of slots in use by online requests above which another worker is loaded. */
+const HIGH_USE = 0.7;
+const LOW_USE = 0.2;
+/** Online load changes every few seconds; loading takes longer and should follow a trend only. */
+const HIGH_FOR_MS = 10_000;
+const LOW_FOR_MS = 300_000;
+
+const hasTarget = (worker: PlacementWorker, { name }: Target): boolean => worker.loaded.has(name);
+
+const findHolders = (workers: readonly PlacementWorker[], target: Target): PlacementWorker[] =>
+  workers.filter((worker) => worker.isLive && hasTarget(worker, target));
+
+/** Notes since when the use of a target's workers has been high or low. */
+export const updateDemand = (
+  previous: Demand | undefined,
+  workers: readonly PlacementWorker[],
+  target: Target,
+  now: number,
+): Demand => {
+  const holders = findHolders(workers, target);
+  const slots = holders.reduce((sum, worker) => sum + worker.slots, 0);
+  if (slots === 0) return {};
+  const use = holders.reduce((sum, worker) => sum + worker.online, 0) / slots;
+  return {
+    ...(use >= HIGH_USE ? { highSince: previous?.highSince ?? now } : {}),
+    ...(use <= LOW_USE ? { lowSince: previous?.lowSince ?? now } : {}),
+  };
+};
+
+const chooseLoadWorker = (
+  workers: readonly PlacementWorker[],
+  target: Target,
+): PlacementWorker | undefined =>
+  workers
+    .filter(
+      (worker) =>
+        worker.isLive &&
+        worker.service === target.service &&
+        !hasTarget(worker, target) &&
+        !worker.loading.has(target.name) &&
+        (target.base === undefined || worker.loaded.has(target.base)),
+    )
+    .toSorted(
+      (a, b) =>
+        a.loaded.size + a.loading.size - b.loaded.size - b.loading.size ||
+        a.online - b.online ||
+        (a.id < b.id ? -1 : 1),
+    )[0];
+
+const decideLoad = (
+  workers: readonly PlacementWorker[],
+  target: Target,
+  demand: Demand,
+  now: number,
+): PlacementOrder | undefined => {
+  const loading = workers.filter(
+    ({ isLive, loading: targets }) => isLive && targets.has(target.name),
+  );
+  const count = findHolders(workers, target).length + loading.length;
+  const isWanted =
+    demand.highSince !== undefined && now - demand.highSince >= HIGH_FOR_MS && loading.length === 0;
+  if (count >= target.minWorkers && !isWanted) return undefined;
+  const worker = chooseLoadWorker(workers, target);
+  if (worker === undefined) return undefined;
+  const reason = count < target.minWorkers ? PlacementReason.BelowMinimum : PlacementReason.Demand;
+  return { workerId: worker.id, kind: target.load, target, reason };
+};
+
+/** An outdated copy is unloaded while others serve; the only copy is loaded again in place. */
+const decideVersion = (
+  workers: readonly PlacementWorker[],
+  target: Target,
+): PlacementOrder | undefined => {
+  const holders = findHolders(workers, target);
+  const outdated = holders.filter(({ loaded }) => {
+    const version = loaded.get(target.name);
+    return version !== undefined && version !== target.version;
+  });
+  const isLoading = workers.some(({ loading }) => loading.has(target.name));
+  if (outdated.length === 0 || isLoading) return undefined;
+  const reason = PlacementReason.OldVersion;
+  const idle = outdated.find(({ isBusy }) => !isBusy);
+  if (holders.length > 1 && idle !== undefined) {
+    return { workerId: idle.id, kind: target.unload, target, reason };
+  }
+  const [worker] = outdated;
+  return { workerId: worker!.id, kind: target.load, target, reason };
+};
+
+const decideUnload = (
+  workers: readonly PlacementWorker[],
+  target: Target,
+  demand: Demand,
+  now: number,
+): PlacementOrder | undefined => {
+  const holders = findHolders(workers, target);
+  const isLow = demand.lowSince !== undefined && now - demand.lowSince >= LOW_FOR_MS;
+  if (!isLow || holders.length <= Math.max(1, target.minWorkers)) return undefined;
+  const worker = holders.find(({ isBusy }) => !isBusy);
+  if (worker === undefined) return undefined;
+  return { workerId: worker.id, kind: target.unload, target, reason: PlacementReason.Surplus };
+};
+
+/** Returns at most one order per target; the next follows once this one shows in the reports. */
+export const decidePlacement = (
+  workers: readonly PlacementWorker[],
+  targets: readonly Target[],
+  demands: ReadonlyMap<string, Demand>,
+  now: number,
+): PlacementOrder[] =>
+  targets.flatMap((target) => {
+    const demand = demands.get(target.name) ?? {};
+    const order =
+      decideLoad(workers, target, demand, now) ??
+      decideVersion(workers, target) ??
+      decideUnload(workers, target, demand, now);
+    return order === undefined ? [] : [order];
+  });
