Add operator record schemas, VM list directory and entry-point choice

Kinds service and team have two schema versions with lossless conversion, so that operators can move record files one at a time. The last entry point of an answer is in another availability zone, so that callers outlast a zone's loss.

--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,3 @@
+/** Workers and entry VMs from the platform's VM list. */
+export * from './listing.js';
+export * from './directory-controller.js';
--- /dev/null
+++ b/packages/entry-points/src/choice.ts
@@ -0,0 +1,52 @@
+/** Pure choice of entry VMs for a caller. */
+import { hashText } from '@jujubelanding/random';
+import { type Member, MemberState } from '@jujubelanding/types';
+
+const HASH_RANGE = 2 ** 32;
+
+/** Requests of difference at which a VM's share of callers halves, relative to an idle VM. */
+export const HALVING_LOAD = 16;
+
+/**
+ * Score of weighted rendezvous hashing: over many callers each VM comes first in proportion to its
+ * weight, and a change of one VM's weight moves only callers to or from this VM.
+ */
+const computeScore = (caller: string, member: Member, lowestLoad: number): number => {
+  const weight = HALVING_LOAD / (HALVING_LOAD + Math.max(0, member.onlineLoad - lowestLoad));
+  const uniform = (hashText(`${caller}|${member.entryVmId}`) + 0.5) / HASH_RANGE;
+  return -weight / Math.log(uniform);
+};
+
+export interface Choice {
+  caller: string;
+  /** Availability zone of the caller, preferred where given. */
+  availabilityZone?: string | undefined;
+  count: number;
+}
+
+/** Orders live members for a caller, those in the caller's availability zone first. */
+const rankMembers = (members: readonly Member[], choice: Choice): Member[] => {
+  const live = members.filter(({ state }) => state === MemberState.Alive);
+  const lowestLoad = Math.min(...live.map(({ onlineLoad }) => onlineLoad));
+  return live
+    .map((member) => ({
+      member,
+      isNear: Number(member.availabilityZone === choice.availabilityZone),
+      score: computeScore(choice.caller, member, lowestLoad),
+    }))
+    .toSorted((a, b) => b.isNear - a.isNear || b.score - a.score)
+    .map(({ member }) => member);
+};
+
+/**
+ * Chooses up to `count` live members, those in the caller's availability zone first. The last one is
+ * in another zone where there is one, so that the loss of a zone leaves the caller an address.
+ */
+export const chooseMembers = (members: readonly Member[], choice: Choice): Member[] => {
+  const ranked = rankMembers(members, choice);
+  const chosen = ranked.slice(0, choice.count);
+  const firstZone = chosen[0]?.availabilityZone;
+  const other = ranked.find(({ availabilityZone }) => availabilityZone !== firstZone);
+  if (chosen.length < 2 || other === undefined || chosen.includes(other)) return chosen;
+  return [...chosen.slice(0, -1), other];
+};
--- /dev/null
+++ b/packages/entry-points/src/entry-points-controller.ts
@@ -0,0 +1,50 @@
+import type {
+  EntryPointAnswer,
+  EntryPoints,
+  EntryVmIo,
+  EntryVmSettings,
+  Membership,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { chooseMembers } from './choice.js';
+
+/** With three addresses a caller still has one left after a VM and a wrong answer are lost. */
+export const DEFAULT_ENTRY_POINT_COUNT = 3;
+
+export interface EntryPointsOptions {
+  io: Pick<EntryVmIo, 'createLog'>;
+  settings: Pick<EntryVmSettings, 'entryPointLifetimeMs'>;
+  membership: Pick<Membership, 'members'>;
+  /** Addresses in each answer. */
+  count?: number;
+}
+
+/** Answers callers that ask which entry VMs to use. */
+export class EntryPointsController implements EntryPoints {
+  private readonly log: Log;
+
+  constructor(private readonly options: EntryPointsOptions) {
+    this.log = options.io.createLog('entry-points');
+  }
+
+  start(): void {}
+
+  stop(): void {}
+
+  choose(caller: string, availabilityZone?: string): EntryPointAnswer {
+    const { membership, settings, count = DEFAULT_ENTRY_POINT_COUNT } = this.options;
+    const chosen = chooseMembers(membership.members(), { caller, availabilityZone, count });
+    this.log.write('entry-points-chosen', {
+      caller,
+      availabilityZone,
+      chosen: chosen.map(({ entryVmId }) => entryVmId),
+    });
+    return {
+      entryPoints: chosen.map((member) => ({
+        address: member.callerAddress,
+        availabilityZone: member.availabilityZone,
+      })),
+      lifetimeMs: settings.entryPointLifetimeMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry-points/src/entry-points.test.ts
@@ -0,0 +1,71 @@
+import { silentLog } from '@jujubelanding/log';
+import { type Member, MemberState } from '@jujubelanding/types';
+import test from 'ava';
+import { chooseMembers, EntryPointsController } from './index.js';
+
+const createMember = (index: number, changes: Partial<Member> = {}): Member => ({
+  entryVmId: `vm-${index}`,
+  bootId: 'boot',
+  incarnation: 1,
+  state: MemberState.Alive,
+  peerAddress: `10.0.0.${index}:7000`,
+  callerAddress: `10.0.0.${index}:8000`,
+  availabilityZone: `zone-${index % 4}`,
+  hasDisk: false,
+  heldRevision: 0,
+  activeRevision: 0,
+  onlineLoad: 0,
+  shards: [],
+  ...changes,
+});
+
+const members = Array.from({ length: 8 }, (_, index) => createMember(index));
+
+test("the caller's zone comes first and the last address is in another zone", (t) => {
+  for (let caller = 0; caller < 50; caller += 1) {
+    const choice = { caller: `caller-${caller}`, availabilityZone: 'zone-1', count: 3 };
+    const zones = chooseMembers(members, choice).map(({ availabilityZone }) => availabilityZone);
+    t.deepEqual(zones.slice(0, 2), ['zone-1', 'zone-1']);
+    t.not(zones[2], 'zone-1');
+  }
+});
+
+test('a leaving, suspect or dead VM is never chosen', (t) => {
+  const states = [MemberState.Leaving, MemberState.Suspect, MemberState.Dead];
+  const mixed = members.map((member, index) => ({
+    ...member,
+    state: states[index] ?? MemberState.Alive,
+  }));
+  for (let caller = 0; caller < 50; caller += 1) {
+    const chosen = chooseMembers(mixed, { caller: `caller-${caller}`, count: 8 });
+    t.is(chosen.length, 5);
+    t.true(chosen.every(({ state }) => state === MemberState.Alive));
+  }
+});
+
+test('a loaded VM is the first address of fewer callers, and other callers keep theirs', (t) => {
+  const loaded = members.map((member, index) =>
+    index === 3 ? { ...member, onlineLoad: 48 } : member,
+  );
+  let before = 0;
+  let after = 0;
+  for (let caller = 0; caller < 4000; caller += 1) {
+    const choice = { caller: `caller-${caller}`, count: 1 };
+    const first = chooseMembers(members, choice)[0]!.entryVmId;
+    const second = chooseMembers(loaded, choice)[0]!.entryVmId;
+    if (first === 'vm-3') before += 1;
+    if (second === 'vm-3') after += 1;
+    if (first !== 'vm-3') t.is(second, first);
+  }
+  t.true(before > 400 && before < 600, `${before} of 4000 before`);
+  t.true(after > 80 && after < 220, `${after} of 4000 after`);
+});
+
+test('with no live VM the answer is empty', (t) => {
+  const entryPoints = new EntryPointsController({
+    io: { createLog: () => silentLog },
+    settings: { entryPointLifetimeMs: 30_000 },
+    membership: { members: () => [] },
+  });
+  t.deepEqual(entryPoints.choose('caller'), { entryPoints: [], lifetimeMs: 30_000 });
+});
--- /dev/null
+++ b/packages/records/src/conversion.ts
@@ -0,0 +1,90 @@
+/** Conversion of record specs between schema versions by lookup table. */
+import {
+  FencingMode,
+  RecordKind,
+  type RecordSpecs,
+  type ServiceRecord,
+  type TeamRecord,
+} from '@jujubelanding/types';
+import { newestVersion, type ServiceRecordV1, type TeamRecordV1 } from './schemas.js';
+
+const MS_PER_SECOND = 1000;
+const SECONDS_PER_MINUTE = 60;
+const BYTES_PER_KIB = 1024;
+/** Keeps a rate such as 10 per minute the same after conversion there and back. */
+const RATE_DIGITS = 9;
+
+export type Spec = Record<string, unknown>;
+
+const roundRate = (rate: number): number => Number(rate.toFixed(RATE_DIGITS));
+
+const upgradeService = (spec: ServiceRecordV1): ServiceRecord => {
+  const { checksFencing, requestTimeoutSeconds, ...rest } = spec;
+  return {
+    ...rest,
+    fencing: checksFencing ? FencingMode.Checked : FencingMode.Ignored,
+    requestTimeoutMs: Math.round(requestTimeoutSeconds * MS_PER_SECOND),
+  };
+};
+
+const downgradeService = (spec: ServiceRecord): ServiceRecordV1 => {
+  const { fencing, requestTimeoutMs, ...rest } = spec;
+  return {
+    ...rest,
+    checksFencing: fencing === FencingMode.Checked,
+    requestTimeoutSeconds: requestTimeoutMs / MS_PER_SECOND,
+  };
+};
+
+const upgradeTeam = (spec: TeamRecordV1): TeamRecord => {
+  const { requestsPerMinute, maxBodyKib, ...rest } = spec;
+  return {
+    ...rest,
+    requestsPerSecond: requestsPerMinute / SECONDS_PER_MINUTE,
+    maxBodyBytes: Math.floor(maxBodyKib * BYTES_PER_KIB),
+  };
+};
+
+const downgradeTeam = (spec: TeamRecord): TeamRecordV1 => {
+  const { requestsPerSecond, maxBodyBytes, ...rest } = spec;
+  return {
+    ...rest,
+    requestsPerMinute: roundRate(requestsPerSecond * SECONDS_PER_MINUTE),
+    maxBodyKib: maxBodyBytes / BYTES_PER_KIB,
+  };
+};
+
+type Conversion = (spec: Spec) => Spec;
+
+// Specs reach a conversion only after the schema of its version accepted them.
+const erase = <From, To>(convert: (spec: From) => To): Conversion =>
+  convert as unknown as Conversion;
+
+/** Conversions by kind and version: `up[0]` from version 1 to 2, `down[0]` back. */
+const CONVERSIONS: Partial<
+  Record<RecordKind, { up: readonly Conversion[]; down: readonly Conversion[] }>
+> = {
+  [RecordKind.Service]: { up: [erase(upgradeService)], down: [erase(downgradeService)] },
+  [RecordKind.Team]: { up: [erase(upgradeTeam)], down: [erase(downgradeTeam)] },
+};
+
+/** Converts a valid spec from one schema version to another. */
+export const convertSpec = (kind: RecordKind, spec: Spec, from: number, to: number): Spec => {
+  const steps = CONVERSIONS[kind];
+  let converted = spec;
+  for (let version = from; version < to; version += 1) {
+    converted = steps!.up[version - 1]!(converted);
+  }
+  for (let version = from; version > to; version -= 1) {
+    converted = steps!.down[version - 2]!(converted);
+  }
+  return converted;
+};
+
+/** Converts a valid spec to the newest schema version. */
+export const convertToNewest = <K extends RecordKind>(
+  kind: K,
+  spec: Spec,
+  from: number,
+): RecordSpecs[K] =>
+  convertSpec(kind, spec, from, newestVersion(kind)) as unknown as RecordSpecs[K];
--- /dev/null
+++ b/packages/records/src/parse.ts
@@ -0,0 +1,139 @@
+/** Checks records and reports all faults together. */
+import { type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
+import { RecordKind } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
+import { Err, Ok, Result as Collected } from 'ts-results-es';
+import type { z } from 'zod';
+import type { Spec } from './conversion.js';
+import { nameField } from './fields.js';
+import { newestVersion, SCHEMAS } from './schemas.js';
+
+/** A record as operators write it. */
+export interface OperatorRecord {
+  kind: RecordKind;
+  name: string;
+  schemaVersion: number;
+  spec: Spec;
+}
+
+/** One rejected field. */
+export interface FieldFault {
+  field: string;
+  /** The rejected value as JSON, shortened; `missing` when the field is absent. */
+  value: string;
+  allowed: string;
+}
+
+const MAX_VALUE_LENGTH = 100;
+const RECORD_FIELDS = ['kind', 'name', 'schemaVersion', 'spec'];
+
+const isObject = (value: unknown): value is Spec =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+const isRecordKind = (value: unknown): value is RecordKind =>
+  Object.values<unknown>(RecordKind).includes(value);
+
+const showValue = (value: unknown): string =>
+  value === undefined ? 'missing' : JSON.stringify(value).slice(0, MAX_VALUE_LENGTH);
+
+const valueAt = (root: unknown, path: readonly PropertyKey[]): unknown =>
+  path.reduce<unknown>(
+    (value, key) => (value as Record<PropertyKey, unknown> | undefined)?.[key],
+    root,
+  );
+
+const toFieldFaults = (
+  issue: z.core.$ZodIssue,
+  input: unknown,
+  prefix: string,
+  known: readonly string[],
+): FieldFault[] => {
+  const locate = (path: readonly PropertyKey[]): string => [prefix, ...path].join('.');
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      field: locate([...issue.path, key]),
+      value: showValue(valueAt(input, [...issue.path, key])),
+      allowed: `no such field; known are ${known.join(', ')}`,
+    }));
+  }
+  const value = showValue(valueAt(input, issue.path));
+  return [{ field: locate(issue.path), value, allowed: issue.message }];
+};
+
+type Checked<T> = Collected<T, FieldFault[]>;
+
+const reject = (field: string, value: unknown, allowed: string): Err<FieldFault[]> =>
+  Err([{ field, value: showValue(value), allowed }]);
+
+const checkKind = (kind: unknown): Checked<RecordKind> =>
+  isRecordKind(kind)
+    ? Ok(kind)
+    : reject('kind', kind, `one of ${Object.values(RecordKind).join(', ')}`);
+
+const checkName = (name: unknown): Checked<string> => {
+  const parsed = nameField().safeParse(name);
+  return parsed.success ? Ok(parsed.data) : reject('name', name, parsed.error.issues[0]!.message);
+};
+
+const checkVersion = (kind: unknown, version: unknown): Checked<number> => {
+  const newest = isRecordKind(kind) ? newestVersion(kind) : 1;
+  const isKnown = Number.isInteger(version) && Number(version) >= 1;
+  // Without a valid kind the highest version is unknown; the kind is reported instead.
+  if (isKnown && (!isRecordKind(kind) || Number(version) <= newest)) return Ok(Number(version));
+  return reject('schemaVersion', version, `an integer from 1 to ${newest}`);
+};
+
+const checkSpec = (kind: unknown, version: unknown, spec: unknown): Checked<Spec> => {
+  if (!isObject(spec)) return reject('spec', spec, 'an object');
+  const schema = isRecordKind(kind) ? SCHEMAS[kind][Number(version) - 1] : undefined;
+  if (schema === undefined) return Ok(spec);
+  const parsed = schema.safeParse(spec);
+  if (parsed.success) return Ok(parsed.data);
+  const known = Object.keys(schema.shape);
+  return Err(parsed.error.issues.flatMap((issue) => toFieldFaults(issue, spec, 'spec', known)));
+};
+
+const checkFields = (input: Spec): Checked<void> => {
+  const unknown = Object.keys(input).filter((key) => !RECORD_FIELDS.includes(key));
+  const allowed = `no such field; known are ${RECORD_FIELDS.join(', ')}`;
+  return unknown.length === 0
+    ? Ok(undefined)
+    : Err(unknown.map((field) => ({ field, value: showValue(input[field]), allowed })));
+};
+
+/** Checks a record in any known schema version; all faults are returned together. */
+export const parseRecord = (input: unknown): Result<OperatorRecord, FieldFault[]> => {
+  if (!isObject(input)) {
+    return err([{ field: 'record', value: showValue(input), allowed: 'an object' }]);
+  }
+  const kind = checkKind(input.kind);
+  const name = checkName(input.name);
+  const schemaVersion = checkVersion(input.kind, input.schemaVersion);
+  const spec = checkSpec(input.kind, input.schemaVersion, input.spec);
+  const checks = [kind, name, schemaVersion, spec, checkFields(input)] as Checked<unknown>[];
+  const [, faults] = Collected.partition(checks);
+  if (faults.length > 0) return err(faults.flat());
+  return ok({
+    kind: kind.unwrap(),
+    name: name.unwrap(),
+    schemaVersion: schemaVersion.unwrap(),
+    spec: spec.unwrap(),
+  });
+};
+
+/** Checks that a schema version exists for a kind. */
+export const isKnownVersion = (kind: RecordKind, version: number): boolean =>
+  Number.isInteger(version) && version >= 1 && version <= newestVersion(kind);
+
+/** Combines field faults into one fault that names every field. */
+export const toInvalidInput = (faults: readonly FieldFault[], step: string): Fault => ({
+  code: FaultCode.InvalidInput,
+  outcome: Outcome.NotRun,
+  step,
+  message: faults
+    .map(({ field, value, allowed }) => `${field} is ${value}, allowed: ${allowed}`)
+    .join('; '),
+  details: Object.fromEntries(
+    faults.map(({ field, value, allowed }) => [field, `${value}; allowed: ${allowed}`]),
+  ),
+});
