Add HTTP clients of the platform and of backend servers

Outcomes follow from whether undici handed the request to a connected socket: before that a fault is not-run, afterwards only the server's own word is conclusive. Control calls have connections of their own, because a worker with all request connections in use must still accept a cancellation.

--- /dev/null
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -0,0 +1,159 @@
+/** HTTP client of model engines and plain services. */
+import { Outcome } from '@jujubelanding/errors';
+import type { BackendServers, WorkerAddress } from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+import { CacheEventKind, WorkerRole } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import { z } from 'zod';
+import { expectSuccess, OUTCOME_HEADER, readHeader, toFault } from './answers.js';
+import { TimeoutKind } from './exchange.js';
+import { HttpPeer } from './http-peer.js';
+import type { Closable } from './key-value-client.js';
+import { selectHeaders } from './service-headers.js';
+import { TokenStream } from './token-stream.js';
+
+export interface BackendServersClientOptions {
+  timer: Timer;
+  /** Time for a call other than a generation or a plain service call. */
+  callTimeoutMs?: number;
+  /** Longest silence in a generation or a plain service call; callers set shorter deadlines. */
+  idleTimeoutMs?: number;
+  /** Requests in progress per worker, beyond which requests are refused as not-run. */
+  requestConnections?: number;
+}
+
+const CALL_TIMEOUT_MS = 2000;
+
+const IDLE_TIMEOUT_MS = 30_000;
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+const REQUEST_CONNECTIONS = 256;
+
+/** Control calls have connections of their own, so that no stream delays a cancellation. */
+const CONTROL_CONNECTIONS = 16;
+
+const loadSchema = z.object({
+  workerId: z.string(),
+  ageMs: z.number(),
+  slots: z.number(),
+  running: z.number(),
+  waiting: z.number(),
+  models: z.array(z.string()),
+  adapters: z.array(z.string()),
+  role: z.enum(WorkerRole),
+  streams: z.array(z.string()),
+  cacheEvents: z.array(
+    z.object({ sequence: z.number(), kind: z.enum(CacheEventKind), prefixHash: z.string() }),
+  ),
+});
+
+const createTarget = (step: string, { id, address }: WorkerAddress) => ({
+  step,
+  peer: id,
+  address,
+});
+
+const createPath = (collection: string, id: string): string =>
+  `/v1/${collection}/${encodeURIComponent(id)}`;
+
+/** Streams, cancellations and calls that callers are waiting for. */
+const createRequestCalls = (http: HttpPeer): Pick<BackendServers, 'generate' | 'call'> => ({
+  generate: async (worker, generation, onToken, signal) => {
+    const tokens = new TokenStream(worker.id, onToken);
+    const target = createTarget('generate', worker);
+    const reply = await http.exchange({
+      ...target,
+      method: 'POST',
+      path: '/v1/generations',
+      json: generation,
+      timeoutKind: TimeoutKind.Idle,
+      signal,
+      onChunk: (chunk) => tokens.feed(chunk),
+    });
+    return reply.andThen((answer) => expectSuccess(answer, target)).andThen(() => tokens.finish());
+  },
+  call: async (worker, request, signal) => {
+    const target = createTarget('call', worker);
+    const reply = await http.exchange({
+      ...target,
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: { ...selectHeaders(request.headers), 'x-request-id': request.requestId },
+      body: request.body.length > 0 ? request.body : undefined,
+      timeoutKind: TimeoutKind.Idle,
+      signal,
+    });
+    return reply.andThen((answer) => {
+      const notRun = readHeader(answer, OUTCOME_HEADER) === Outcome.NotRun;
+      if (notRun) return err(toFault(answer, target));
+      const headers = selectHeaders(answer.headers);
+      // A service that does not repeat the id is identified by the connection alone.
+      const requestId = headers['x-request-id'] ?? request.requestId;
+      return ok({ requestId, status: answer.status, headers, body: answer.body });
+    });
+  },
+});
+
+type ControlCalls = Omit<BackendServers, 'generate' | 'call'>;
+
+const createControlCalls = (http: HttpPeer): ControlCalls => ({
+  cancel: (worker, requestId) =>
+    http.order({
+      ...createTarget('cancel', worker),
+      method: 'DELETE',
+      path: createPath('generations', requestId),
+    }),
+  readLoad: (worker, afterSequence) => {
+    const path = `/v1/load?afterSequence=${afterSequence}`;
+    return http.call({ ...createTarget('readLoad', worker), method: 'GET', path }, loadSchema);
+  },
+  sendOrder: (worker, order) =>
+    http.order({
+      ...createTarget('sendOrder', worker),
+      method: 'POST',
+      path: '/v1/orders',
+      json: order,
+    }),
+  exportCache: async (worker, requestId) => {
+    const target = createTarget('exportCache', worker);
+    const path = createPath('caches', requestId);
+    const reply = await http.exchange({ ...target, method: 'GET', path });
+    return reply.andThen((answer) => expectSuccess(answer, target)).map(({ body }) => body);
+  },
+  importCache: (worker, requestId, cache) =>
+    http.order({
+      ...createTarget('importCache', worker),
+      method: 'PUT',
+      path: createPath('caches', requestId),
+      headers: { 'content-type': 'application/octet-stream' },
+      body: cache,
+    }),
+});
+
+/** Creates a client of all backend servers. */
+export const createBackendServersClient = (
+  options: BackendServersClientOptions,
+): Closable<BackendServers> => {
+  const { timer, callTimeoutMs = CALL_TIMEOUT_MS, idleTimeoutMs = IDLE_TIMEOUT_MS } = options;
+  const { requestConnections = REQUEST_CONNECTIONS } = options;
+  const connectTimeoutMs = CONNECT_TIMEOUT_MS;
+  const requests = new HttpPeer(
+    timer,
+    { connections: requestConnections, connectTimeoutMs },
+    idleTimeoutMs,
+  );
+  const controls = new HttpPeer(
+    timer,
+    { connections: CONTROL_CONNECTIONS, connectTimeoutMs },
+    callTimeoutMs,
+  );
+  return {
+    ...createRequestCalls(requests),
+    ...createControlCalls(controls),
+    close: async () => {
+      await Promise.all([requests.close(), controls.close()]);
+    },
+  };
+};
--- /dev/null
+++ b/packages/platform-clients/src/exchange.ts
@@ -0,0 +1,173 @@
+/** One HTTP request and its answer, with strict outcomes. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { err, ok, type Result } from 'neverthrow';
+import { util, type Dispatcher } from 'undici';
+import type { ConnectionPools } from './connection-pools.js';
+
+/** Largest answer that is read into memory. */
+const MAX_ANSWER_BYTES = 128 * 1024 * 1024;
+
+const HTTP_OK = 200;
+
+export enum TimeoutKind {
+  /** The whole answer must arrive in time. */
+  Total = 'total',
+  /** Some part of the answer must arrive at least this often. */
+  Idle = 'idle',
+}
+
+export interface ExchangeRequest {
+  step: string;
+  peer: string;
+  address: string;
+  method: Dispatcher.HttpMethod;
+  path: string;
+  headers?: Record<string, string>;
+  body?: string | Uint8Array;
+  timeoutMs: number;
+  timeoutKind?: TimeoutKind;
+  signal?: AbortSignal;
+  /** Receives the body of an answer with status 200 piece by piece; others are read whole. */
+  onChunk?: (chunk: Buffer) => void;
+}
+
+export interface Answer {
+  status: number;
+  headers: Record<string, string | string[]>;
+  /** Empty where the body was received piece by piece. */
+  body: Buffer;
+}
+
+type Settle = (result: Result<Answer, Fault>) => void;
+
+/** Tracks whether the request can have reached the server; everything else follows from that. */
+class Exchange implements Dispatcher.DispatchHandlers {
+  private sent = false;
+
+  private settled = false;
+
+  private answer: Answer | undefined;
+
+  private chunks: Buffer[] = [];
+
+  private size = 0;
+
+  private lastActivity: number;
+
+  private timeout: Subscription | undefined;
+
+  private abort: (() => void) | undefined;
+
+  private readonly cancel = (): void => this.giveUp(FaultCode.Cancelled, 'cancelled by the caller');
+
+  constructor(
+    private readonly request: ExchangeRequest,
+    private readonly timer: Timer,
+    private readonly resolve: Settle,
+  ) {
+    this.lastActivity = timer.now();
+    this.watchTime(request.timeoutMs);
+    request.signal?.addEventListener('abort', this.cancel, { once: true });
+  }
+
+  onConnect(abort: () => void): void {
+    // Called just before the first byte is written; a retry on another connection calls it again.
+    this.abort = abort;
+    if (this.settled) abort();
+    else this.sent = true;
+  }
+
+  onHeaders(status: number, headers: Buffer[]): boolean {
+    this.lastActivity = this.timer.now();
+    // Informational answers precede the final one.
+    if (status >= HTTP_OK) {
+      const parsed = util.parseHeaders(headers);
+      this.answer = { status, headers: parsed, body: Buffer.alloc(0) };
+    }
+    return true;
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.settled) return true;
+    this.lastActivity = this.timer.now();
+    if (this.request.onChunk !== undefined && this.answer?.status === HTTP_OK) {
+      this.request.onChunk(chunk);
+      return true;
+    }
+    this.size += chunk.length;
+    if (this.size > MAX_ANSWER_BYTES) this.giveUp(FaultCode.TooLarge, 'the answer is too large');
+    else this.chunks.push(chunk);
+    return true;
+  }
+
+  onComplete(): void {
+    if (this.answer === undefined) {
+      this.fail(FaultCode.Interrupted, 'the answer has no status');
+      return;
+    }
+    this.settle(ok({ ...this.answer, body: Buffer.concat(this.chunks) }));
+  }
+
+  onError(error: Error): void {
+    const code = this.sent ? FaultCode.Interrupted : FaultCode.Unavailable;
+    this.fail(code, error.message);
+  }
+
+  /** Ends the exchange early and closes its connection, which tells the server. */
+  giveUp(code: FaultCode, message: string): void {
+    this.fail(code, message);
+    this.abort?.();
+  }
+
+  private fail(code: FaultCode, message: string): void {
+    const { step, peer } = this.request;
+    const outcome = this.sent ? Outcome.OutcomeUnknown : Outcome.NotRun;
+    this.settle(err({ code, outcome, step, peer, message: `${step} at ${peer}: ${message}` }));
+  }
+
+  private watchTime(delayMs: number): void {
+    this.timeout = this.timer.after(delayMs, () => {
+      const { timeoutKind, timeoutMs } = this.request;
+      const idleMs = this.timer.now() - this.lastActivity;
+      if (timeoutKind === TimeoutKind.Idle && idleMs < timeoutMs) {
+        this.watchTime(timeoutMs - idleMs);
+        return;
+      }
+      this.giveUp(FaultCode.Timeout, `no answer within ${timeoutMs} ms`);
+    });
+  }
+
+  private settle(result: Result<Answer, Fault>): void {
+    if (this.settled) return;
+    this.settled = true;
+    this.timeout?.cancel();
+    this.request.signal?.removeEventListener('abort', this.cancel);
+    this.resolve(result);
+  }
+}
+
+const refuse = (request: ExchangeRequest, code: FaultCode, message: string): Result<never, Fault> =>
+  err({ code, outcome: Outcome.NotRun, step: request.step, peer: request.peer, message });
+
+/** Sends a request and resolves with any complete answer, whatever its status. */
+export const exchange = async (
+  pools: ConnectionPools,
+  timer: Timer,
+  request: ExchangeRequest,
+): Reply<Answer> => {
+  if (request.signal?.aborted === true) {
+    return refuse(request, FaultCode.Cancelled, 'cancelled before it was sent');
+  }
+  const place = pools.acquire(request.address);
+  if (place === undefined) {
+    return refuse(request, FaultCode.Overloaded, `all connections to ${request.peer} are in use`);
+  }
+  const { method, path, headers, body } = request;
+  const answer = await new Promise<Result<Answer, Fault>>((resolve) => {
+    const handler = new Exchange(request, timer, resolve);
+    place.pool.dispatch({ method, path, headers, body, blocking: false }, handler);
+  });
+  place.release();
+  return answer;
+};
--- /dev/null
+++ b/packages/platform-clients/src/fleet-clients.ts
@@ -0,0 +1,78 @@
+/** HTTP clients of the VM list and the weight store. */
+import type { VmList, WeightStore } from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+import { VmRole, VmState } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { z } from 'zod';
+import { expectSuccess, parseAnswer, readHeader } from './answers.js';
+import { HttpPeer } from './http-peer.js';
+import type { Closable } from './key-value-client.js';
+
+export interface FleetClientOptions {
+  /** host:port */
+  address: string;
+  timer: Timer;
+  timeoutMs?: number;
+}
+
+const TIMEOUT_MS = 2000;
+
+const LIMITS = { connections: 4, connectTimeoutMs: 1000 };
+
+const STATUS_NOT_MODIFIED = 304;
+
+const vmsSchema = z.object({
+  vms: z.array(
+    z.object({
+      id: z.string(),
+      role: z.enum(VmRole),
+      state: z.enum(VmState),
+      availabilityZone: z.string(),
+      address: z.string(),
+      service: z.string().optional(),
+    }),
+  ),
+});
+
+/** Creates a client of the VM list. */
+export const createVmListClient = (options: FleetClientOptions): Closable<VmList> => {
+  const { address, timer, timeoutMs = TIMEOUT_MS } = options;
+  const http = new HttpPeer(timer, LIMITS, timeoutMs);
+  const target = { step: 'readVmList', peer: 'vm-list', address, method: 'GET', path: '/v1/vms' };
+  return {
+    read: async (knownTag) => {
+      const headers = knownTag === undefined ? undefined : { 'if-none-match': knownTag };
+      const reply = await http.exchange({ ...target, method: 'GET', headers });
+      return reply.andThen((answer) => {
+        const tag = readHeader(answer, 'etag') ?? '';
+        if (answer.status === STATUS_NOT_MODIFIED && knownTag !== undefined) {
+          return ok({ tag: knownTag });
+        }
+        return expectSuccess(answer, target)
+          .andThen((received) => parseAnswer(received, vmsSchema, target))
+          .map(({ vms }) => ({ tag, vms }));
+      });
+    },
+    close: () => http.close(),
+  };
+};
+
+const weightSchema = z.object({ name: z.string(), bytes: z.number() });
+
+const rateLimitSchema = z.object({ bytesPerSecond: z.number() });
+
+/** Creates a client of the weight store. */
+export const createWeightStoreClient = (options: FleetClientOptions): Closable<WeightStore> => {
+  const { address, timer, timeoutMs = TIMEOUT_MS } = options;
+  const http = new HttpPeer(timer, LIMITS, timeoutMs);
+  const target = { peer: 'weight-store', address, method: 'GET' as const };
+  return {
+    describe: (name) => {
+      const path = `/v1/weights/${encodeURIComponent(name)}`;
+      return http.call({ ...target, step: 'describeWeight', path }, weightSchema);
+    },
+    readRateLimit: () =>
+      http.call({ ...target, step: 'readRateLimit', path: '/v1/rate-limit' }, rateLimitSchema),
+    close: () => http.close(),
+  };
+};
--- /dev/null
+++ b/packages/platform-clients/src/http-peer.ts
@@ -0,0 +1,58 @@
+/** Calls with JSON answers to one or many servers of a kind. */
+import type { Reply } from '@jujubelanding/errors';
+import type { Timer } from '@jujubelanding/timer';
+import { ok } from 'neverthrow';
+import type { z } from 'zod';
+import { expectSuccess, parseAnswer } from './answers.js';
+import { ConnectionPools, type ConnectionLimits } from './connection-pools.js';
+import { exchange, type Answer, type ExchangeRequest } from './exchange.js';
+
+export type CallRequest = Omit<ExchangeRequest, 'body' | 'timeoutMs'> & {
+  json?: unknown;
+  body?: Uint8Array;
+  timeoutMs?: number;
+};
+
+export class HttpPeer {
+  private readonly pools: ConnectionPools;
+
+  constructor(
+    private readonly timer: Timer,
+    limits: ConnectionLimits,
+    private readonly timeoutMs: number,
+  ) {
+    this.pools = new ConnectionPools(limits);
+  }
+
+  /** Sends a request and resolves with any complete answer. */
+  exchange({ json, ...request }: CallRequest): Reply<Answer> {
+    const { headers, body, timeoutMs = this.timeoutMs } = request;
+    if (json === undefined) return exchange(this.pools, this.timer, { ...request, timeoutMs });
+    return exchange(this.pools, this.timer, {
+      ...request,
+      timeoutMs,
+      headers: { ...headers, 'content-type': 'application/json' },
+      body: body ?? JSON.stringify(json),
+    });
+  }
+
+  /** Sends a request and reads the answer's JSON. */
+  async call<T>(request: CallRequest, schema: z.ZodType<T>): Reply<T> {
+    const answer = await this.exchange(request);
+    return answer
+      .andThen((received) => expectSuccess(received, request))
+      .andThen((received) => parseAnswer(received, schema, request));
+  }
+
+  /** Sends a request whose answer has no content of interest. */
+  async order(request: CallRequest): Reply<void> {
+    const answer = await this.exchange(request);
+    return answer
+      .andThen((received) => expectSuccess(received, request))
+      .andThen(() => ok<void>(undefined));
+  }
+
+  close(): Promise<void> {
+    return this.pools.close();
+  }
+}
--- /dev/null
+++ b/packages/platform-clients/src/index.ts
@@ -0,0 +1,15 @@
+/** HTTP clients of the platform and of backend servers. */
+export {
+  createKeyValueClient,
+  type Closable,
+  type KeyValueClientOptions,
+} from './key-value-client.js';
+export {
+  createVmListClient,
+  createWeightStoreClient,
+  type FleetClientOptions,
+} from './fleet-clients.js';
+export {
+  createBackendServersClient,
+  type BackendServersClientOptions,
+} from './backend-servers-client.js';
--- /dev/null
+++ b/packages/platform-clients/src/key-value-client.ts
@@ -0,0 +1,130 @@
+/** HTTP client of the key-value service. */
+import type { Reply } from '@jujubelanding/errors';
+import {
+  ChangeKind,
+  WriteStatus,
+  type KeyValueStore,
+  type WriteResult,
+} from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+import { z } from 'zod';
+import { HttpPeer, type CallRequest } from './http-peer.js';
+
+export interface KeyValueClientOptions {
+  /** host:port */
+  address: string;
+  timer: Timer;
+  /** Time for a whole call; a watch has its wait in addition. */
+  timeoutMs?: number;
+}
+
+/** A client whose connections can be closed. */
+export type Closable<T> = T & { close(): Promise<void> };
+
+const PEER = 'key-value';
+
+const TIMEOUT_MS = 2000;
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Connections for calls, and for watches, which hold theirs while they wait. */
+const CALL_CONNECTIONS = 32;
+const WATCH_CONNECTIONS = 16;
+
+const entrySchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  modRevision: z.number(),
+  leaseId: z.string().optional(),
+});
+
+const getSchema = z.object({ entry: entrySchema.optional() });
+
+const listSchema = z.object({ entries: z.array(entrySchema), revision: z.number() });
+
+const writeResultSchema: z.ZodType<WriteResult> = z.discriminatedUnion('status', [
+  z.object({ status: z.literal(WriteStatus.Written), revision: z.number() }),
+  z.object({ status: z.literal(WriteStatus.Conflict), current: entrySchema.optional() }),
+]);
+
+const leaseSchema = z.object({ leaseId: z.string(), ttlMs: z.number() });
+
+const watchSchema = z.object({
+  changes: z.array(z.object({ kind: z.enum(ChangeKind), entry: entrySchema })),
+  revision: z.number(),
+  compacted: z.boolean(),
+});
+
+const createQuery = (fields: Record<string, string | number | undefined>): string => {
+  const present = Object.entries(fields).filter(([, value]) => value !== undefined);
+  return new URLSearchParams(present.map(([name, value]) => [name, String(value)])).toString();
+};
+
+const createLeasePath = (leaseId: string): string => `/v1/leases/${encodeURIComponent(leaseId)}`;
+
+/** Sends calls that name step, method and path; the peer is always the same. */
+type Send = <T>(
+  schema: z.ZodType<T>,
+  request: Pick<CallRequest, 'step' | 'method' | 'path' | 'json'>,
+) => Reply<T>;
+
+const createKeyCalls = (send: Send): Pick<KeyValueStore, 'get' | 'list' | 'write' | 'remove'> => ({
+  get: async (key) => {
+    const path = `/v1/key?${createQuery({ key })}`;
+    const reply = await send(getSchema, { step: 'get', method: 'GET', path });
+    return reply.map(({ entry }) => entry);
+  },
+  list: (prefix, limit, afterKey) => {
+    const path = `/v1/keys?${createQuery({ prefix, limit, afterKey })}`;
+    return send(listSchema, { step: 'list', method: 'GET', path });
+  },
+  write: (write) =>
+    send(writeResultSchema, { step: 'write', method: 'PUT', path: '/v1/key', json: write }),
+  remove: (key, expectedRevision) => {
+    const path = `/v1/key?${createQuery({ key, expectedRevision })}`;
+    return send(writeResultSchema, { step: 'remove', method: 'DELETE', path });
+  },
+});
+
+type LeaseCalls = Pick<KeyValueStore, 'grantLease' | 'renewLease' | 'revokeLease'>;
+
+const createLeaseCalls = (send: Send): LeaseCalls => ({
+  grantLease: (ttlMs) =>
+    send(leaseSchema, {
+      step: 'grantLease',
+      method: 'POST',
+      path: '/v1/leases',
+      json: { ttlMs },
+    }),
+  renewLease: (leaseId) => {
+    const path = `${createLeasePath(leaseId)}/renew`;
+    return send(leaseSchema, { step: 'renewLease', method: 'POST', path });
+  },
+  revokeLease: async (leaseId) => {
+    const path = createLeasePath(leaseId);
+    const reply = await send(z.object({}), { step: 'revokeLease', method: 'DELETE', path });
+    return reply.map(() => undefined);
+  },
+});
+
+/** Creates a client of the key-value service. */
+export const createKeyValueClient = (options: KeyValueClientOptions): Closable<KeyValueStore> => {
+  const { address, timer, timeoutMs = TIMEOUT_MS } = options;
+  const connect = (connections: number): HttpPeer =>
+    new HttpPeer(timer, { connections, connectTimeoutMs: CONNECT_TIMEOUT_MS }, timeoutMs);
+  const calls = connect(CALL_CONNECTIONS);
+  const watches = connect(WATCH_CONNECTIONS);
+  const send: Send = (schema, request) => calls.call({ ...request, peer: PEER, address }, schema);
+  return {
+    ...createKeyCalls(send),
+    ...createLeaseCalls(send),
+    watch: (prefix, afterRevision, waitMs) => {
+      const path = `/v1/watch?${createQuery({ prefix, afterRevision, waitMs })}`;
+      const request = { step: 'watch', peer: PEER, address, method: 'GET' as const, path };
+      return watches.call({ ...request, timeoutMs: waitMs + timeoutMs }, watchSchema);
+    },
+    close: async () => {
+      await Promise.all([calls.close(), watches.close()]);
+    },
+  };
+};
--- /dev/null
+++ b/packages/platform-clients/src/token-stream.ts
@@ -0,0 +1,92 @@
+/** Reads the server-sent events of a generation. */
+import { StringDecoder } from 'node:string_decoder';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import { FinishReason, type StreamEnd, type Token } from '@jujubelanding/types';
+import { createParser, type EventSourceMessage, type EventSourceParser } from 'eventsource-parser';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+const endSchema: z.ZodType<StreamEnd> = z.object({
+  requestId: z.string(),
+  tokenCount: z.number().int(),
+  finishReason: z.enum(FinishReason),
+  cachedTokens: z.number(),
+});
+
+const faultSchema = z.object({
+  code: z.enum(FaultCode).catch(FaultCode.Upstream),
+  outcome: z.enum(Outcome).catch(Outcome.OutcomeUnknown),
+  message: z.string().catch('generation failed'),
+});
+
+const isToken = (value: unknown): value is Token => {
+  // Written out because a schema check costs more than the rest of the work for a token.
+  if (typeof value !== 'object' || value === null) return false;
+  const { requestId, index, text } = value as Partial<Token>;
+  return typeof requestId === 'string' && Number.isInteger(index) && typeof text === 'string';
+};
+
+const parseJson = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+export class TokenStream {
+  private readonly decoder = new StringDecoder('utf8');
+
+  private readonly parser: EventSourceParser;
+
+  private end: Result<StreamEnd, Fault> | undefined;
+
+  constructor(
+    private readonly peer: string,
+    private readonly onToken: (token: Token) => void,
+  ) {
+    this.parser = createParser({ onEvent: (event) => this.handle(event) });
+  }
+
+  feed(chunk: Buffer): void {
+    this.parser.feed(this.decoder.write(chunk));
+  }
+
+  /** Returns the end of the stream once the connection carries no more. */
+  finish(): Result<StreamEnd, Fault> {
+    return this.end ?? this.createFault(FaultCode.Interrupted, 'the stream has no end event');
+  }
+
+  private handle({ event, data }: EventSourceMessage): void {
+    // Nothing after the end event, or after an unreadable one, belongs to the answer.
+    if (this.end !== undefined) return;
+    const value = parseJson(data);
+    if (event === 'end') {
+      const end = endSchema.safeParse(value);
+      this.end = end.success ? ok(end.data) : this.createInvalid('end event');
+    } else if (event === 'fault') {
+      this.end = this.readFault(value);
+    } else if (isToken(value)) this.onToken(value);
+    else this.end = this.createInvalid('token');
+  }
+
+  private readFault(value: unknown): Result<never, Fault> {
+    const fault = faultSchema.safeParse(value);
+    if (!fault.success) return this.createInvalid('fault event');
+    return err({ ...fault.data, step: 'generate', peer: this.peer });
+  }
+
+  private createInvalid(part: string): Result<never, Fault> {
+    return this.createFault(FaultCode.InvalidStream, `unreadable ${part}`);
+  }
+
+  private createFault(code: FaultCode, message: string): Result<never, Fault> {
+    return err({
+      code,
+      outcome: Outcome.OutcomeUnknown,
+      step: 'generate',
+      peer: this.peer,
+      message,
+    });
+  }
+}
--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -125,6 +125,15 @@
     this.admit();
   }
 
+  /** Streams in slots, and generations that wait behind them. */
+  runningCount(): number {
+    return this.running.length;
+  }
+
+  waitingCount(): number {
+    return this.waiting.length;
+  }
+
   isPaused(): boolean {
     return this.paused;
   }
--- a/packages/stand-ins/src/http/fleet-apps.ts
+++ b/packages/stand-ins/src/http/fleet-apps.ts
@@ -21,7 +21,10 @@
 export const createVmListApp = (service: VmListService, timer: Timer, random: Random): App => {
   const app = new Hono<Bindings>();
   addLinkControl(app, service.faults, () => service.counters.read());
-  app.use('/v1/*', applyFaults({ timer, random, faults: service.faults }));
+  app.use(
+    '/v1/*',
+    applyFaults({ timer, random, faults: service.faults, counters: service.counters }),
+  );
   app.get('/v1/vms', (context) => {
     const { tag, vms } = service.read(context.req.header('if-none-match'));
     context.header('etag', tag);
@@ -50,7 +53,10 @@
 ): App => {
   const app = new Hono<Bindings>();
   addLinkControl(app, service.faults, () => service.counters.read());
-  app.use('/v1/*', applyFaults({ timer, random, faults: service.faults }));
+  app.use(
+    '/v1/*',
+    applyFaults({ timer, random, faults: service.faults, counters: service.counters }),
+  );
   app.get('/v1/rate-limit', (context) => context.json({ bytesPerSecond: service.bytesPerSecond }));
   app.get('/v1/weights/:name', (context) =>
     sendResult(context, service.describe(context.req.param('name'))),
--- a/packages/stand-ins/src/http/key-value-app.ts
+++ b/packages/stand-ins/src/http/key-value-app.ts
@@ -105,7 +105,10 @@
 export const createKeyValueApp = (service: KeyValueService, timer: Timer, random: Random): App => {
   const app = new Hono<Bindings>();
   addLinkControl(app, service.faults, () => service.readCounters());
-  app.use('/v1/*', applyFaults({ timer, random, faults: service.faults }));
+  app.use(
+    '/v1/*',
+    applyFaults({ timer, random, faults: service.faults, counters: service.counters }),
+  );
   addKeyRoutes(app, service);
   addLeaseRoutes(app, service);
   return app;
--- a/packages/stand-ins/src/http/plain-service-app.ts
+++ b/packages/stand-ins/src/http/plain-service-app.ts
@@ -26,7 +26,7 @@
       executions: Object.fromEntries(service.executions),
     }),
   });
-  app.use('*', applyFaults({ timer, random, faults: service.faults }));
+  app.use('*', applyFaults({ timer, random, faults: service.faults, counters: service.counters }));
   app.all('*', async (context) => {
     const requestId = context.req.header('x-request-id') ?? random.createId();
     const { pathname, search } = new URL(context.req.url);
--- a/packages/stand-ins/src/http/server.ts
+++ b/packages/stand-ins/src/http/server.ts
@@ -9,6 +9,7 @@
 import { Hono, type Context, type MiddlewareHandler } from 'hono';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
 import type { Result } from 'neverthrow';
+import type { Counters } from '../counters.js';
 import { drawLatency, Reachability, type LinkFaults } from '../link.js';
 
 export interface Bindings {
@@ -28,6 +29,8 @@
   timer: Timer;
   random: Random;
   faults: LinkFaults;
+  /** Counts requests that are held without an answer. */
+  counters?: Counters;
 }
 
 /** Answers with a fault, its outcome in the header x-outcome. */
@@ -58,6 +61,7 @@
   timer,
   random,
   faults,
+  counters,
 }: FaultedPath): MiddlewareHandler<Bindings> => {
   const happens = (chance: number): boolean => chance > 0 && random.next() < chance;
   const wait = async (): Promise<void> => {
@@ -66,7 +70,10 @@
   };
   return async (context, next) => {
     if (faults.reachability === Reachability.Refusing) return resetConnection(context);
-    if (faults.reachability === Reachability.Cut) return hang(context);
+    if (faults.reachability === Reachability.Cut) {
+      counters?.add('held');
+      return hang(context);
+    }
     if (happens(faults.lostRequestChance)) return resetConnection(context);
     await wait();
     await next();
--- a/packages/stand-ins/src/key-value-service.ts
+++ b/packages/stand-ins/src/key-value-service.ts
@@ -59,7 +59,8 @@
   /** Calls by kind; reads and writes are the sums that the service's limits apply to. */
   readCounters(): Record<string, number> {
     const counts = this.counters.read();
-    const total = Object.values(counts).reduce((sum, count) => sum + count, 0);
+    const held = counts.held ?? 0;
+    const total = Object.values(counts).reduce((sum, count) => sum + count, -held);
     const writes = KEY_VALUE_WRITES.reduce((sum, kind) => sum + (counts[kind] ?? 0), 0);
     return { ...counts, writes, reads: total - writes };
   }
