--- a/packages/worker-load/src/owned-workers.ts
+++ b/packages/worker-load/src/owned-workers.ts
@@ -150,7 +150,8 @@
   private answer(notice: OnlineNotice): void {
     const now = this.options.io.timer.now();
     this.accept(notice);
-    const interest = this.interests.get(notice.from) ?? { heardAt: now, services: new Set() };
+    const known = this.interests.get(notice.from);
+    const interest = known ?? { heardAt: now, services: new Set() };
     interest.heardAt = now;
     const workerIds = Object.keys(notice.inFlight);
     for (const id of workerIds) {
@@ -158,8 +159,9 @@
       if (service !== undefined) interest.services.add(service);
     }
     this.interests.set(notice.from, interest);
-    // Full notices are answered by the pushed totals of the same interval.
-    if (!notice.full) {
+    // Full notices are answered by the pushed totals of the same interval, except for a first one,
+    // whose sender has no totals of this owner yet.
+    if (!notice.full || known === undefined) {
       this.sendTotals(
         notice.from,
         workerIds.filter((id) => this.isOwned(id)),
@@ -230,7 +232,7 @@
     this.polling.delete(workerId);
     if (answer.isErr()) {
       // The worker may have restarted with a new sequence, so its events are asked from the start.
-      this.polled.delete(workerId);
+      if (!this.polled.delete(workerId)) return;
       this.log.write('poll-failed', { worker: workerId, reason: answer.error.message });
       this.options.io.metrics.increment('worker_load.poll_failed');
       return;
--- /dev/null
+++ b/packages/worker-load/src/worker-load.test.ts
@@ -0,0 +1,166 @@
+import test from 'ava';
+import { DatagramKind } from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import { MemberState, WorkerRole, type LoadReport } from '@jujubelanding/types';
+import { VmGroup } from './fixtures/vm-group.js';
+import { UNKNOWN_AGE_MS } from './index.js';
+
+const createReport = (workerId: string, change: Partial<LoadReport> = {}): LoadReport => ({
+  workerId,
+  ageMs: 0,
+  slots: 16,
+  running: 0,
+  waiting: 0,
+  models: [],
+  adapters: [],
+  role: WorkerRole.Mixed,
+  streams: [],
+  cacheEvents: [],
+  ...change,
+});
+
+const setUp = (vmIds = ['vm1', 'vm2', 'vm3']) => {
+  const group = new VmGroup(vmIds, ['w1', 'w2', 'w9']);
+  ['w1', 'w2', 'w9'].forEach((id) => group.setOwner(id, 'vm1'));
+  const get = (id: string) => group.vms.get(id)!;
+  return { group, owner: get('vm1'), second: get('vm2'), third: get('vm3') };
+};
+
+test('a begin reaches the owner at once and its totals reach the sender', async (t) => {
+  const { group, owner, second } = setUp();
+  const changed: string[] = [];
+  owner.owned.onOnlineChange((workerId) => changed.push(workerId));
+  second.loads.begin('w1');
+  await group.timer.advance(2);
+  t.deepEqual(changed, ['w1']);
+  t.is(owner.owned.online('w1'), 1);
+  t.like(second.loads.get('w1'), { online: 1, ageMs: 0, slots: 8 });
+});
+
+test('the own VM as owner counts without datagrams', async (t) => {
+  const { group, owner } = setUp();
+  owner.loads.begin('w1');
+  t.is(owner.owned.online('w1'), 1);
+  await group.timer.advance(2000);
+  t.deepEqual(group.sent, []);
+});
+
+test('a total that was sent before an own begin is corrected by it', async (t) => {
+  const { group, second, third } = setUp();
+  third.loads.begin('w1');
+  second.loads.begin('w1');
+  await group.timer.advance(1);
+  // Arrives at the owner after it has answered the first one.
+  second.loads.begin('w1');
+  await group.timer.advance(1);
+  t.is(second.loads.get('w1').online, 3);
+  await group.timer.advance(2);
+  t.is(second.loads.get('w1').online, 3);
+  second.loads.end('w1');
+  t.is(second.loads.get('w1').online, 2);
+});
+
+test('lost begin and end notices are repaired by the next full notice', async (t) => {
+  const { group, owner, second } = setUp();
+  group.isLost = () => true;
+  second.loads.begin('w1');
+  second.loads.begin('w2');
+  second.loads.end('w2');
+  group.isLost = () => false;
+  await group.timer.advance(501);
+  t.is(owner.owned.online('w1'), 1);
+  group.isLost = () => true;
+  second.loads.end('w1');
+  group.isLost = () => false;
+  await group.timer.advance(500);
+  t.is(owner.owned.online('w1'), 0);
+});
+
+test('without totals the own counts and the configured slots are used', async (t) => {
+  const { group, second } = setUp();
+  group.isLost = () => true;
+  second.loads.begin('w1');
+  await group.timer.advance(5000);
+  t.deepEqual(second.loads.get('w1'), {
+    workerId: 'w1',
+    slots: 8,
+    online: 1,
+    batch: 0,
+    ageMs: UNKNOWN_AGE_MS,
+  });
+});
+
+test('totals of a former owner are ignored', async (t) => {
+  const { group, second, third } = setUp();
+  third.loads.begin('w1');
+  second.loads.begin('w1');
+  await group.timer.advance(1);
+  group.setOwner('w1', 'vm3');
+  await group.timer.advance(1);
+  t.not(second.loads.get('w1').ageMs, 1);
+  await group.timer.advance(10);
+  t.is(second.loads.get('w1').online, 2);
+});
+
+test('a new owner learns requests in progress at once and knows when its counts are complete', async (t) => {
+  const { group, owner, second, third } = setUp();
+  second.loads.begin('w1');
+  await group.timer.advance(100);
+  group.setOwner('w1', 'vm3');
+  t.false(third.owned.isComplete('w1'));
+  t.false(owner.owned.isComplete('w1'));
+  await group.timer.advance(2);
+  t.is(third.owned.online('w1'), 1);
+  await group.timer.advance(600);
+  t.true(third.owned.isComplete('w1'));
+});
+
+test('requests of a dead VM no longer count', async (t) => {
+  const { group, owner, second } = setUp();
+  second.loads.begin('w1');
+  await group.timer.advance(10);
+  group.isLost = () => true;
+  second.member.state = MemberState.Dead;
+  await group.timer.advance(500);
+  t.is(owner.owned.online('w1'), 0);
+});
+
+test('only owners of workers in use are contacted, and only senders get totals', async (t) => {
+  const workerIds = Array.from({ length: 40 }, (_, index) => `w${index}`);
+  const vmIds = Array.from({ length: 20 }, (_, index) => `vm${index}`);
+  const group = new VmGroup(vmIds, workerIds);
+  workerIds.forEach((id) => group.setOwner(id, `vm${findShard(id) % 20}`));
+  const owner = `vm${findShard('w3') % 20}`;
+  const sender = owner === 'vm0' ? 'vm1' : 'vm0';
+  group.vms.get(sender)!.loads.begin('w3');
+  await group.timer.advance(10_000);
+  const pairs = new Set(group.sent.map(({ from, to }) => `${from}>${to}`));
+  t.deepEqual(pairs, new Set([`${sender}>${owner}`, `${owner}>${sender}`]));
+  group.vms.get(sender)!.loads.end('w3');
+  await group.timer.advance(7000);
+  group.sent.length = 0;
+  await group.timer.advance(5000);
+  t.deepEqual(group.sent, []);
+});
+
+test('totals carry batch items and reported slots of other workers of the same service', async (t) => {
+  const { group, owner, second } = setUp();
+  group.reports.set('w2', createReport('w2', { slots: 12 }));
+  owner.owned.setBatch('w2', 5);
+  second.loads.begin('w1');
+  await group.timer.advance(1100);
+  t.like(second.loads.get('w2'), { slots: 12, batch: 5, online: 0 });
+  const last = group.sent.findLast(({ datagram }) => datagram.kind === DatagramKind.WorkerTotals);
+  t.is(last?.to, 'vm2');
+});
+
+test('cache events are asked from the start after a failed poll', async (t) => {
+  const group = new VmGroup(['vm1'], ['w1']);
+  const cacheEvents = [{ sequence: 9, kind: 'stored' as never, prefixHash: 'a' }];
+  group.reports.set('w1', createReport('w1', { cacheEvents }));
+  group.setOwner('w1', 'vm1');
+  await group.timer.advance(600);
+  group.reports.delete('w1');
+  await group.timer.advance(1000);
+  t.deepEqual(group.asked, [0, 9, 9, 0]);
+});
