--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -9,7 +9,8 @@
   WorkerLoads,
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
-import { hashPrefixes, RetryBudget, type Router } from '@jujubelanding/routing';
+import { computePrefixHashes } from '@jujubelanding/platform';
+import { RetryBudget, type Router } from '@jujubelanding/routing';
 import {
   Idempotency,
   RecordKind,
@@ -84,7 +85,7 @@
     const { generation } = request;
     const model = this.options.configuration.get(RecordKind.Model, generation.model);
     if (model === undefined) return err(this.createUnknownModel(generation.model));
-    const prefixes = hashPrefixes(generation);
+    const prefixes = computePrefixHashes(generation.messages);
     const delivered: string[] = [];
     const run = (worker: Worker, number: number, attemptSignal: AbortSignal) =>
       this.runGeneration({ request, worker, number, delivered, prefixes, onToken }, attemptSignal);
--- a/packages/routing/src/prefix-index.ts
+++ b/packages/routing/src/prefix-index.ts
@@ -1,6 +1,5 @@
 /** Knowledge of the prompt prefixes that workers have cached. */
-import { hashText } from '@jujubelanding/random';
-import { CacheEventKind, type CacheEvent, type Generation } from '@jujubelanding/types';
+import { CacheEventKind, type CacheEvent } from '@jujubelanding/types';
 
 /** Prefixes kept per worker; the least recently used are dropped first. */
 const MAX_PREFIXES_PER_WORKER = 2000;
@@ -14,18 +13,6 @@
   lastSequence: number;
 }
 
-/** Hashes of all prefixes of a prompt at message boundaries, the shortest first. */
-export const hashPrefixes = (
-  generation: Pick<Generation, 'model' | 'adapter' | 'messages'>,
-): string[] => {
-  let previous = `${generation.model}|${generation.adapter ?? ''}`;
-  return generation.messages.map((message) => {
-    const hash = hashText(`${previous}|${message.role}|${message.content}`);
-    previous = hash.toString(16).padStart(8, '0');
-    return previous;
-  });
-};
-
 /** Prefix knowledge of all workers; a hint only, never needed for correctness. */
 export class PrefixIndex {
   private readonly workers = new Map<string, Known>();
