--- a/packages/platform-clients/src/key-value-client.ts
+++ b/packages/platform-clients/src/key-value-client.ts
@@ -56,8 +56,11 @@
 });
 
 const createQuery = (fields: Record<string, string | number | undefined>): string => {
-  const present = Object.entries(fields).filter(([, value]) => value !== undefined);
-  return new URLSearchParams(present.map(([name, value]) => [name, String(value)])).toString();
+  const query = new URLSearchParams();
+  Object.entries(fields).forEach(([name, value]) => {
+    if (value !== undefined) query.set(name, String(value));
+  });
+  return query.toString();
 };
 
 const createLeasePath = (leaseId: string): string => `/v1/leases/${encodeURIComponent(leaseId)}`;
--- a/packages/stand-ins/src/engine/orders.ts
+++ b/packages/stand-ins/src/engine/orders.ts
@@ -1,12 +1,12 @@
 /** Models, adapters and role of an engine, changed by orders that take time. */
-import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Timer } from '@jujubelanding/timer';
 import { FencingMode, OrderKind, WorkerRole, type Order } from '@jujubelanding/types';
 import { err, ok, type Result } from 'neverthrow';
 import type { EngineSettings } from './settings.js';
 
-/** Loads a weight and resolves when it has arrived, or with the fault that ended the load. */
-export type FetchWeight = (name: string) => Reply<unknown>;
+/** Loads a weight; resolves when it has arrived, or with the fault that ended the load. */
+export type FetchWeight = (name: string) => Promise<Result<unknown, Fault> | void>;
 
 export class OrderDesk {
   readonly models: Set<string>;
@@ -24,7 +24,7 @@
     private readonly timer: Timer,
     private readonly workerId: string,
     private readonly settings: EngineSettings,
-    private readonly fetchWeight: FetchWeight = async () => ok(await timer.sleep(settings.loadMs)),
+    private readonly fetchWeight: FetchWeight = () => timer.sleep(settings.loadMs),
   ) {
     this.models = new Set(settings.models);
     this.adapters = new Set(settings.adapters);
@@ -51,7 +51,7 @@
 
   private readonly handlers: Record<OrderKind, (target: string) => void> = {
     [OrderKind.LoadModel]: (target) => {
-      void this.fetchWeight(target).then((weight) => weight.isOk() && this.models.add(target));
+      void this.loadModel(target);
     },
     [OrderKind.UnloadModel]: (target) => this.models.delete(target),
     [OrderKind.LoadAdapter]: (target) => {
@@ -66,6 +66,11 @@
     },
   };
 
+  private async loadModel(name: string): Promise<void> {
+    const weight = await this.fetchWeight(name);
+    if (weight?.isErr() !== true) this.models.add(name);
+  }
+
   private rejectFence(step: string, fence: number): Result<never, Fault> {
     const message = `fencing number ${fence} is out of date`;
     const { NotRun } = Outcome;
