Test acceptance and commits of batch jobs under lost VMs and replies

Guards against lost, duplicated or replaced results when an owner is lost, paused or cut off at any write, and when a cancel meets a completion.

--- /dev/null
+++ b/packages/batch-jobs/src/job-owner.test.ts
@@ -0,0 +1,247 @@
+import test from 'ava';
+import {
+  CompletionStatus,
+  PeerMethod,
+  ProgressVerdict,
+  type ChunkGrant,
+} from '@jujubelanding/peer-protocol';
+import { FaultCode } from '@jujubelanding/errors';
+import { JobControl, JobStatus, RecordKind } from '@jujubelanding/types';
+import {
+  MODEL,
+  RETENTION_MS,
+  WriteFault,
+  createCompletion,
+  createItems,
+  createJobFleet,
+  createSubmission,
+  type JobFleet,
+} from './fixtures/job-fleet.js';
+import { getFault, getValue, runFor } from './fixtures/segment-fleet.js';
+import { GRANT_TIMEOUT_MS } from './index.js';
+
+const OTHER_VM = 1;
+
+/** Starts vm-0 as owner of all shards and submits one job. */
+const setUp = async (itemCount: number, change: object = {}) => {
+  const fleet = createJobFleet();
+  fleet.shards.move('vm-0');
+  const submission = createSubmission(createItems(itemCount), change);
+  const { job } = getValue(await runFor(fleet.timer, fleet.vms[2]!.jobs.submit(submission)));
+  const [first, second] = fleet.vms;
+  return { fleet, job, first: first!, second: second! };
+};
+
+const requestChunks = async (fleet: JobFleet, vm: number, slots = 1): Promise<ChunkGrant[]> => {
+  const request = { shard: 0, executorId: `executor-${vm}`, models: [MODEL], slots };
+  const reply = runFor(fleet.timer, fleet.vms[vm]!.owner.requestChunk(request), 10);
+  return getValue(await reply).grants;
+};
+
+const complete = async (fleet: JobFleet, vm: number, grant: ChunkGrant, text?: string) => {
+  const completion = await createCompletion(fleet.vms[2]!, grant, text);
+  return runFor(fleet.timer, fleet.vms[vm]!.owner.completeChunk(completion));
+};
+
+const report = (fleet: JobFleet, vm: number, { shard, jobId, chunk, grantId }: ChunkGrant) => {
+  const grants = [{ jobId, chunk, grantId }];
+  const { owner } = fleet.vms[vm]!;
+  return runFor(fleet.timer, owner.reportProgress({ shard, executorId: 'executor-0', grants }), 10);
+};
+
+const collectTexts = async (fleet: JobFleet, jobId: string): Promise<string[]> => {
+  const texts: string[] = [];
+  for await (const { text } of fleet.vms[2]!.jobs.readResults(jobId, 0, 1e6)) texts.push(text!);
+  return texts;
+};
+
+const readTexts = (fleet: JobFleet, jobId: string): Promise<string[]> =>
+  runFor(fleet.timer, collectTexts(fleet, jobId), 100);
+
+const readJob = async (fleet: JobFleet, jobId: string) =>
+  getValue(await runFor(fleet.timer, fleet.vms[2]!.jobs.get(jobId), 10));
+
+test('a job whose chunks are all committed is completed, with one result per item', async (t) => {
+  const { fleet, job } = await setUp(300);
+  const grants = await requestChunks(fleet, 0, 300);
+  t.deepEqual(
+    grants.map(({ firstItem, itemCount }) => [firstItem, itemCount]),
+    [
+      [0, 200],
+      [200, 100],
+    ],
+  );
+  for (const grant of grants) {
+    t.is(getValue(await complete(fleet, 0, grant)).status, CompletionStatus.Committed);
+  }
+  t.is((await readJob(fleet, job.id)).status, JobStatus.Completed);
+  t.is((await readTexts(fleet, job.id)).length, 300);
+});
+
+test('a chunk is granted again after the timeout and its first committed result stays', async (t) => {
+  const { fleet, job } = await setUp(3);
+  const [early] = await requestChunks(fleet, 0);
+  t.deepEqual(await requestChunks(fleet, 0), []);
+  await fleet.timer.advance(GRANT_TIMEOUT_MS);
+  const [late] = await requestChunks(fleet, 0);
+  t.is(getValue(await complete(fleet, 0, early!, 'first')).status, CompletionStatus.Committed);
+  t.is(getValue(await complete(fleet, 0, late!, 'second')).status, CompletionStatus.Committed);
+  t.deepEqual(await readTexts(fleet, job.id), ['first', 'first', 'first']);
+});
+
+test('a paused owner that wakes after its shard was taken over cannot change a result', async (t) => {
+  const { fleet, job } = await setUp(3);
+  const [grant] = await requestChunks(fleet, 0);
+  fleet.shards.move('vm-1', ['vm-0']);
+  await fleet.timer.advance(2000);
+  t.is(
+    getValue(await complete(fleet, OTHER_VM, grant!, 'new owner')).status,
+    CompletionStatus.Committed,
+  );
+  const stale = await complete(fleet, 0, grant!, 'paused owner');
+  t.is(getValue(stale).status, CompletionStatus.Committed);
+  t.deepEqual(await readTexts(fleet, job.id), Array(3).fill('new owner'));
+  t.is((await readJob(fleet, job.id)).fence, 2);
+});
+
+test('an owner that noticed the end of its lease writes nothing', async (t) => {
+  const { fleet, first } = await setUp(3);
+  const [grant] = await requestChunks(fleet, 0);
+  const completion = await createCompletion(fleet.vms[2]!, grant!);
+  const answer = first.owner.completeChunk(completion);
+  fleet.shards.expire('vm-0');
+  t.is(getFault(await runFor(fleet.timer, answer)).code, FaultCode.NotOwner);
+  t.deepEqual(first.store.writes, []);
+});
+
+for (const fault of Object.values(WriteFault)) {
+  test(`an owner with fault ${fault} at a commit leaves one result after the report is resent`, async (t) => {
+    const { fleet, job, first } = await setUp(3);
+    const [grant] = await requestChunks(fleet, 0);
+    first.store.faults = [{ at: 0, fault }];
+    const completion = await createCompletion(fleet.vms[2]!, grant!, 'result');
+    const answer = first.owner.completeChunk(completion);
+    await fleet.timer.advance(5000);
+    fleet.shards.move('vm-1');
+    await fleet.timer.advance(2000);
+    const again = await runFor(fleet.timer, fleet.vms[1]!.owner.completeChunk(completion));
+    t.is(getValue(again).status, CompletionStatus.Committed);
+    if (fault === WriteFault.ReplyLost) {
+      t.is(getValue(await answer).status, CompletionStatus.Committed);
+    }
+    t.deepEqual(await readTexts(fleet, job.id), Array(3).fill('result'));
+  });
+}
+
+for (const cancelFirst of [true, false]) {
+  test(`of a cancel and a completion at once one wins, cancel first: ${cancelFirst}`, async (t) => {
+    const { fleet, job, first } = await setUp(3);
+    const [grant] = await requestChunks(fleet, 0);
+    const completion = await createCompletion(fleet.vms[2]!, grant!);
+    const steps = [
+      () => fleet.vms[1]!.jobs.cancel(job.id),
+      () => first.owner.completeChunk(completion),
+    ];
+    if (!cancelFirst) steps.reverse();
+    const replies = await runFor(fleet.timer, Promise.all(steps.map((step) => step())));
+    t.true(replies.every((reply) => reply.isOk()));
+    const stored = await readJob(fleet, job.id);
+    const hasResult = stored.chunks[0]!.result !== undefined;
+    t.is(hasResult, stored.status === JobStatus.Completed);
+    const status = hasResult ? CompletionStatus.Committed : CompletionStatus.Rejected;
+    const again = await runFor(fleet.timer, first.owner.completeChunk(completion));
+    t.is(getValue(again).status, status);
+  });
+}
+
+test('executors are told to stop within a second after a cancel on another VM', async (t) => {
+  const { fleet, job } = await setUp(3);
+  const [grant] = await requestChunks(fleet, 0);
+  t.deepEqual(getValue(await report(fleet, 0, grant!)).verdicts, [ProgressVerdict.Continue]);
+  // Without the notice the owner still learns of the cancel through its watch.
+  fleet.network.lostReplies.add(PeerMethod.NotifyJobChanged);
+  await runFor(fleet.timer, fleet.vms[1]!.jobs.cancel(job.id), 1000);
+  t.deepEqual(getValue(await report(fleet, 0, grant!)).verdicts, [ProgressVerdict.Stop]);
+  t.deepEqual(await requestChunks(fleet, 0), []);
+});
+
+test('a new owner lets executors continue with the grants of the old owner', async (t) => {
+  const { fleet } = await setUp(3);
+  const [grant] = await requestChunks(fleet, 0);
+  fleet.shards.move('vm-1');
+  await fleet.timer.advance(500);
+  t.deepEqual(getValue(await report(fleet, OTHER_VM, grant!)).verdicts, [ProgressVerdict.Continue]);
+  await fleet.timer.advance(1500);
+  t.deepEqual(await requestChunks(fleet, OTHER_VM), []);
+});
+
+test('commits of one job are written at most once a second, and at once when it ends', async (t) => {
+  const { fleet, first } = await setUp(900);
+  const grants = await requestChunks(fleet, 0, 900);
+  t.is(grants.length, 5);
+  const completions = await Promise.all(
+    grants.map((grant) => createCompletion(fleet.vms[2]!, grant)),
+  );
+  const answers = completions
+    .slice(0, 4)
+    .map((completion) => first.owner.completeChunk(completion));
+  await fleet.timer.advance(900);
+  t.is(first.store.writes.length, 1);
+  await fleet.timer.advance(200);
+  await Promise.all(answers);
+  t.true(first.store.writes.length <= 2);
+  const last = first.owner.completeChunk(completions[4]!);
+  t.is(getValue(await runFor(fleet.timer, last, 20)).status, CompletionStatus.Committed);
+});
+
+test('a paused class is not granted; a cancelled class ends its jobs', async (t) => {
+  const { fleet, job } = await setUp(3, { jobClass: 'nightly' });
+  const spec = { team: 'team-a', model: MODEL, dueInMs: 1, maxAttempts: 1 };
+  fleet.configuration.set(RecordKind.Job, 'nightly', { ...spec, control: JobControl.Paused });
+  t.deepEqual(await requestChunks(fleet, 0), []);
+  fleet.configuration.set(RecordKind.Job, 'nightly', { ...spec, control: JobControl.Running });
+  t.is((await requestChunks(fleet, 0)).length, 1);
+  fleet.configuration.set(RecordKind.Job, 'nightly', { ...spec, control: JobControl.Cancelled });
+  await fleet.timer.advance(1000);
+  t.is((await readJob(fleet, job.id)).status, JobStatus.Cancelled);
+});
+
+test('copies on a lost disk VM are replaced and the record names the new VM', async (t) => {
+  const { fleet, job } = await setUp(3);
+  const lost = job.chunks[0]!.input.copies.find((id) => id !== 'vm-0')!;
+  fleet.members.remove(lost);
+  fleet.network.down.add(lost);
+  await fleet.timer.advance(60_000);
+  const stored = getValue(await runFor(fleet.timer, fleet.vms[0]!.jobs.get(job.id), 10));
+  const { copies } = stored.chunks[0]!.input;
+  t.false(copies.includes(lost));
+  t.is(copies.length, 2);
+  t.true(copies.every((id) => fleet.disks.get(id)!.paths().length === 1));
+});
+
+test('copies are restored on a VM that came back with an empty disk', async (t) => {
+  const { fleet, job } = await setUp(3);
+  await fleet.timer.advance(10_000);
+  const [holder] = job.chunks[0]!.input.copies;
+  fleet.disks.get(holder!)!.loseAll();
+  fleet.members.set({ ...fleet.members.all.get(holder!)!, bootId: 'boot-2' });
+  await fleet.timer.advance(20_000);
+  t.is(fleet.disks.get(holder!)!.paths().length, 1);
+});
+
+test('an ended job is removed after the retention time, an open one is kept', async (t) => {
+  const { fleet, job } = await setUp(3);
+  await runFor(fleet.timer, fleet.vms[1]!.jobs.cancel(job.id));
+  const open = fleet.vms[1]!.jobs.submit(
+    createSubmission(createItems(3), { idempotencyKey: 'key-2' }),
+  );
+  const { job: kept } = getValue(await runFor(fleet.timer, open));
+  await fleet.timer.advance(RETENTION_MS / 2);
+  t.is((await readJob(fleet, job.id)).status, JobStatus.Cancelled);
+  await fleet.timer.advance(RETENTION_MS);
+  const listed = getValue(await runFor(fleet.timer, fleet.vms[2]!.jobs.list('team-a')));
+  t.deepEqual(
+    listed.map(({ id }) => id),
+    [kept.id],
+  );
+});
--- /dev/null
+++ b/packages/batch-jobs/src/schedule.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava';
+import { JobControl, JobStatus, type JobRecord } from '@jujubelanding/types';
+import { MAX_VALUE_BYTES } from '@jujubelanding/platform';
+import { computeChecksum } from '@jujubelanding/random';
+import { createItems } from './fixtures/job-fleet.js';
+import { getValue } from './fixtures/segment-fleet.js';
+import { ChunkBuilder, chooseChunks, decodeJob, encodeJob, type OpenJob } from './index.js';
+
+const createSegment = (name: string) => ({
+  id: computeChecksum(name),
+  bytes: 1_000_000,
+  copies: ['entry-vm-00001', 'entry-vm-00002', 'entry-vm-00003'],
+});
+
+const createRecord = (id: string, sizes: number[], change: Partial<JobRecord> = {}): JobRecord => {
+  let firstItem = 0;
+  const chunks = sizes.map((itemCount, index) => {
+    const input = createSegment(`${id}-${index}`);
+    const chunk = { index, firstItem, itemCount, input, failedItems: 0 };
+    firstItem += itemCount;
+    return chunk;
+  });
+  return {
+    id,
+    team: 'team-a',
+    idempotencyKey: 'key',
+    model: 'base',
+    maxAttempts: 4,
+    digest: computeChecksum(id),
+    status: JobStatus.Open,
+    itemCount: firstItem,
+    chunks,
+    createdAt: 0,
+    dueAt: 0,
+    fence: 0,
+    ...change,
+  };
+};
+
+const open = (record: JobRecord): OpenJob => ({
+  record,
+  revision: 1,
+  grants: new Map(),
+  finished: new Set(),
+  grantsFrom: 0,
+});
+
+const choose = (jobs: OpenJob[], slots: number, weights: Record<string, number> = {}) =>
+  chooseChunks(
+    jobs,
+    { models: ['base'], slots },
+    { weightOf: (team) => weights[team] ?? 1, controlOf: () => JobControl.Running },
+    0,
+  ).map(({ job }) => job.record.id);
+
+test('within a team the job that is due first is served first', (t) => {
+  const jobs = [
+    open(createRecord('later', [10, 10], { dueAt: 2 })),
+    open(createRecord('sooner', [10, 10], { dueAt: 1 })),
+  ];
+  t.deepEqual(choose(jobs, 30), ['sooner', 'sooner', 'later']);
+});
+
+test('teams share chunks by weight, whichever job is due first', (t) => {
+  const sizes = Array<number>(10).fill(10);
+  const jobs = [
+    open(createRecord('a', sizes, { team: 'a', dueAt: 1 })),
+    open(createRecord('b', sizes, { team: 'b', dueAt: 2 })),
+  ];
+  const chosen = choose(jobs, 80, { a: 1, b: 3 });
+  t.is(chosen.filter((id) => id === 'b').length, 6);
+});
+
+test('a job for an adapter needs an executor that has the adapter', (t) => {
+  const jobs = [open(createRecord('a', [10], { adapter: 'tuned' }))];
+  t.deepEqual(choose(jobs, 10), []);
+});
+
+test('the record of the largest job with all results stays below 1 MB', (t) => {
+  const builder = new ChunkBuilder();
+  const [item] = createItems(1);
+  const sizes: number[] = [];
+  for (let index = 0; index < 570_000; index += 1) {
+    const chunk = builder.add(item!);
+    if (chunk !== undefined) sizes.push(chunk.itemCount);
+  }
+  const rest = builder.finish();
+  if (rest !== undefined) sizes.push(rest.itemCount);
+  t.true(sizes.length <= 310);
+  const record = createRecord('largest', sizes);
+  record.chunks.forEach((chunk) => {
+    chunk.result = createSegment(`result-${chunk.index}`);
+    chunk.failedItems = 1234;
+  });
+  const encoded = encodeJob(record);
+  t.true(Buffer.byteLength(encoded) < MAX_VALUE_BYTES / 8);
+  t.deepEqual(getValue(decodeJob(encoded)), record);
+});
