Test the command-line tool against misbehaving entry VMs

Jobs and entry points now follow the shapes of the caller interface. Failed items are part of the completed ones; the progress bar counted them twice. Secrets with a leading dash are no longer taken for unknown flags, whose names would be shown.

--- a/packages/cli/src/client/shapes.ts
+++ b/packages/cli/src/client/shapes.ts
@@ -46,17 +46,24 @@
 export const BATCH_JOB = z.looseObject({
   id: z.string(),
   status: z.enum(JobStatus),
+  model: z.string().optional(),
   itemCount: z.number(),
   completedItems: z.number(),
   failedItems: z.number(),
-  createdAt: z.number(),
-  dueAt: z.number(),
-  endedAt: z.number().nullish(),
+  /** Points in time are ISO 8601 texts. */
+  createdAt: z.string(),
+  dueAt: z.string(),
+  endedAt: z.string().optional(),
 });
 
 export type BatchJob = z.infer<typeof BATCH_JOB>;
 
-export const BATCH_JOB_LIST = z.object({ batches: z.array(BATCH_JOB) });
+/** Answer to a submission; `resent` tells that an earlier one under the same key is returned. */
+export const SUBMITTED_JOB = BATCH_JOB.extend({ resent: z.boolean().optional() });
+
+export type SubmittedJob = z.infer<typeof SUBMITTED_JOB>;
+
+export const BATCH_JOB_LIST = z.object({ jobs: z.array(BATCH_JOB) });
 
 export const ITEM_RESULT = z.looseObject({
   index: z.number().int().nonnegative(),
--- a/packages/cli/src/command-line/parse.ts
+++ b/packages/cli/src/command-line/parse.ts
@@ -1,5 +1,6 @@
 /** Parsing of the command line with meow; all faults are collected. */
 import type { Readable } from 'node:stream';
+import { attachSecrets } from '@jujubelanding/settings';
 import meow from 'meow';
 import { Err, Ok, Result } from 'ts-results-es';
 import type { Arguments, Command } from './command.js';
@@ -36,10 +37,13 @@
   ]),
 );
 
+const KNOWN_FLAGS = new Set(ALL_FLAGS.map((flag) => `--${flag}`));
+const SECRET_FLAGS = new Set([Flag.Token, Flag.TeamKey].map((flag) => `--${flag}`));
+
 const parseRaw = (argv: readonly string[]): RawCommandLine => {
   const { input, flags } = meow('', {
     importMeta: import.meta,
-    argv,
+    argv: attachSecrets(argv, SECRET_FLAGS, KNOWN_FLAGS),
     pkg: { name: 'jujubelanding', bin: 'jujubelanding' },
     flags: MEOW_FLAGS,
     // Meow would print and exit by itself.
@@ -124,7 +128,7 @@
   const count = words.length - name.split(' ').length;
   if (count === command.positional.length) return [];
   const usage = ['jujubelanding', name, ...command.positional].join(' ');
-  return [`${name}: ${count} arguments given; allowed: ${usage}`];
+  return [`${name}: arguments given: ${count}; allowed: ${usage}`];
 };
 
 /** Parses the command line for one of the commands. */
--- a/packages/cli/src/command-line/values.ts
+++ b/packages/cli/src/command-line/values.ts
@@ -14,11 +14,12 @@
     : err(`--${flag}: ${JSON.stringify(text)} is not allowed; allowed: a whole number from 0`);
 };
 
-export const readTimeout = (args: Arguments): Result<number | undefined, string> => {
-  const text = args.values[Flag.Timeout];
+/** Reads a duration in milliseconds. */
+export const readDuration = (args: Arguments, flag: Flag): Result<number | undefined, string> => {
+  const text = args.values[flag];
   if (text === undefined) return ok(undefined);
   return parseDuration(text).mapErr(
-    (problem) => `--${Flag.Timeout}: ${JSON.stringify(text)} is not allowed; ${problem}`,
+    (problem) => `--${flag}: ${JSON.stringify(text)} is not allowed; ${problem}`,
   );
 };
 
--- a/packages/cli/src/commands/apply/index.test.ts
+++ b/packages/cli/src/commands/apply/index.test.ts
@@ -57,6 +57,16 @@
   t.is(new Set(ids).size, 1);
 });
 
+test('a repetition that is refused as not-run goes to the next entry VM under the same id', async (t) => {
+  const { records, first, second } = await startFleet(t);
+  first.misbehave('PUT', Misbehaviour.LoseReply);
+  first.misbehave('PUT', Misbehaviour.RefuseNotRun);
+  const input = JSON.stringify(WEIGHT);
+  t.is((await runTool(['apply', '-'], [first, second], { input })).code, ExitCode.Ok);
+  t.is(records.applied, 1);
+  t.is(second.requests.length, 1);
+});
+
 test('a write is not sent elsewhere after a lost reply, and its outcome stays unknown', async (t) => {
   const { first, second } = await startFleet(t);
   for (let count = 0; count < 10; count += 1) first.misbehave('PUT', Misbehaviour.LoseRequest);
--- a/packages/cli/src/commands/apply/index.ts
+++ b/packages/cli/src/commands/apply/index.ts
@@ -85,7 +85,7 @@
     const { kind, name } = changes[applied.length]!.write;
     writeNote(
       output,
-      `stopped at ${kind} ${name}, ${changes.length - applied.length} records left`,
+      `stopped at ${kind} ${name}; records left: ${changes.length - applied.length}`,
     );
     return reportFault(output, fault);
   }
--- /dev/null
+++ b/packages/cli/src/commands/chat/index.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava';
+import { FaultCode, Outcome, toProblem } from '@jujubelanding/errors';
+import { ExitCode } from '../../exit-code.js';
+import { runTool } from '../../fixtures/run-tool.js';
+import { TestEntryVm } from '../../fixtures/test-fleet.js';
+
+const createEvent = (content: string, finishReason: string | null = null): string =>
+  `data: ${JSON.stringify({ choices: [{ delta: { content }, finish_reason: finishReason }] })}\n\n`;
+
+const DONE = 'data: [DONE]\n\n';
+const CHAT = ['chat', 'Which glass?', '--model', 'advisor'];
+
+const startEntryVm = async (
+  t: { teardown: (end: () => Promise<void>) => void },
+  body: string,
+): Promise<TestEntryVm> => {
+  const entryVm = new TestEntryVm();
+  entryVm.route('POST', '/v1/chat/completions', () => new Response(body));
+  await entryVm.start();
+  t.teardown(() => entryVm.stop());
+  return entryVm;
+};
+
+test('an answer is streamed as text for people and whole as JSON for programs', async (t) => {
+  const answer = createEvent('Clear ') + createEvent('crown.') + createEvent('', 'stop') + DONE;
+  const entryVm = await startEntryVm(t, answer);
+  const forPeople = await runTool(CHAT, [entryVm]);
+  t.deepEqual([forPeople.code, forPeople.stdout], [ExitCode.Ok, 'Clear crown.\n']);
+  const forPrograms = await runTool([...CHAT, '--json'], [entryVm]);
+  t.deepEqual(JSON.parse(forPrograms.stdout), { text: 'Clear crown.', finishReason: 'stop' });
+});
+
+test('an answer without its end, with an error event or with a broken event is not complete', async (t) => {
+  const fault = { code: FaultCode.Interrupted, outcome: Outcome.Failed, step: 's', message: 'm' };
+  const errorEvent = `event: error\ndata: ${JSON.stringify(toProblem(fault))}\n\n`;
+  const start = createEvent('Clear ');
+  const bodies = [
+    start,
+    start + createEvent('', 'stop'),
+    start + DONE,
+    start + errorEvent,
+    `${start}data: {"choices"\n\n${createEvent('', 'stop')}${DONE}`,
+    start + createEvent('', 'cancelled') + DONE,
+  ];
+  for (const body of bodies) {
+    const entryVm = await startEntryVm(t, body);
+    t.is((await runTool(CHAT, [entryVm])).code, ExitCode.Failed);
+  }
+});
--- a/packages/cli/src/commands/chat/index.ts
+++ b/packages/cli/src/commands/chat/index.ts
@@ -7,8 +7,6 @@
 import { Format, reportFault, reportUsage, writeAnswer } from '../../output/output.js';
 import { readAnswer } from './read-answer.js';
 
-const DEFAULT_MAX_TOKENS = 512;
-
 export const chat: Command = {
   description: 'Asks a model and streams its answer.',
   positional: ['TEXT'],
@@ -25,7 +23,8 @@
       model: values[Flag.Model],
       adapter: values[Flag.Adapter],
       messages: [{ role: 'user', content: positional[0] }],
-      max_tokens: maxTokens.value ?? DEFAULT_MAX_TOKENS,
+      // Without a number the model's own maximum applies.
+      max_tokens: maxTokens.value,
       stream: true,
     });
     const opened = await client.open({
--- a/packages/cli/src/commands/chat/read-answer.ts
+++ b/packages/cli/src/commands/chat/read-answer.ts
@@ -17,6 +17,7 @@
 });
 
 const END_MARK = '[DONE]';
+const CANCELLED = 'cancelled';
 
 export interface ChatAnswer {
   text: string;
@@ -57,6 +58,9 @@
     if (!this.#isEnded || this.#finishReason === undefined) {
       return err(createFault(FaultCode.Interrupted, 'the answer ended before its end event'));
     }
+    if (this.#finishReason === CANCELLED) {
+      return err(createFault(FaultCode.Cancelled, 'the answer was cancelled before its end'));
+    }
     return ok({ text: this.#text, finishReason: this.#finishReason });
   }
 
--- a/packages/cli/src/commands/entry-points/index.ts
+++ b/packages/cli/src/commands/entry-points/index.ts
@@ -15,7 +15,7 @@
   defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
   run: async ({ values }, client, output) => {
     const zone = values[Flag.AvailabilityZone];
-    const query = zone === undefined ? '' : `?availabilityZone=${encodeURIComponent(zone)}`;
+    const query = zone === undefined ? '' : `?zone=${encodeURIComponent(zone)}`;
     const answer = await client.send(
       { method: 'GET', path: `/v1/entry-points${query}`, repetition: Repetition.Safe },
       ENTRY_POINT_ANSWER,
--- a/packages/cli/src/commands/jobs-list/index.ts
+++ b/packages/cli/src/commands/jobs-list/index.ts
@@ -19,7 +19,7 @@
       BATCH_JOB_LIST,
     );
     if (answer.isErr()) return reportFault(output, answer.error);
-    writeAnswer(output, answer.value, () => formatJobs(answer.value.batches));
+    writeAnswer(output, answer.value, () => formatJobs(answer.value.jobs));
     return ExitCode.Ok;
   },
 };
--- a/packages/cli/src/commands/jobs-results/sink.ts
+++ b/packages/cli/src/commands/jobs-results/sink.ts
@@ -1,5 +1,5 @@
 /** Where result lines go: a file or standard output. */
-import { type FileHandle, open, rename, rm } from 'node:fs/promises';
+import { open, rename, rm } from 'node:fs/promises';
 import type { Output } from '../../output/output.js';
 
 export interface Sink {
@@ -10,56 +10,60 @@
   discard(): Promise<void>;
 }
 
-const createOutputSink = (output: Output): Sink => ({
-  write: async (line) => {
-    output.write(`${line}\n`);
-    await output.drain();
-  },
-  finish: () => output.drain(),
-  discard: () => output.drain(),
-});
-
+// One write per line would cost a system call for each of up to 570,000 results.
 const FLUSH_CHARACTERS = 65_536;
 
-/** Writes beside the target and renames at the end, so that a file is never incomplete. */
-class FileSink implements Sink {
+/** Collects lines and passes them on in larger pieces. */
+class LineBuffer {
   #pending = '';
 
-  constructor(
-    private readonly path: string,
-    private readonly handle: FileHandle,
-  ) {}
+  constructor(private readonly put: (text: string) => Promise<void>) {}
 
-  async write(line: string): Promise<void> {
+  async add(line: string): Promise<void> {
     this.#pending += `${line}\n`;
-    if (this.#pending.length >= FLUSH_CHARACTERS) await this.#flush();
-  }
-
-  async finish(): Promise<void> {
-    await this.#flush();
-    await this.handle.sync();
-    await this.handle.close();
-    await rename(FileSink.partialPath(this.path), this.path);
-  }
-
-  async discard(): Promise<void> {
-    await this.handle.close();
-    await rm(FileSink.partialPath(this.path), { force: true });
+    if (this.#pending.length >= FLUSH_CHARACTERS) await this.flush();
   }
 
-  async #flush(): Promise<void> {
+  async flush(): Promise<void> {
     const text = this.#pending;
     this.#pending = '';
-    await this.handle.writeFile(text);
-  }
-
-  static partialPath(path: string): string {
-    return `${path}.partial`;
+    await this.put(text);
   }
 }
 
+const createOutputSink = (output: Output): Sink => {
+  const buffer = new LineBuffer((text) => {
+    output.write(text);
+    return output.drain();
+  });
+  return {
+    write: (line) => buffer.add(line),
+    finish: () => buffer.flush(),
+    // Lines that have arrived are whole results; the exit code tells that others are missing.
+    discard: () => buffer.flush(),
+  };
+};
+
+/** Writes beside the target and renames at the end, so that a file is never incomplete. */
+const createFileSink = async (path: string): Promise<Sink> => {
+  const partialPath = `${path}.partial`;
+  const handle = await open(partialPath, 'w');
+  const buffer = new LineBuffer((text) => handle.writeFile(text));
+  return {
+    write: (line) => buffer.add(line),
+    finish: async () => {
+      await buffer.flush();
+      await handle.sync();
+      await handle.close();
+      await rename(partialPath, path);
+    },
+    discard: async () => {
+      await handle.close();
+      await rm(partialPath, { force: true });
+    },
+  };
+};
+
 /** Opens a sink; throws when the file cannot be created. */
 export const openSink = async (path: string | undefined, output: Output): Promise<Sink> =>
-  path === undefined
-    ? createOutputSink(output)
-    : new FileSink(path, await open(FileSink.partialPath(path), 'w'));
+  path === undefined ? createOutputSink(output) : createFileSink(path);
--- a/packages/cli/src/commands/jobs-submit/index.ts
+++ b/packages/cli/src/commands/jobs-submit/index.ts
@@ -1,11 +1,12 @@
 /** `jobs submit FILE`: submits a batch job. */
 import type { Fault } from '@jujubelanding/errors';
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import { type Client, Repetition } from '../../client/client.js';
 import { JOBS_PATH } from '../../client/jobs.js';
-import { BATCH_JOB, type BatchJob } from '../../client/shapes.js';
+import { SUBMITTED_JOB, type SubmittedJob } from '../../client/shapes.js';
 import { type Arguments, type Command, Credential } from '../../command-line/command.js';
 import { Flag } from '../../command-line/flags.js';
+import { readDuration } from '../../command-line/values.js';
 import { ExitCode } from '../../exit-code.js';
 import { type OpenInput, prepareInput } from '../../input/files.js';
 import { checkItems } from '../../input/items.js';
@@ -16,45 +17,47 @@
 // A job of 570,000 items takes longer than other requests to send and to store.
 const SUBMIT_TIMEOUT_MS = 600_000;
 
-const MAX_KEY_CHARACTERS = 255;
+const KEY = /^[\x21-\x7e]{1,255}$/;
 
-const createQuery = ({ values }: Arguments): string => {
-  const query = new URLSearchParams();
-  for (const flag of [Flag.Model, Flag.Adapter, Flag.Job]) {
-    const text = values[flag];
-    if (text !== undefined) query.set(flag, text);
-  }
-  return query.toString();
-};
-
-const checkFlags = ({ values }: Arguments): string[] => {
+/** Checks all flags; the query says what the job is, since the body holds only items. */
+const createQuery = (args: Arguments): Result<string, string[]> => {
+  const { values } = args;
   const faults: string[] = [];
+  const query = new URLSearchParams();
+  const dueIn = readDuration(args, Flag.DueIn);
+  if (dueIn.isErr()) faults.push(dueIn.error);
+  else if (dueIn.value !== undefined) query.set('dueInMs', String(dueIn.value));
   if ((values[Flag.Model] === undefined) === (values[Flag.Job] === undefined)) {
     faults.push(`--${Flag.Model}, --${Flag.Job}: allowed: exactly one of them`);
   }
-  if (values[Flag.Adapter] !== undefined && values[Flag.Model] === undefined) {
-    faults.push(`--${Flag.Adapter}: allowed: only together with --${Flag.Model}`);
+  for (const flag of [Flag.Adapter, Flag.DueIn]) {
+    if (values[flag] !== undefined && values[Flag.Job] !== undefined) {
+      faults.push(`--${flag}: allowed: only without --${Flag.Job}, which sets it`);
+    }
   }
-  if (!/^[\x21-\x7e]*$/.test(values[Flag.IdempotencyKey] ?? '')) {
-    faults.push(`--${Flag.IdempotencyKey}: allowed: printable ASCII characters without spaces`);
+  if (!KEY.test(values[Flag.IdempotencyKey] ?? 'absent')) {
+    faults.push(
+      `--${Flag.IdempotencyKey}: allowed: 1 to 255 printable ASCII characters, no spaces`,
+    );
   }
-  if ((values[Flag.IdempotencyKey] ?? '').length > MAX_KEY_CHARACTERS) {
-    faults.push(`--${Flag.IdempotencyKey}: allowed: up to ${MAX_KEY_CHARACTERS} characters`);
+  for (const flag of [Flag.Model, Flag.Adapter, Flag.Job]) {
+    const text = values[flag];
+    if (text !== undefined) query.set(flag, text);
   }
-  return faults;
+  return faults.length > 0 ? err(faults) : ok(query.toString());
 };
 
 /** Sends the items; under the idempotency key a repeated submission resolves to the first job. */
 const submitItems = (
-  args: Arguments,
   client: Client,
+  query: string,
   open: OpenInput,
   idempotencyKey: string,
-): Promise<Result<BatchJob, Fault>> =>
+): Promise<Result<SubmittedJob, Fault>> =>
   client.send(
     {
       method: 'POST',
-      path: `${JOBS_PATH}?${createQuery(args)}`,
+      path: `${JOBS_PATH}?${query}`,
       repetition: Repetition.Safe,
       headers: {
         'content-type': 'application/x-ndjson',
@@ -63,25 +66,28 @@
       createBody: open,
       timeoutMs: SUBMIT_TIMEOUT_MS,
     },
-    BATCH_JOB,
+    SUBMITTED_JOB,
   );
 
 export const jobsSubmit: Command = {
   description: 'Submits a batch job of NDJSON items; "-" reads standard input.',
   positional: ['FILE'],
-  flags: [Flag.Model, Flag.Adapter, Flag.Job, Flag.IdempotencyKey, Flag.Wait],
+  flags: [Flag.Model, Flag.Adapter, Flag.Job, Flag.DueIn, Flag.IdempotencyKey, Flag.Wait],
   credential: Credential.Team,
   run: async (args, client, output) => {
-    const faults = checkFlags(args);
-    if (faults.length > 0) return reportUsage(output, faults);
+    const query = createQuery(args);
+    if (query.isErr()) return reportUsage(output, query.error);
     const open = await prepareInput(args.positional[0]!, args);
     const items = await checkItems(open);
     if (items.isErr()) return reportUsage(output, items.error);
     const idempotencyKey = args.values[Flag.IdempotencyKey] ?? client.createId();
     // Without the key a submission whose outcome is unknown could not be repeated.
     writeNote(output, `submitting ${items.value} items under idempotency key ${idempotencyKey}`);
-    const job = await submitItems(args, client, open, idempotencyKey);
+    const job = await submitItems(client, query.value, open, idempotencyKey);
     if (job.isErr()) return reportFault(output, job.error);
+    if (job.value.resent === true) {
+      writeNote(output, 'the key was used before; its job is shown');
+    }
     if (args.switches.has(Flag.Wait)) return waitForJob(client, output, job.value);
     writeAnswer(output, job.value, () => formatJobs([job.value]));
     return ExitCode.Ok;
--- a/packages/cli/src/commands/jobs-submit/wait.ts
+++ b/packages/cli/src/commands/jobs-submit/wait.ts
@@ -24,14 +24,14 @@
   let job = submitted;
   try {
     while (job.status === JobStatus.Open && !client.isTimeOver()) {
-      progress.update(job.completedItems + job.failedItems);
+      progress.update(job.completedItems);
       await client.pause(POLL_INTERVAL_MS);
       const answer = await readJob(client, job.id);
       if (answer.isOk()) job = answer.value;
       // Entry VMs that cannot be reached for a while do not end the job.
       else if (answer.error.outcome === Outcome.Failed) return reportFault(output, answer.error);
     }
-    progress.update(job.completedItems + job.failedItems);
+    progress.update(job.completedItems);
   } finally {
     progress.stop();
   }
--- a/packages/cli/src/input/items.ts
+++ b/packages/cli/src/input/items.ts
@@ -4,10 +4,20 @@
 import { z } from 'zod';
 import { type OpenInput, parseJson, readLines } from './files.js';
 
-const ITEM = z.looseObject({
-  itemId: z.string().min(1),
-  messages: z.array(z.looseObject({ role: z.string(), content: z.string() })).min(1),
-  maxTokens: z.number().int().positive(),
+const TEXT_PART = z.object({ type: z.literal('text'), text: z.string() });
+
+// Strict, so that a misspelt field is not ignored.
+const ITEM = z.strictObject({
+  itemId: z.string().min(1).max(200),
+  messages: z
+    .array(
+      z.object({
+        role: z.string().min(1),
+        content: z.union([z.string(), z.array(TEXT_PART)]),
+      }),
+    )
+    .min(1),
+  maxTokens: z.number().int().positive().optional(),
 });
 
 // A file in another format has a fault in each line.
@@ -18,7 +28,7 @@
   if (item.isErr()) return [item.error];
   const parsed = ITEM.safeParse(item.value);
   if (!parsed.success) {
-    return parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+    return parsed.error.issues.map(({ path, message }) => [...path, message].join(': '));
   }
   const { itemId } = parsed.data;
   if (seen.has(itemId)) return [`itemId: ${JSON.stringify(itemId)} is given more than once`];
--- a/packages/cli/src/output/jobs.ts
+++ b/packages/cli/src/output/jobs.ts
@@ -1,8 +1,18 @@
 /** Batch jobs as tables. */
 import type { BatchJob } from '../client/shapes.js';
-import { formatTable, formatTime } from './table.js';
+import { formatTable } from './table.js';
 
-const COLUMNS = ['ID', 'STATUS', 'ITEMS', 'COMPLETED', 'FAILED', 'CREATED', 'DUE', 'ENDED'];
+const COLUMNS = [
+  'ID',
+  'STATUS',
+  'MODEL',
+  'ITEMS',
+  'COMPLETED',
+  'FAILED',
+  'CREATED',
+  'DUE',
+  'ENDED',
+];
 
 export const formatJobs = (jobs: readonly BatchJob[]): string =>
   formatTable(
@@ -10,11 +20,12 @@
     jobs.map((job) => [
       job.id,
       job.status,
+      job.model,
       job.itemCount,
       job.completedItems,
       job.failedItems,
-      formatTime(job.createdAt),
-      formatTime(job.dueAt),
-      formatTime(job.endedAt),
+      job.createdAt,
+      job.dueAt,
+      job.endedAt,
     ]),
   );
--- a/packages/cli/src/output/table.ts
+++ b/packages/cli/src/output/table.ts
@@ -40,7 +40,3 @@
   const lines = table.toString().split('\n');
   return `${lines.map((line) => line.trimEnd()).join('\n')}\n`;
 };
-
-/** Formats a point in time given in epoch milliseconds. */
-export const formatTime = (epochMs: number | null | undefined): string | undefined =>
-  epochMs === null || epochMs === undefined ? undefined : new Date(epochMs).toISOString();
--- /dev/null
+++ b/packages/cli/src/run.test.ts
@@ -0,0 +1,149 @@
+import test from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import { RecordKind } from '@jujubelanding/types';
+import { ExitCode } from './exit-code.js';
+import { addRecordRoutes, TestRecords } from './fixtures/record-routes.js';
+import { runTool, SelfAdvancingTimer } from './fixtures/run-tool.js';
+import { Misbehaviour, refuse, TestEntryVm } from './fixtures/test-fleet.js';
+
+// Port 1 is reserved and refuses connections.
+const DOWN = { address: '127.0.0.1:1' };
+
+const startEntryVm = async (
+  t: { teardown: (end: () => Promise<void>) => void },
+  records = new TestRecords(),
+): Promise<TestEntryVm> => {
+  const entryVm = new TestEntryVm();
+  addRecordRoutes(entryVm, records);
+  await entryVm.start();
+  t.teardown(() => entryVm.stop());
+  return entryVm;
+};
+
+const LIST = ['list', 'version'];
+
+test('the next entry VM is tried after a refused connection and after a refusal as not-run', async (t) => {
+  const [first, second] = [await startEntryVm(t), await startEntryVm(t)];
+  first.misbehave('GET', Misbehaviour.RefuseNotRun);
+  t.is((await runTool(LIST, [DOWN, first, second])).code, ExitCode.Ok);
+  t.is(second.requests.length, 1);
+});
+
+test('when no entry VM takes the request, nothing ran', async (t) => {
+  const first = await startEntryVm(t);
+  first.misbehave('GET', Misbehaviour.RefuseNotRun);
+  t.is((await runTool(LIST, [DOWN, first])).code, ExitCode.NotRun);
+  t.is(first.requests.length, 1);
+});
+
+test('a refusal that any entry VM would repeat is not tried elsewhere', async (t) => {
+  const second = await startEntryVm(t);
+  for (const [code, exitCode] of [
+    [FaultCode.Unauthorized, ExitCode.Unauthorized],
+    [FaultCode.NotFound, ExitCode.NotFound],
+    [FaultCode.InvalidInput, ExitCode.Usage],
+    [FaultCode.KeyReused, ExitCode.Conflict],
+    [FaultCode.RateLimited, ExitCode.NotRun],
+  ] as const) {
+    const first = new TestEntryVm();
+    first.route('GET', '/admin/v1/records/version', () => refuse(code, Outcome.NotRun));
+    await first.start();
+    t.teardown(() => first.stop());
+    t.is((await runTool(LIST, [first, second])).code, exitCode);
+  }
+  t.deepEqual(second.requests, []);
+});
+
+test('a hanging entry VM is given up at the time limit, with the outcome unknown', async (t) => {
+  const first = await startEntryVm(t);
+  const timer = new SelfAdvancingTimer();
+  first.misbehave('GET', Misbehaviour.Hang);
+  first.onHang = () => {
+    void timer.advance(5000);
+  };
+  const { code, stderr } = await runTool([...LIST, '--timeout', '5s'], [first], { timer });
+  t.is(code, ExitCode.OutcomeUnknown);
+  t.regex(stderr, /no answer in time/);
+});
+
+test('an answer of a proxy without problem details is not conclusive and is repeated', async (t) => {
+  const first = await startEntryVm(t);
+  first.misbehave('GET', Misbehaviour.PlainError);
+  t.is((await runTool(LIST, [first])).code, ExitCode.Ok);
+  t.is(first.requests.length, 2);
+});
+
+test('a truncated answer is not taken for complete', async (t) => {
+  const first = new TestEntryVm();
+  first.route('GET', '/admin/v1/records/version', () => new Response('{"records":['));
+  await first.start();
+  t.teardown(() => first.stop());
+  t.is((await runTool(LIST, [first])).code, ExitCode.OutcomeUnknown);
+});
+
+test('records are shown as tables for people and as JSON for programs', async (t) => {
+  const records = new TestRecords();
+  const first = await startEntryVm(t, records);
+  records.put({ kind: RecordKind.Version, name: 'v1', schemaVersion: 1, spec: { weight: 'w1' } });
+  records.put({ kind: RecordKind.Version, name: 'v20', schemaVersion: 1, spec: { weight: 'w2' } });
+  first.route('GET', '/admin/v1/status', () =>
+    Response.json({
+      acceptedRevision: 12,
+      inForceEverywhere: false,
+      entryVms: [
+        {
+          entryVmId: 'vm-1',
+          availabilityZone: 'hofn-a',
+          state: 'alive',
+          heldRevision: 12,
+          activeRevision: 12,
+        },
+        {
+          entryVmId: 'vm-2',
+          availabilityZone: 'nes-c',
+          state: 'leaving',
+          heldRevision: 12,
+          activeRevision: 9,
+        },
+      ],
+    }),
+  );
+  first.route('GET', '/v1/entry-points', () =>
+    Response.json({
+      entryPoints: [{ address: '192.0.2.1:8080', availabilityZone: 'hofn-a' }],
+      lifetimeMs: 30_000,
+    }),
+  );
+  for (const argv of [
+    LIST,
+    ['get', 'version', 'v1'],
+    ['status'],
+    ['entry-points'],
+    [...LIST, '--json'],
+  ]) {
+    t.snapshot((await runTool(argv, [first])).stdout, argv.join(' '));
+  }
+});
+
+test('help, version and wrong usage need no entry VM and name what is allowed', async (t) => {
+  const version = await runTool(['--version'], []);
+  t.deepEqual([version.code, version.stdout], [ExitCode.Ok, '0.0.0\n']);
+  t.snapshot((await runTool(['--help'], [])).stdout);
+  t.snapshot((await runTool(['jobs', 'submit', '--help'], [])).stdout);
+  const wrong = [
+    [],
+    ['jobs'],
+    ['get', 'version'],
+    ['get', 'versoin', 'v1'],
+    ['status', '--dry-run', '--tiemout=5s'],
+    ['apply', '-', '--expected-revision', '1', '--expected-revision', '2'],
+    ['status', '--timeout', '5', '--entry-vm', 'localhost:80', '--entry-vm', '10.0.0.1'],
+    ['status', '--entry-vm'],
+    ['status', '--token', '-hidden', '--entry-vm', 'x', '--json'],
+  ];
+  for (const argv of wrong) {
+    const { code, stderr } = await runTool(argv, argv[0] === 'get' ? [DOWN] : []);
+    t.is(code, ExitCode.Usage);
+    t.snapshot(stderr, `jujubelanding ${argv.join(' ')}`);
+  }
+});
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -8,7 +8,7 @@
 import { Flag, FLAGS } from './command-line/flags.js';
 import { createCommandHelp, createHelp } from './command-line/help.js';
 import { type Environment, parseCommandLine } from './command-line/parse.js';
-import { checkEntryVms, readTimeout } from './command-line/values.js';
+import { checkEntryVms, readDuration } from './command-line/values.js';
 import { COMMANDS } from './commands/index.js';
 import { ExitCode } from './exit-code.js';
 import { Format, type Output, reportUsage } from './output/output.js';
@@ -45,7 +45,7 @@
   output: Output,
   { timer, random }: ProcessIo,
 ): Promise<ExitCode> => {
-  const timeout = readTimeout(args);
+  const timeout = readDuration(args, Flag.Timeout);
   const faults = [
     ...checkEntryVms(entryVms),
     ...checkCredential(command, args),
@@ -78,9 +78,12 @@
   io: ProcessIo,
 ): Promise<ExitCode> => {
   const parsed = parseCommandLine(argv, environment, io.standardInput, COMMANDS);
-  const format = argv.includes(`--${Flag.Json}`) ? Format.Json : Format.Table;
+  // Also a fault in the command line itself is reported in the format asked for.
+  const isJson = parsed.isOk()
+    ? parsed.value.args.switches.has(Flag.Json)
+    : argv.includes(`--${Flag.Json}`);
   const output: Output = {
-    format,
+    format: isJson ? Format.Json : Format.Table,
     ...(io.terminal === undefined ? {} : { terminal: io.terminal }),
     write: (text) => io.write(text),
     drain: () => io.drain(),
--- a/packages/settings/src/flags.ts
+++ b/packages/settings/src/flags.ts
@@ -48,29 +48,33 @@
   allowed: 'flags only, each followed by its value',
 });
 
-const FLAGS = new Set(SETTING_KEYS.map(getFlag));
-const SECRET_FLAGS = new Set(
-  SETTING_KEYS.filter((key) => SETTINGS[key].type === SettingType.Secret).map(getFlag),
-);
-
 /**
  * Attaches the value of each secret to its flag. A secret that begins with "-" would otherwise be
  * taken for unknown flags and be shown in the report.
  */
-const attachSecrets = (argv: readonly string[]): string[] =>
+export const attachSecrets = (
+  argv: readonly string[],
+  secretFlags: ReadonlySet<string>,
+  knownFlags: ReadonlySet<string>,
+): string[] =>
   argv.reduce<string[]>((joined, token) => {
     const previous = joined.at(-1) ?? '';
-    if (SECRET_FLAGS.has(previous) && !FLAGS.has(token)) {
+    if (secretFlags.has(previous) && !knownFlags.has(token)) {
       return [...joined.slice(0, -1), `${previous}=${token}`];
     }
     return [...joined, token];
   }, []);
 
+const FLAGS = new Set(SETTING_KEYS.map(getFlag));
+const SECRET_FLAGS = new Set(
+  SETTING_KEYS.filter((key) => SETTINGS[key].type === SettingType.Secret).map(getFlag),
+);
+
 /** Splits the command line into values of settings, other flags and faults. */
 export const parseFlags = (argv: readonly string[]): ParsedFlags => {
   const { flags, input } = meow('', {
     importMeta: import.meta,
-    argv: attachSecrets(argv),
+    argv: attachSecrets(argv, SECRET_FLAGS, FLAGS),
     pkg: { name: 'jujubelandingd', bin: 'jujubelandingd' },
     flags: MEOW_FLAGS,
     // Meow would print and exit by itself.
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -4,6 +4,6 @@
 export * from './definition.js';
 export * from './table.js';
 export * from './faults.js';
-export { isHelpRequested, isVersionRequested } from './flags.js';
+export { attachSecrets, isHelpRequested, isVersionRequested } from './flags.js';
 export * from './parse-settings.js';
 export * from './help.js';
