--- /dev/null
+++ b/packages/membership/src/swim.ts
@@ -0,0 +1,274 @@
+/** SWIM failure detection and gossip as a state machine without I/O. */
+import {
+  type Datagram,
+  DatagramKind,
+  type Probe,
+  type ProbeReply,
+  type ProbeRequest,
+} from '@jujubelanding/peer-protocol';
+import type { Random } from '@jujubelanding/random';
+import { type Member, MemberState, type PeerAddress } from '@jujubelanding/types';
+import { MemberTable } from './member-table.js';
+import { isAccusation } from './merge.js';
+import { choosePayload } from './payload.js';
+import { ProbeOrder } from './probe-order.js';
+import { SeedSchedule } from './seed-schedule.js';
+import { UpdateQueue } from './update-queue.js';
+
+export const PROBE_PERIOD_MS = 500;
+/** Time after which an unanswered probe is repeated through other members. */
+const DIRECT_TIMEOUT_MS = 200;
+const GOSSIP_INTERVAL_MS = 200;
+const INDIRECT_PROBES = 3;
+const GOSSIP_TARGETS = 3;
+/** Members told of a planned stop; they spread it. */
+const LEAVE_TARGETS = 8;
+/**
+ * A longer gap between two events means that this VM was paused itself. Answers that arrived meanwhile
+ * are still unread when the overdue timers run, so that probes in progress prove nothing.
+ */
+const PAUSE_GAP_MS = 300;
+/** After a longer pause the own view is older than the time for which others remember the dead. */
+const REJOIN_GAP_MS = 60_000;
+/**
+ * A VM that hears from nobody blames itself for so long. The others detect it within this time and
+ * then ignore its accusations.
+ */
+const ISOLATION_GRACE_MS = 6000;
+const RELAY_TIMEOUT_MS = 2000;
+const ACCUSATION_INTERVAL_MS = 1000;
+
+/** A datagram to send. */
+export interface Send {
+  address: string;
+  datagram: Datagram;
+}
+
+interface PendingProbe {
+  sequence: number;
+  target: Member;
+  sentAt: number;
+  isIndirect: boolean;
+  isAnswered: boolean;
+}
+
+interface Relay {
+  address: string;
+  sequence: number;
+  expiresAt: number;
+}
+
+export type SwimDatagram = Probe | ProbeReply | ProbeRequest;
+
+export class Swim {
+  readonly table: MemberTable;
+
+  private readonly queue = new UpdateQueue();
+
+  private readonly order: ProbeOrder;
+
+  private readonly seedSchedule = new SeedSchedule();
+
+  private readonly relays = new Map<number, Relay>();
+
+  /** Time of the last answer to a datagram of a member held dead. */
+  private readonly accusedAt = new Map<string, number>();
+
+  private pending: PendingProbe | undefined;
+
+  private sequence = 0;
+
+  private nextProbeAt: number;
+
+  private nextGossipAt = 0;
+
+  private lastTickAt: number;
+
+  private lastHeardAt: number;
+
+  constructor(
+    self: Member,
+    private readonly random: Random,
+    now: number,
+  ) {
+    this.table = new MemberTable(self, this.queue, PROBE_PERIOD_MS);
+    this.order = new ProbeOrder(random);
+    this.lastTickAt = now;
+    this.lastHeardAt = now;
+    // VMs that start together must not probe in step.
+    this.nextProbeAt = now + random.below(PROBE_PERIOD_MS);
+  }
+
+  /** Advances time; call several times per probe period. */
+  tick(seeds: readonly PeerAddress[], now: number): Send[] {
+    this.observeTime(now);
+    const sends = this.probeIndirectly(now);
+    if (now >= this.nextProbeAt) {
+      this.concludeProbe(now);
+      sends.push(...this.startProbe(now), ...this.contactSeeds(seeds, now));
+      this.nextProbeAt = now + PROBE_PERIOD_MS;
+    }
+    if (!this.isIsolated(now)) this.table.expire(now);
+    for (const [sequence, { expiresAt }] of this.relays) {
+      if (expiresAt <= now) this.relays.delete(sequence);
+    }
+    return [...sends, ...this.gossip(now)];
+  }
+
+  receive(datagram: SwimDatagram, now: number): Send[] {
+    this.observeTime(now);
+    if (datagram.from === this.table.self.entryVmId) return [];
+    this.lastHeardAt = now;
+    this.mergeUpdates(datagram, now);
+    const sender = this.table.find(datagram.from);
+    const sends = sender === undefined ? [] : this.answer(datagram, sender, now);
+    return [...sends, ...this.accuseDead(datagram, sender, now)];
+  }
+
+  /** Entries that tell some members of a planned stop. */
+  leave(now: number): Send[] {
+    this.table.updateSelf({ state: MemberState.Dead, shards: [] }, now);
+    return this.random
+      .sample(this.table.live(), LEAVE_TARGETS)
+      .map((member) => this.createGossip(member, now));
+  }
+
+  private observeTime(now: number): void {
+    const gap = now - this.lastTickAt;
+    this.lastTickAt = now;
+    if (gap < PAUSE_GAP_MS) return;
+    this.pending = undefined;
+    this.lastHeardAt = now;
+    this.nextProbeAt = now + this.random.below(PROBE_PERIOD_MS);
+    this.table.extendSuspicions(gap);
+    if (gap >= REJOIN_GAP_MS) this.table.clear();
+  }
+
+  private mergeUpdates({ from, updates }: SwimDatagram, now: number): void {
+    // Trust is decided before the sender's own entry, which may revive the sender, is merged.
+    const isTrusted = this.table.isTrusted(from, now);
+    for (const update of updates) {
+      const isOwnMatter =
+        update.entryVmId === from || update.entryVmId === this.table.self.entryVmId;
+      if (isTrusted || isOwnMatter || !isAccusation(update)) this.table.merge(update, now);
+    }
+  }
+
+  private answer(datagram: SwimDatagram, sender: Member, now: number): Send[] {
+    if (datagram.kind === DatagramKind.Probe) {
+      return [this.createReply(sender.peerAddress, sender.entryVmId, datagram.sequence, now)];
+    }
+    if (datagram.kind === DatagramKind.ProbeRequest) return this.relayProbe(datagram, sender, now);
+    if (this.pending?.sequence === datagram.sequence) this.pending.isAnswered = true;
+    const relay = this.relays.get(datagram.sequence);
+    if (relay === undefined) return [];
+    this.relays.delete(datagram.sequence);
+    return [this.createReply(relay.address, undefined, relay.sequence, now)];
+  }
+
+  /** A sender that is held dead must learn of it, or it could not refute. */
+  private accuseDead(datagram: SwimDatagram, sender: Member | undefined, now: number): Send[] {
+    const isDue = now - (this.accusedAt.get(datagram.from) ?? -Infinity) >= ACCUSATION_INTERVAL_MS;
+    if (sender?.state !== MemberState.Dead || datagram.kind === DatagramKind.Probe || !isDue) {
+      return [];
+    }
+    this.accusedAt.set(datagram.from, now);
+    return [this.createGossip(sender, now)];
+  }
+
+  private relayProbe(request: ProbeRequest, sender: Member, now: number): Send[] {
+    this.sequence += 1;
+    this.relays.set(this.sequence, {
+      address: sender.peerAddress,
+      sequence: request.sequence,
+      expiresAt: now + RELAY_TIMEOUT_MS,
+    });
+    return [this.createProbe(request.targetAddress, request.target, this.sequence, now)];
+  }
+
+  private startProbe(now: number): Send[] {
+    const target = this.order.next(this.table.live());
+    if (target === undefined) return [];
+    this.sequence += 1;
+    const { sequence } = this;
+    this.pending = { sequence, target, sentAt: now, isIndirect: false, isAnswered: false };
+    return [this.createProbe(target.peerAddress, target.entryVmId, sequence, now)];
+  }
+
+  private probeIndirectly(now: number): Send[] {
+    const { pending } = this;
+    const isDue = pending !== undefined && now - pending.sentAt >= DIRECT_TIMEOUT_MS;
+    if (!isDue || pending.isAnswered || pending.isIndirect) return [];
+    pending.isIndirect = true;
+    const { entryVmId: target, peerAddress: targetAddress } = pending.target;
+    const helpers = this.table.live().filter(({ entryVmId }) => entryVmId !== target);
+    return this.random.sample(helpers, INDIRECT_PROBES).map((helper) => ({
+      address: helper.peerAddress,
+      datagram: {
+        kind: DatagramKind.ProbeRequest,
+        sequence: pending.sequence,
+        from: this.table.self.entryVmId,
+        target,
+        targetAddress,
+        updates: this.choosePayload(helper.entryVmId, now),
+      },
+    }));
+  }
+
+  private concludeProbe(now: number): void {
+    const { pending } = this;
+    this.pending = undefined;
+    if (pending === undefined || pending.isAnswered) return;
+    if (!this.isIsolated(now)) this.table.suspect(pending.target.entryVmId, now);
+  }
+
+  private isIsolated(now: number): boolean {
+    const silence = now - this.lastHeardAt;
+    return silence >= PROBE_PERIOD_MS && silence < ISOLATION_GRACE_MS;
+  }
+
+  private contactSeeds(seeds: readonly PeerAddress[], now: number): Send[] {
+    const isLive = (id: string): boolean => {
+      const member = this.table.find(id);
+      return member !== undefined && member.state !== MemberState.Dead;
+    };
+    return this.seedSchedule
+      .choose(seeds, isLive, now)
+      .map((seed) => this.createProbe(seed.peerAddress, seed.entryVmId, 0, now));
+  }
+
+  private gossip(now: number): Send[] {
+    if (now < this.nextGossipAt || this.queue.isEmpty()) return [];
+    this.nextGossipAt = now + GOSSIP_INTERVAL_MS;
+    return this.random
+      .sample(this.table.live(), GOSSIP_TARGETS)
+      .map((member) => this.createGossip(member, now));
+  }
+
+  /** Gossip outside the probes is a reply to sequence 0, which no probe of a member uses. */
+  private createGossip(member: Member, now: number): Send {
+    return this.createReply(member.peerAddress, member.entryVmId, 0, now);
+  }
+
+  private createProbe(address: string, id: string, sequence: number, now: number): Send {
+    const updates = this.choosePayload(id, now);
+    const from = this.table.self.entryVmId;
+    return { address, datagram: { kind: DatagramKind.Probe, sequence, from, updates } };
+  }
+
+  private createReply(
+    address: string,
+    id: string | undefined,
+    sequence: number,
+    now: number,
+  ): Send {
+    const updates = this.choosePayload(id, now);
+    const from = this.table.self.entryVmId;
+    return { address, datagram: { kind: DatagramKind.ProbeReply, sequence, from, updates } };
+  }
+
+  private choosePayload(receiver: string | undefined, now: number): Member[] {
+    const { table, queue, random } = this;
+    return choosePayload({ table, queue, random }, receiver, now);
+  }
+}
