--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -106,13 +106,25 @@
   private ask(request: ClaimRequest, timeoutMs: number): Reply<{ status: ClaimStatus }> {
     const { network } = this.options.io;
     const owner = this.options.shards.ownerOf(request.shard);
-    if (this.options.shards.fenceOf(request.shard) !== undefined) return this.answer(request);
+    if (this.options.shards.fenceOf(request.shard) !== undefined) {
+      return Promise.race([this.answer(request), this.createTimeout(timeoutMs)]);
+    }
     if (owner === undefined || owner.entryVmId === this.options.entryVmId) {
       return Promise.resolve(err(this.createNotOwnerFault(request.shard)));
     }
     return network.call(owner, PeerMethod.Claim, request, Math.min(1000, timeoutMs));
   }
 
+  private async createTimeout(timeoutMs: number): Reply<never> {
+    await this.options.io.timer.sleep(timeoutMs);
+    return err({
+      code: FaultCode.Timeout,
+      outcome: Outcome.OutcomeUnknown,
+      step: 'claim',
+      message: 'the claim was not recorded in time',
+    });
+  }
+
   private answer(request: ClaimRequest): Reply<{ status: ClaimStatus }> {
     const owner = this.findOwner(request.shard);
     if (owner === undefined) return Promise.resolve(err(this.createNotOwnerFault(request.shard)));
