--- /dev/null
+++ b/packages/daemon/src/caller-server.ts
@@ -0,0 +1,66 @@
+/** HTTP server for callers and operators. */
+import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:http';
+import { serve } from '@hono/node-server';
+import { describeThrown, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
+import { formatAddress, parseAddress } from '@jujubelanding/settings';
+import { err, ok } from 'neverthrow';
+
+type Fetch = (request: Request) => Response | Promise<Response>;
+
+/** Idle connections are closed before a planned stop waits for the others. */
+const IDLE_CLOSE_INTERVAL_MS = 200;
+
+export class CallerServer {
+  private server: Server | undefined;
+
+  private fetch: Fetch = () => new Response(null, { status: 503 });
+
+  /** Sets the application; until then requests are refused. */
+  setApplication(fetch: Fetch): void {
+    this.fetch = fetch;
+  }
+
+  /** Listens and returns the bound host:port; port 0 chooses a free one. */
+  open(address: string): Reply<string> {
+    const wanted = parseAddress(address).unwrapOr({ host: '127.0.0.1', port: 0 });
+    return new Promise((resolve) => {
+      const server = serve(
+        {
+          fetch: (request) => this.fetch(request),
+          hostname: wanted.host,
+          port: wanted.port,
+          overrideGlobalObjects: false,
+        },
+        (info: AddressInfo) => resolve(ok(formatAddress({ host: wanted.host, port: info.port }))),
+      ) as Server;
+      this.server = server;
+      server.once('error', (thrown) =>
+        resolve(
+          err({
+            code: FaultCode.Unavailable,
+            outcome: Outcome.NotRun,
+            step: 'listen',
+            peer: address,
+            message: describeThrown(thrown),
+          }),
+        ),
+      );
+    });
+  }
+
+  /** Stops accepting connections; resolves when the responses in progress have ended. */
+  close(): Promise<void> {
+    const { server } = this;
+    if (server === undefined) return Promise.resolve();
+    return new Promise((resolve) => {
+      // Keep-alive connections become idle only once their last response has ended.
+      const closing = setInterval(() => server.closeIdleConnections(), IDLE_CLOSE_INTERVAL_MS);
+      server.close(() => {
+        clearInterval(closing);
+        resolve();
+      });
+      server.closeIdleConnections();
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,102 @@
+/** Wiring of the daemon: real clocks, connections and disk around an entry VM. */
+import { createEntryVm, type EntryVm } from '@jujubelanding/entry-vm';
+import type { Reply } from '@jujubelanding/errors';
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import { createLog } from '@jujubelanding/log';
+import { createMetrics, silentMetrics } from '@jujubelanding/metrics';
+import { createPeerNetwork, type PeerTransport } from '@jujubelanding/peer-transport';
+import {
+  createBackendServersClient,
+  createKeyValueClient,
+  createVmListClient,
+  createWeightStoreClient,
+} from '@jujubelanding/platform-clients';
+import { createSystemRandom } from '@jujubelanding/random';
+import { NodeDisk } from '@jujubelanding/segments';
+import type { DaemonSettings } from '@jujubelanding/settings';
+import { SystemTimer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import { CallerServer } from './caller-server.js';
+
+/** Addresses that were bound. */
+export interface Listening {
+  callerAddress: string;
+  peerAddress: string;
+}
+
+/** Connections of the daemon to the outside. */
+const createConnections = (settings: DaemonSettings) => {
+  const timer = new SystemTimer();
+  const { entryVmId, availabilityZone, statsdAddress, keyValueAddress } = settings;
+  const clients = {
+    store: createKeyValueClient({ address: keyValueAddress, timer }),
+    vmList: createVmListClient({ address: settings.vmListAddress, timer }),
+    weightStore: createWeightStoreClient({ address: settings.weightStoreAddress, timer }),
+    backendServers: createBackendServersClient({ timer }),
+  };
+  const metrics =
+    statsdAddress === undefined
+      ? silentMetrics
+      : createMetrics(statsdAddress, { entryVm: entryVmId, availabilityZone });
+  const transport = createPeerNetwork({
+    address: settings.peerAddress,
+    fleetKey: settings.fleetKey,
+    log: createLog('peer-transport'),
+    timer,
+  });
+  return { timer, clients, metrics, transport };
+};
+
+type Connections = ReturnType<typeof createConnections>;
+
+const createIo = (
+  { timer, clients, metrics, transport }: Connections,
+  dataFolder: string | undefined,
+): EntryVmIo => ({
+  timer,
+  random: createSystemRandom(),
+  ...clients,
+  network: transport.network,
+  ...(dataFolder === undefined ? {} : { disk: new NodeDisk(dataFolder) }),
+  createLog,
+  metrics,
+});
+
+export class Daemon {
+  private readonly connections: Connections;
+
+  private readonly server = new CallerServer();
+
+  private entryVm: EntryVm | undefined;
+
+  constructor(private readonly settings: DaemonSettings) {
+    this.connections = createConnections(settings);
+  }
+
+  async start(): Reply<Listening> {
+    const peer = await this.transport().start();
+    if (peer.isErr()) return err(peer.error);
+    const caller = await this.server.open(this.settings.callerAddress);
+    if (caller.isErr()) return err(caller.error);
+    const listening = { peerAddress: peer.value, callerAddress: caller.value };
+    const io = createIo(this.connections, this.settings.dataFolder);
+    this.entryVm = createEntryVm({ ...this.settings, ...listening }, io);
+    this.entryVm.start();
+    const { app } = this.entryVm;
+    this.server.setApplication((request) => app.fetch(request));
+    return ok(listening);
+  }
+
+  /** Stops without cutting off a request. */
+  async stop(): Promise<void> {
+    await this.entryVm?.stop(() => this.server.close());
+    await this.transport().stop();
+    const { clients, metrics } = this.connections;
+    await Promise.all(Object.values(clients).map((client) => client.close()));
+    await metrics.close();
+  }
+
+  private transport(): PeerTransport {
+    return this.connections.transport;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The program jujubelandingd. */
+export * from './daemon.js';
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -35,3 +35,6 @@
 
 /** A log that discards everything. */
 export const silentLog: Log = { write: () => {} };
+
+/** Selects the namespaces whose events are written, as in the DEBUG environment variable. */
+export const enableLogs = (selection: string): void => createDebug.enable(selection);
--- /dev/null
+++ b/packages/quickstart/src/index.ts
@@ -0,0 +1,3 @@
+/** Starts a small fleet on loopback and runs one online request and one batch job. */
+export * from './local-fleet.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/quickstart/src/local-fleet.ts
@@ -0,0 +1,146 @@
+/** Stand-ins and entry VMs as processes on loopback. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import { request } from 'undici';
+import { Program } from './program.js';
+
+export interface LocalFleetOptions {
+  /** Folder with the built programs. */
+  programs: string;
+  entryVms: number;
+  engines: number;
+  logSelection?: string;
+  /** Environment of each entry VM; the parameter counts from 0. */
+  entryVmEnvironment?: (index: number) => NodeJS.ProcessEnv;
+}
+
+export const OPERATOR_TOKEN = 'quickstart-operator';
+
+const FLEET_KEY = 'quickstart-fleet-key';
+
+export const SERVICE = 'glass-advisor';
+
+export const PLAIN_SERVICE = 'stock-ledger';
+
+export const MODEL = 'advisor';
+
+const WEIGHT_BYTES = 50_000_000;
+
+const AVAILABILITY_ZONES = ['jhb-east', 'jhb-west', 'pta-north', 'ekurhuleni'];
+
+const ENTRY_POINT_LIFETIME = '1s';
+
+/** Faster than a real engine, so that a person does not wait for the batch job. */
+const ENGINE_SETTINGS = { slots: 8, models: [MODEL], stepBaseMs: 8, stepPerStreamMs: 0.5 };
+
+const put = async (url: string, body: unknown): Promise<void> => {
+  const headers = { 'content-type': 'application/json' };
+  const response = await request(url, { method: 'PUT', headers, body: JSON.stringify(body) });
+  await response.body.dump();
+  if (response.statusCode >= 300) throw new Error(`PUT ${url} answered ${response.statusCode}`);
+};
+
+export class LocalFleet {
+  private readonly standIns: Program[] = [];
+
+  readonly entryVms: Program[] = [];
+
+  private platform = { keyValue: '', vmList: '', weightStore: '' };
+
+  private dataFolder = '';
+
+  constructor(private readonly options: LocalFleetOptions) {}
+
+  async start(): Promise<void> {
+    this.dataFolder = await mkdtemp(path.join(os.tmpdir(), 'jujubelanding-'));
+    const [keyValue, vmList, weightStore] = await Promise.all([
+      this.startStandIn('key-value', []),
+      this.startStandIn('vm-list', ['--lag-ms', '100']),
+      this.startStandIn('weight-store', []),
+    ]);
+    this.platform = { keyValue, vmList, weightStore };
+    await put(`http://${weightStore}/v1/weights/advisor-1`, { bytes: WEIGHT_BYTES });
+    const engines = Array.from({ length: this.options.engines }, (_, index) =>
+      this.startEngine(index),
+    );
+    await Promise.all([...engines, this.startPlainService()]);
+    for (let index = 0; index < this.options.entryVms; index += 1) {
+      await this.startEntryVm(index);
+    }
+  }
+
+  /** Addresses for callers. */
+  callerAddresses(): string[] {
+    return this.entryVms.map(({ listening }) => listening.callerAddress!);
+  }
+
+  /** Stops entry VMs as planned, then the stand-ins; returns the exit codes of the entry VMs. */
+  async stop(): Promise<number[]> {
+    const codes = await Promise.all(this.entryVms.map((program) => program.stop()));
+    await Promise.all(this.standIns.map((program) => program.stop()));
+    await rm(this.dataFolder, { recursive: true, force: true });
+    return codes;
+  }
+
+  /** Starts one more entry VM; all of them have a data folder. */
+  async startEntryVm(index: number): Promise<Program> {
+    const id = `entry-${index}`;
+    const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
+    const program = await Program.start(
+      id,
+      path.join(this.options.programs, 'jujubelandingd.js'),
+      [
+        ...['--entry-vm-id', id, '--availability-zone', zone],
+        ...['--peer-address', '127.0.0.1:0', '--caller-address', '127.0.0.1:0'],
+        ...['--key-value-address', this.platform.keyValue],
+        ...['--vm-list-address', this.platform.vmList],
+        ...['--weight-store-address', this.platform.weightStore],
+        ...['--fleet-key', FLEET_KEY, '--operator-token', OPERATOR_TOKEN],
+        ...['--data-folder', path.join(this.dataFolder, id)],
+        ...['--entry-point-lifetime', ENTRY_POINT_LIFETIME],
+        ...['--log-selection', this.options.logSelection ?? '-*'],
+      ],
+      this.options.entryVmEnvironment?.(index),
+    );
+    this.entryVms.push(program);
+    await this.listVm(id, 'entryVm', zone, program.listening.peerAddress!);
+    return program;
+  }
+
+  private async startStandIn(name: string, parameters: string[]): Promise<string> {
+    const script = path.join(this.options.programs, 'stand-ins.js');
+    const program = await Program.start(name, script, [name, '--port', '0', ...parameters]);
+    this.standIns.push(program);
+    return program.listening.address!;
+  }
+
+  private async startEngine(index: number): Promise<void> {
+    const id = `advisor-${index}`;
+    const address = await this.startStandIn('model-engine', [
+      ...['--worker-id', id, '--weight-store', this.platform.weightStore],
+      ...['--settings', JSON.stringify(ENGINE_SETTINGS)],
+    ]);
+    const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
+    await this.listVm(id, 'backendServer', zone, address, SERVICE);
+  }
+
+  private async startPlainService(): Promise<void> {
+    const address = await this.startStandIn('plain-service', ['--worker-id', 'ledger-0']);
+    await this.listVm('ledger-0', 'backendServer', AVAILABILITY_ZONES[0]!, address, PLAIN_SERVICE);
+  }
+
+  private listVm(
+    id: string,
+    role: string,
+    availabilityZone: string,
+    address: string,
+    service?: string,
+  ): Promise<void> {
+    const vm = { id, role, state: 'live', availabilityZone, address };
+    return put(
+      `http://${this.platform.vmList}/v1/vms/${id}`,
+      service === undefined ? vm : { ...vm, service },
+    );
+  }
+}
--- /dev/null
+++ b/packages/quickstart/src/records.ts
@@ -0,0 +1,44 @@
+/** Operator records of the local fleet. */
+import { computeChecksum } from '@jujubelanding/random';
+import { MODEL, PLAIN_SERVICE, SERVICE } from './local-fleet.js';
+
+export const TEAM_KEY = 'quickstart-team-key';
+
+const service = (name: string, kind: string, nonIdempotentPaths: string[]) => ({
+  kind: 'service',
+  name,
+  schemaVersion: 2,
+  spec: {
+    kind,
+    fencing: 'checked',
+    slotsPerWorker: 8,
+    requestTimeoutMs: 30_000,
+    nonIdempotentPaths,
+  },
+});
+
+export const RECORDS = [
+  service(SERVICE, 'modelEngine', []),
+  service(PLAIN_SERVICE, 'plainService', ['/orders']),
+  { kind: 'version', name: 'advisor-1', schemaVersion: 1, spec: { weight: 'advisor-1' } },
+  {
+    kind: 'model',
+    name: MODEL,
+    schemaVersion: 1,
+    spec: { service: SERVICE, version: 'advisor-1', minWorkers: 1, maxTokens: 512 },
+  },
+  {
+    kind: 'team',
+    name: 'panel-shop',
+    schemaVersion: 2,
+    spec: {
+      keyHashes: [computeChecksum(TEAM_KEY)],
+      requestsPerSecond: 1000,
+      burst: 1000,
+      concurrency: 200,
+      maxBodyBytes: 10_000_000,
+      maxJobItems: 100_000,
+      batchWeight: 1,
+    },
+  },
+];
--- /dev/null
+++ b/packages/quickstart/src/session.ts
@@ -0,0 +1,160 @@
+/** What the quickstart does as an operator and as a caller. */
+import { createParser } from 'eventsource-parser';
+import { request } from 'undici';
+import { MODEL, OPERATOR_TOKEN } from './local-fleet.js';
+import { RECORDS, TEAM_KEY } from './records.js';
+
+const POLL_INTERVAL_MS = 200;
+
+const READY_LIMIT_MS = 30_000;
+
+const JOB_LIMIT_MS = 60_000;
+
+const JSON_TYPE = { 'content-type': 'application/json' };
+
+const sleep = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+/** Repeats a check until it holds; fails after the limit. */
+const waitFor = async (
+  what: string,
+  limitMs: number,
+  check: () => Promise<boolean>,
+): Promise<void> => {
+  const end = Date.now() + limitMs;
+  while (!(await check())) {
+    if (Date.now() > end) throw new Error(`${what} not reached within ${limitMs} ms`);
+    await sleep(POLL_INTERVAL_MS);
+  }
+};
+
+export interface StreamedAnswer {
+  text: string;
+  tokens: number;
+  isWhole: boolean;
+}
+
+export interface JobSummary {
+  id: string;
+  items: number;
+  succeeded: number;
+  failed: number;
+}
+
+interface JobView {
+  id: string;
+  status: string;
+}
+
+export class Session {
+  constructor(private readonly addresses: readonly string[]) {}
+
+  /** Waits until all entry VMs serve requests. */
+  async awaitReady(): Promise<void> {
+    for (const address of this.addresses) {
+      await waitFor(`readiness of ${address}`, READY_LIMIT_MS, async () => {
+        const { statusCode, body } = await request(`http://${address}/readyz`);
+        await body.dump();
+        return statusCode === 200;
+      });
+    }
+  }
+
+  /** Writes the records and waits until they are in force on all entry VMs. */
+  async applyRecords(): Promise<void> {
+    const headers = { ...JSON_TYPE, authorization: `Bearer ${OPERATOR_TOKEN}` };
+    for (const { kind, name, schemaVersion, spec } of RECORDS) {
+      const response = await request(this.url(`/admin/v1/records/${kind}/${name}`), {
+        method: 'PUT',
+        headers,
+        body: JSON.stringify({ schemaVersion, spec, expectedRevision: 0 }),
+      });
+      const text = await response.body.text();
+      if (response.statusCode >= 300) throw new Error(`record ${kind}/${name}: ${text}`);
+    }
+    await waitFor('records in force everywhere', READY_LIMIT_MS, async () => {
+      const { body } = await request(this.url('/admin/v1/status'), { headers });
+      const status = (await body.json()) as { inForceEverywhere: boolean };
+      return status.inForceEverywhere;
+    });
+  }
+
+  async streamAnswer(question: string): Promise<StreamedAnswer> {
+    const { statusCode, body } = await request(this.url('/v1/chat/completions'), {
+      method: 'POST',
+      headers: { ...JSON_TYPE, authorization: `Bearer ${TEAM_KEY}` },
+      body: JSON.stringify({
+        model: MODEL,
+        stream: true,
+        max_tokens: 24,
+        messages: [{ role: 'user', content: question }],
+      }),
+    });
+    if (statusCode !== 200) throw new Error(`chat answered ${statusCode}: ${await body.text()}`);
+    const answer: StreamedAnswer = { text: '', tokens: 0, isWhole: false };
+    const parser = createParser({
+      onEvent: ({ data }) => {
+        if (data === '[DONE]') {
+          answer.isWhole = true;
+          return;
+        }
+        const { choices } = JSON.parse(data) as { choices: { delta: { content?: string } }[] };
+        const content = choices[0]?.delta.content;
+        if (content === undefined || content === '') return;
+        answer.text += content;
+        answer.tokens += 1;
+      },
+    });
+    const decoder = new TextDecoder();
+    for await (const chunk of body) {
+      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+    }
+    return answer;
+  }
+
+  /** Submits a batch job, waits for its end and reads its results from another entry VM. */
+  async runJob(itemCount: number): Promise<JobSummary> {
+    const items = Array.from({ length: itemCount }, (_, index) =>
+      JSON.stringify({
+        itemId: `sheet-${index}`,
+        messages: [{ role: 'user', content: `match sheet for mirror ${index}` }],
+        maxTokens: 32,
+      }),
+    );
+    const submitted = await request(this.url(`/v1/batches?model=${MODEL}`), {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${TEAM_KEY}`,
+        'content-type': 'application/x-ndjson',
+        'idempotency-key': 'quickstart-job',
+      },
+      body: items.join('\n'),
+    });
+    const text = await submitted.body.text();
+    if (submitted.statusCode >= 300) throw new Error(`batch was refused: ${text}`);
+    const { id } = JSON.parse(text) as JobView;
+    await waitFor(`end of job ${id}`, JOB_LIMIT_MS, async () => {
+      const { body } = await this.get(`/v1/batches/${id}`);
+      return ((await body.json()) as JobView).status === 'completed';
+    });
+    const { body } = await this.get(`/v1/batches/${id}/results`);
+    const statuses = (await body.text())
+      .split('\n')
+      .filter((line) => line !== '')
+      .map((line) => (JSON.parse(line) as { status: string }).status);
+    const succeeded = statuses.filter((status) => status === 'succeeded').length;
+    return { id, items: statuses.length, succeeded, failed: statuses.length - succeeded };
+  }
+
+  private get(path: string) {
+    const address = this.addresses.at(-1)!;
+    const headers = { authorization: `Bearer ${TEAM_KEY}` };
+    return request(`http://${address}${path}`, { headers });
+  }
+
+  private url(path: string): string {
+    return `http://${this.addresses[0]!}${path}`;
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/fleet.ts
@@ -0,0 +1,254 @@
+/** An in-process fleet: platform stand-ins, backend servers and entry VMs on virtual time. */
+import { createEntryVm, type EntryVm } from '@jujubelanding/entry-vm';
+import type { EntryVmIo, EntryVmSettings } from '@jujubelanding/interfaces';
+import { silentLog, type Log } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { computeChecksum, createRandom, type Random } from '@jujubelanding/random';
+import { MemoryDisk } from '@jujubelanding/segments';
+import {
+  BackendServerGroup,
+  KeyValueService,
+  ModelEngine,
+  PlainService,
+  VmListService,
+  WeightStoreService,
+  type BackendServersClient,
+  type EngineSettings,
+  type KeyValueClient,
+  type VmListClient,
+} from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { VmRole, VmState } from '@jujubelanding/types';
+import { attachBackendServers, deliverThrough } from './host-io.js';
+import { Host, HostState } from './host.js';
+import { HostTimer } from './host-timer.js';
+import { Links } from './links.js';
+import type { Medium } from './medium.js';
+import { SimulatedNetwork } from './network.js';
+
+/** Token with which simulated operators authenticate. */
+export const OPERATOR_TOKEN = 'operator-token';
+
+export interface FleetOptions {
+  seed: number;
+  availabilityZones: string[];
+  entryVmCount: number;
+  /** Entry VMs, counted from the first, that have a disk. */
+  diskVmCount: number;
+  localDelayMs: number;
+  remoteDelayMs: number;
+  vmListLagMs: number;
+  createLog?: (entryVmId: string) => (part: string) => Log;
+  settings?: Partial<EntryVmSettings>;
+  /** Called with each entry VM before it starts, for example to watch or change its parts. */
+  prepare?: (node: FleetNode) => void;
+}
+
+/** One entry VM: its machine, its views of the platform and the running daemon. */
+export interface FleetNode {
+  settings: EntryVmSettings;
+  disk: MemoryDisk | undefined;
+  host: Host;
+  store: KeyValueClient;
+  vmList: VmListClient;
+  backendServers: BackendServersClient;
+  entryVm: EntryVm;
+  /** Connections of callers in progress. */
+  connections: Set<Promise<unknown>>;
+}
+
+const WEIGHT_STORE_BYTES_PER_SECOND = 200e6;
+
+export class Fleet {
+  readonly timer = new VirtualTimer();
+
+  readonly random: Random;
+
+  readonly keyValue: KeyValueService;
+
+  readonly vmList: VmListService;
+
+  readonly weightStore: WeightStoreService;
+
+  readonly backendServers: BackendServerGroup;
+
+  readonly links: Links;
+
+  readonly medium: Medium;
+
+  /** Entry VMs by id, crashed and stopped ones included. */
+  readonly nodes = new Map<string, FleetNode>();
+
+  private readonly disks = new Map<string, MemoryDisk>();
+
+  constructor(readonly options: FleetOptions) {
+    const { timer } = this;
+    this.random = createRandom(options.seed);
+    const { random } = this;
+    this.keyValue = new KeyValueService({ timer, random });
+    this.vmList = new VmListService({ timer, random, lagMs: options.vmListLagMs });
+    this.weightStore = new WeightStoreService({
+      timer,
+      random,
+      bytesPerSecond: WEIGHT_STORE_BYTES_PER_SECOND,
+    });
+    this.backendServers = new BackendServerGroup({ timer, random });
+    this.links = new Links(options.localDelayMs, options.remoteDelayMs);
+    this.medium = {
+      timer,
+      random,
+      links: this.links,
+      endpoints: new Map(),
+      traffic: { calls: new Map(), datagrams: new Map() },
+    };
+  }
+
+  /** Starts all entry VMs. */
+  startAll(): void {
+    for (let index = 0; index < this.options.entryVmCount; index += 1) {
+      this.startEntryVm(`entry-${index}`);
+    }
+  }
+
+  /** Starts an entry VM, or starts it again at the same address after it crashed or stopped. */
+  startEntryVm(entryVmId: string): FleetNode {
+    const index = Number(entryVmId.slice('entry-'.length));
+    const settings = this.createSettings(entryVmId, index);
+    const host = new Host(entryVmId, settings.availabilityZone);
+    this.links.place(entryVmId, settings.availabilityZone);
+    const disk = index < this.options.diskVmCount ? this.findDisk(entryVmId) : undefined;
+    const store = this.keyValue.createClient(entryVmId);
+    const vmList = this.vmList.createClient(entryVmId);
+    const backendServers = this.backendServers.createClient(entryVmId);
+    const io = this.createIo(host, settings, { disk, store, vmList, backendServers });
+    const entryVm = createEntryVm(settings, io);
+    const connections = new Set<Promise<unknown>>();
+    const node = { settings, disk, host, store, vmList, backendServers, entryVm, connections };
+    this.options.prepare?.(node);
+    this.nodes.set(entryVmId, node);
+    this.vmList.set({
+      id: entryVmId,
+      role: VmRole.EntryVm,
+      state: VmState.Live,
+      availabilityZone: settings.availabilityZone,
+      address: settings.peerAddress,
+    });
+    entryVm.start();
+    return node;
+  }
+
+  node(entryVmId: string): FleetNode {
+    const node = this.nodes.get(entryVmId);
+    if (node === undefined) throw new Error(`entry VM ${entryVmId} was never started`);
+    return node;
+  }
+
+  /** Entry VMs whose machines run or are paused. */
+  liveNodes(): FleetNode[] {
+    return [...this.nodes.values()].filter(({ host }) => host.state() !== HostState.Crashed);
+  }
+
+  crash(entryVmId: string): void {
+    const { host, disk } = this.node(entryVmId);
+    host.crash();
+    disk?.crash();
+  }
+
+  /** Stops an entry VM as planned; its process then ends. */
+  async stopEntryVm(entryVmId: string): Promise<void> {
+    const { entryVm, host, connections } = this.node(entryVmId);
+    await entryVm.stop(async () => {
+      await Promise.all(connections);
+    });
+    host.crash();
+  }
+
+  addEngine(
+    workerId: string,
+    service: string,
+    availabilityZone: string,
+    settings: Partial<EngineSettings>,
+  ): ModelEngine {
+    const { timer, random } = this;
+    const engine = new ModelEngine({
+      timer,
+      random,
+      workerId,
+      settings,
+      fetchWeight: async (name) => {
+        await this.weightStore.transfer(name);
+      },
+    });
+    this.backendServers.addEngine(engine);
+    this.listWorker(workerId, service, availabilityZone, VmState.Live);
+    return engine;
+  }
+
+  addPlainService(workerId: string, service: string, availabilityZone: string): PlainService {
+    const { timer, random } = this;
+    const plainService = new PlainService({ timer, random, workerId });
+    this.backendServers.addPlainService(workerId, plainService);
+    this.listWorker(workerId, service, availabilityZone, VmState.Live);
+    return plainService;
+  }
+
+  /** Writes a worker's entry in the VM list. */
+  listWorker(workerId: string, service: string, availabilityZone: string, state: VmState): void {
+    this.links.place(workerId, availabilityZone);
+    this.vmList.set({
+      id: workerId,
+      role: VmRole.BackendServer,
+      state,
+      availabilityZone,
+      address: `${workerId}:80`,
+      service,
+    });
+  }
+
+  advance(durationMs: number): Promise<void> {
+    return this.timer.advance(durationMs);
+  }
+
+  private findDisk(entryVmId: string): MemoryDisk {
+    const disk = this.disks.get(entryVmId) ?? new MemoryDisk();
+    this.disks.set(entryVmId, disk);
+    return disk;
+  }
+
+  private createSettings(entryVmId: string, index: number): EntryVmSettings {
+    const { availabilityZones } = this.options;
+    return {
+      entryVmId,
+      availabilityZone: availabilityZones[index % availabilityZones.length]!,
+      peerAddress: `${entryVmId}:7400`,
+      callerAddress: `${entryVmId}:7500`,
+      operatorTokenHash: computeChecksum(OPERATOR_TOKEN),
+      maxOnlineInFlight: 1000,
+      entryPointLifetimeMs: 5000,
+      segmentCopies: 2,
+      resultRetentionMs: 7 * 24 * 3_600_000,
+      claimRetentionMs: 24 * 3_600_000,
+      ...this.options.settings,
+    };
+  }
+
+  private createIo(
+    host: Host,
+    settings: EntryVmSettings,
+    views: Pick<FleetNode, 'disk' | 'store' | 'vmList' | 'backendServers'>,
+  ): EntryVmIo {
+    const { medium, random } = this;
+    return {
+      timer: new HostTimer(this.timer, host),
+      random: createRandom(random.below(2 ** 31)),
+      store: deliverThrough(host, views.store),
+      vmList: deliverThrough(host, views.vmList),
+      weightStore: deliverThrough(host, this.weightStore.createClient(settings.entryVmId)),
+      backendServers: attachBackendServers(host, views.backendServers),
+      network: new SimulatedNetwork(medium, host, settings.peerAddress),
+      ...(views.disk === undefined ? {} : { disk: deliverThrough(host, views.disk) }),
+      createLog: this.options.createLog?.(settings.entryVmId) ?? (() => silentLog),
+      metrics: silentMetrics,
+    };
+  }
+}
--- /dev/null
+++ b/packages/soak/src/actions/faults.ts
@@ -0,0 +1,194 @@
+/** Faults of entry VMs, links, the platform and backend servers, and their end. */
+import { HostState, type FleetNode } from '@jujubelanding/simulation';
+import { Reachability } from '@jujubelanding/stand-ins';
+import { VmState } from '@jujubelanding/types';
+import type { Step } from '../step.js';
+import { ENTRY_VM_COUNT, type World } from '../world.js';
+
+/** At most this many entry VMs are down at a time; the design keeps two copies of segments. */
+const MAX_DOWN = 2;
+
+/** Disks that are lost by a crash stay away for long; two copies survive one at a time. */
+const MAX_PAUSE_MS = 20_000;
+
+const LIST_LAG_MS = 300;
+
+const countDown = (world: World): number =>
+  ENTRY_VM_COUNT -
+  world.listening().filter(({ host }) => host.state() === HostState.Running).length;
+
+/** Chooses an entry VM to take down; undefined when enough are down. */
+const chooseVictim = (world: World, target: number): FleetNode | undefined =>
+  countDown(world) >= MAX_DOWN ? undefined : world.chooseNode(target);
+
+export const crashEntryVm = (world: World, { target }: Step): void => {
+  const node = chooseVictim(world, target);
+  if (node === undefined) return;
+  world.stopping.delete(node.host.id);
+  world.fleet.crash(node.host.id);
+};
+
+export const startEntryVm = (world: World, { target }: Step): void => {
+  const down = [...world.fleet.nodes.values()].filter(
+    ({ host, entryVm }) => host.state() === HostState.Crashed || !entryVm.isListening(),
+  );
+  const node = down[target % Math.max(1, down.length)];
+  if (node === undefined || world.stopping.has(node.host.id)) return;
+  world.fleet.startEntryVm(node.host.id);
+};
+
+export const stopEntryVm = (world: World, { target }: Step): void => {
+  const node = chooseVictim(world, target);
+  if (node === undefined || world.stopping.has(node.host.id)) return;
+  const { id } = node.host;
+  world.stopping.add(id);
+  void world.fleet.stopEntryVm(id).then(() => world.stopping.delete(id));
+};
+
+export const pauseEntryVm = (world: World, { target, amount }: Step): void => {
+  const node = chooseVictim(world, target);
+  if (node === undefined) return;
+  node.host.pause();
+  world.fleet.timer.after(500 + (amount % MAX_PAUSE_MS), () => node.host.resume());
+};
+
+export const cutOneWay = (world: World, { target, amount }: Step): void => {
+  const nodes = world.fleet.liveNodes();
+  const from = nodes[target % nodes.length];
+  const to = nodes[amount % nodes.length];
+  if (from === undefined || to === undefined || from === to) return;
+  world.fleet.links.cut(from.host.id, to.host.id);
+};
+
+export const isolateZone = (world: World, { target }: Step): void => {
+  const zones = world.availabilityZones();
+  const inside = world.fleet.links.machinesIn(zones[target % zones.length]!);
+  const nodes = [...world.fleet.nodes.keys()];
+  for (const inner of nodes.filter((id) => inside.includes(id))) {
+    for (const outer of nodes.filter((id) => !inside.includes(id))) {
+      world.fleet.links.cutBoth(inner, outer);
+    }
+  }
+};
+
+export const healLinks = (world: World): void => {
+  world.fleet.links.healAll();
+  world.fleet.links.datagramLoss = 0;
+  world.fleet.liveNodes().forEach(({ store, vmList }) => {
+    store.faults.reachability = Reachability.Up;
+    vmList.faults.reachability = Reachability.Up;
+  });
+};
+
+export const cutStore = (world: World, { target }: Step): void => {
+  const node = world.chooseNode(target);
+  if (node !== undefined) node.store.faults.reachability = Reachability.Cut;
+};
+
+export const storeDown = (world: World, { target }: Step): void => {
+  const { faults } = world.fleet.keyValue;
+  faults.reachability = target % 2 === 0 ? Reachability.Refusing : Reachability.Cut;
+};
+
+export const storeSlow = (world: World, { amount }: Step): void => {
+  world.fleet.keyValue.faults.latency = { floorMs: 50, meanExtraMs: amount % 800 };
+};
+
+export const storeLossy = (world: World, { amount }: Step): void => {
+  const { faults } = world.fleet.keyValue;
+  faults.lostReplyChance = 0.05 + (amount % 40) / 100;
+  faults.lostRequestChance = (amount % 20) / 100;
+};
+
+export const storeUp = (world: World): void => {
+  const { faults } = world.fleet.keyValue;
+  faults.reachability = Reachability.Up;
+  faults.latency = { floorMs: 1, meanExtraMs: 1 };
+  faults.lostReplyChance = 0;
+  faults.lostRequestChance = 0;
+};
+
+export const loseDatagrams = (world: World, { amount }: Step): void => {
+  world.fleet.links.datagramLoss = (amount % 30) / 100;
+};
+
+export const crashWorker = (world: World, { target }: Step): void => {
+  world.engines[target % world.engines.length]!.crash();
+};
+
+export const pauseWorker = (world: World, { target }: Step): void => {
+  world.engines[target % world.engines.length]!.pause();
+};
+
+export const breakStreams = (world: World, { target, amount }: Step): void => {
+  const { streamFaults } = world.engines[target % world.engines.length]!;
+  const names = [
+    'breakChance',
+    'wrongIdChance',
+    'swapChance',
+    'gapChance',
+    'truncateChance',
+  ] as const;
+  streamFaults[names[amount % names.length]!] = 0.3;
+  world.services[target % world.services.length]!.answerFaults.refusalChance = 0.3;
+};
+
+export const restoreWorkers = (world: World): void => {
+  for (const engine of world.engines) {
+    if (engine.faults.reachability !== Reachability.Up) engine.restart();
+    if (engine.isPaused()) engine.resume();
+    Object.assign(engine.streamFaults, {
+      breakChance: 0,
+      wrongIdChance: 0,
+      swapChance: 0,
+      gapChance: 0,
+      truncateChance: 0,
+    });
+  }
+  world.services.forEach(({ answerFaults }) => {
+    answerFaults.refusalChance = 0;
+  });
+};
+
+/** The VM list shows one worker as leaving, and later as live again. */
+export const leaveWorker = (world: World, { target, amount }: Step): void => {
+  const { fleet, observer } = world;
+  const vms = fleet.vmList.read().vms ?? [];
+  const workers = vms.filter(({ service }) => service !== undefined);
+  const vm = workers[target % workers.length];
+  if (vm === undefined || observer.leavingSince.size > 0) return;
+  const { id, availabilityZone } = vm;
+  const service = vm.service!;
+  fleet.listWorker(id, service, availabilityZone, VmState.Leaving);
+  fleet.timer.after(LIST_LAG_MS, () => observer.leavingSince.set(id, fleet.timer.now()));
+  fleet.timer.after(5000 + (amount % 10_000), () => {
+    observer.leavingSince.delete(id);
+    fleet.listWorker(id, service, availabilityZone, VmState.Live);
+  });
+};
+
+const listDisks = (world: World) =>
+  [...world.fleet.nodes.values()].map(({ disk }) => disk).filter((disk) => disk !== undefined);
+
+export const fillDisk = (world: World, { target, amount }: Step): void => {
+  const disks = listDisks(world);
+  const disk = disks[target % disks.length]!;
+  disk.setCapacity(0);
+  world.fleet.timer.after(2000 + (amount % 10_000), () => disk.setCapacity(Infinity));
+};
+
+/** Corrupts one copy, and only while no other copy has been corrupted, as copies survive one loss. */
+const corrupted = new WeakSet<World>();
+
+export const corruptSegment = (world: World, { target, amount }: Step): void => {
+  if (corrupted.has(world)) return;
+  const disks = listDisks(world);
+  const disk = disks[target % disks.length]!;
+  void disk.list('segments').then((files) => {
+    const paths = files.unwrapOr([]);
+    const path = paths[amount % Math.max(1, paths.length)];
+    if (path === undefined) return;
+    corrupted.add(world);
+    disk.corrupt(path);
+  });
+};
--- /dev/null
+++ b/packages/soak/src/configuration-check.ts
@@ -0,0 +1,35 @@
+/** Checks that the configuration in force never goes back on any entry VM, also over restarts. */
+import { HostState, type Fleet, type FleetNode } from '@jujubelanding/simulation';
+import { Invariant, type Violations } from './violation.js';
+
+const CHECK_INTERVAL_MS = 50;
+
+export class ConfigurationCheck {
+  /** Highest revision in force seen per entry VM, over all its runs. */
+  private readonly highest = new Map<string, number>();
+
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly violations: Violations,
+  ) {}
+
+  start(): void {
+    this.fleet.timer.every(CHECK_INTERVAL_MS, () => this.checkAll());
+  }
+
+  private checkAll(): void {
+    this.fleet.liveNodes().forEach((node) => this.check(node));
+  }
+
+  private check({ host, entryVm }: FleetNode): void {
+    // A VM that is not ready serves nothing, so no configuration is in force on it.
+    if (host.state() !== HostState.Running || !entryVm.isReady()) return;
+    const active = entryVm.parts.configuration.activeRevision();
+    const before = this.highest.get(host.id) ?? 0;
+    if (active < before) {
+      const detail = `revision ${active} in force after ${before}`;
+      this.violations.report(Invariant.MonotonicConfiguration, `${host.id}@${before}`, detail);
+    }
+    this.highest.set(host.id, Math.max(active, before));
+  }
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,117 @@
+/** Command line of the soak: runs seeds and prints violations with the command that repeats them. */
+import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
+import { createLog } from '@jujubelanding/log';
+import meow from 'meow';
+import { Mutation } from './mutation.js';
+import { runSeed, type RunOptions, type RunResult } from './run-seed.js';
+
+const HELP = `
+  Usage
+    $ npm run soak -- --seed N --steps M [--seeds K] [--jobs J] [--mutation NAME] [--log]
+
+  Options
+    --seed      first seed (default 1)
+    --steps     steps per seed (default 2000)
+    --seeds     number of consecutive seeds (default 1)
+    --jobs      seeds run at a time (default 1)
+    --mutation  deliberate fault in the system: ${Object.values(Mutation).join(', ')}
+    --log       write log lines of all entry VMs; select with DEBUG
+`;
+
+interface Arguments {
+  seed: number;
+  steps: number;
+  seeds: number;
+  jobs: number;
+  mutation?: Mutation;
+  log: boolean;
+}
+
+const readArguments = (): Arguments => {
+  const { flags } = meow(HELP, {
+    importMeta: import.meta,
+    flags: {
+      seed: { type: 'number', default: 1 },
+      steps: { type: 'number', default: 2000 },
+      seeds: { type: 'number', default: 1 },
+      jobs: { type: 'number', default: 1 },
+      mutation: { type: 'string', choices: Object.values(Mutation) },
+      log: { type: 'boolean', default: false },
+    },
+  });
+  const { mutation, ...rest } = flags;
+  return { ...rest, ...(mutation === undefined ? {} : { mutation: mutation as Mutation }) };
+};
+
+const report = (result: RunResult, mutation: Mutation | undefined): void => {
+  const { seed, steps, violations, trace } = result;
+  for (const { invariant, timeMs, detail } of violations) {
+    console.log(
+      `violation t=${Math.round(timeMs)} invariant=${JSON.stringify(invariant)} ${detail}`,
+    );
+  }
+  if (violations.length > 0) {
+    trace.forEach((line) => console.log(`trace ${line}`));
+    const suffix = mutation === undefined ? '' : ` --mutation ${mutation}`;
+    console.log(`repeat: npm run soak -- --seed ${seed} --steps ${steps}${suffix}`);
+  }
+  console.log(
+    `run seed=${seed} virtual_s=${Math.round(result.virtualMs / 1000)} ` +
+      `jobs=${result.acceptedJobs} results=${result.resultsRead} requests=${result.requests}`,
+  );
+  console.log(`seed=${seed} steps=${steps} violations=${violations.length}`);
+};
+
+/** Runs one seed on a thread of its own. */
+const runOnThread = (options: RunOptions): Promise<RunResult> =>
+  new Promise((resolve, reject) => {
+    const worker = new Worker(new URL(import.meta.url), { workerData: options });
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+
+const runAll = async (given: Arguments): Promise<number> => {
+  const { seed, steps, seeds, jobs, mutation } = given;
+  let next = seed;
+  let total = 0;
+  const runNext = async (): Promise<void> => {
+    while (next < seed + seeds) {
+      const options: RunOptions = {
+        seed: next,
+        steps,
+        ...(mutation === undefined ? {} : { mutation }),
+      };
+      next += 1;
+      const result = await runOnThread(options);
+      total += result.violations.length;
+      report(result, mutation);
+    }
+  };
+  await Promise.all(Array.from({ length: jobs }, runNext));
+  return total;
+};
+
+const runSingle = async (given: Arguments): Promise<number> => {
+  const { seed, steps, mutation, log } = given;
+  const result = await runSeed({
+    seed,
+    steps,
+    ...(mutation === undefined ? {} : { mutation }),
+    ...(log ? { createLog: (entryVmId) => (part) => createLog(`${entryVmId}:${part}`) } : {}),
+  });
+  report(result, mutation);
+  return result.violations.length;
+};
+
+if (isMainThread) {
+  const given = readArguments();
+  const violations = given.seeds === 1 ? await runSingle(given) : await runAll(given);
+  if (given.seeds > 1) {
+    console.log(`seeds=${given.seeds} steps=${given.steps} violations=${violations}`);
+  }
+  process.exit(violations > 0 ? 1 : 0);
+}
+
+if (parentPort !== null && workerData !== null) {
+  parentPort.postMessage(await runSeed(workerData as RunOptions));
+}
--- /dev/null
+++ b/packages/soak/src/mutation.ts
@@ -0,0 +1,105 @@
+/** Deliberate faults in the system under test; each must be caught by an invariant. */
+import { Outcome } from '@jujubelanding/errors';
+import { WriteStatus } from '@jujubelanding/platform';
+import type { Fleet, FleetNode } from '@jujubelanding/simulation';
+import { JobStatus, VmState, type Worker } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+
+export enum Mutation {
+  /** Claims are granted without being recorded. */
+  ForgetClaims = 'forgetClaims',
+  /** The key-value service ignores the expected revision of records. */
+  IgnoreExpectedRevision = 'ignoreExpectedRevision',
+  /** A cancel is acknowledged without being recorded. */
+  ForgetCancel = 'forgetCancel',
+  /** Leaving workers count as live. */
+  IgnoreLeaving = 'ignoreLeaving',
+  /** Faults after a request was sent are reported as `not-run`. */
+  ClaimNotRun = 'claimNotRun',
+  /** Jobs are acknowledged before they are recorded. */
+  AcknowledgeEarly = 'acknowledgeEarly',
+  /** Results are made up again at each read. */
+  ChangeResults = 'changeResults',
+  /** A planned stop does not wait for requests in progress. */
+  StopAtOnce = 'stopAtOnce',
+}
+
+type Change = (node: FleetNode, fleet: Fleet) => void;
+
+const CHANGES: Record<Mutation, Change> = {
+  [Mutation.ForgetClaims]: ({ entryVm }) => {
+    entryVm.parts.claims.claim = async () => ok(undefined);
+  },
+  [Mutation.IgnoreExpectedRevision]: (_, { keyValue }) => {
+    const { state } = keyValue;
+    const write = state.write.bind(state);
+    state.write = (request) => {
+      const written = write(request);
+      if (written.isErr() || written.value.status === WriteStatus.Written) return written;
+      if (!request.key.startsWith('records/')) return written;
+      const current = state.get(request.key);
+      return write({ ...request, expectedRevision: current?.modRevision ?? 0 });
+    };
+  },
+  [Mutation.ForgetCancel]: ({ entryVm }) => {
+    const { batchJobs } = entryVm.parts;
+    batchJobs.cancel = async (jobId) =>
+      (await batchJobs.get(jobId)).map((job) => ({ ...job, status: JobStatus.Cancelled }));
+  },
+  [Mutation.IgnoreLeaving]: ({ entryVm }) => {
+    const { directory } = entryVm.parts;
+    const revive = (worker: Worker): Worker => ({ ...worker, state: VmState.Live });
+    directory.workersOf = (service) =>
+      directory
+        .all()
+        .filter((worker) => worker.service === service)
+        .map(revive);
+  },
+  [Mutation.ClaimNotRun]: ({ entryVm }) => {
+    const { dispatcher } = entryVm.parts;
+    const call = dispatcher.call.bind(dispatcher);
+    dispatcher.call = async (request, signal) =>
+      (await call(request, signal)).mapErr((fault) => ({ ...fault, outcome: Outcome.NotRun }));
+    const generate = dispatcher.generate.bind(dispatcher);
+    dispatcher.generate = async (request, onToken, signal) =>
+      (await generate(request, onToken, signal)).mapErr((fault) => ({
+        ...fault,
+        outcome: Outcome.NotRun,
+      }));
+  },
+  [Mutation.AcknowledgeEarly]: ({ entryVm, store }) => {
+    const { batchJobs } = entryVm.parts;
+    const submit = batchJobs.submit.bind(batchJobs);
+    batchJobs.submit = async (submission) => {
+      const submitted = await submit(submission);
+      if (submitted.isErr() || submitted.value.resent) return submitted;
+      // Takes the record away again, as if it had never become durable.
+      const { id } = submitted.value.job;
+      const list = await store.list('jobs/');
+      const entry = list.map(({ entries }) => entries.find(({ key }) => key.includes(id)));
+      if (entry.isOk() && entry.value !== undefined) {
+        await store.remove(entry.value.key, entry.value.modRevision);
+      }
+      return submitted;
+    };
+  },
+  [Mutation.ChangeResults]: ({ entryVm }, { timer }) => {
+    const { batchJobs } = entryVm.parts;
+    const readResults = batchJobs.readResults.bind(batchJobs);
+    batchJobs.readResults = async function* readChanged(jobId, from, to) {
+      for await (const result of readResults(jobId, from, to)) {
+        yield { ...result, text: `${result.text ?? ''}${timer.now()}` };
+      }
+    };
+  },
+  [Mutation.StopAtOnce]: ({ entryVm, connections, host }) => {
+    entryVm.stop = async () => {
+      connections.clear();
+      host.crash();
+    };
+  },
+};
+
+/** Applies a mutation to an entry VM before it starts. */
+export const applyMutation = (mutation: Mutation, node: FleetNode, fleet: Fleet): void =>
+  CHANGES[mutation](node, fleet);
--- /dev/null
+++ b/packages/soak/src/observer.ts
@@ -0,0 +1,145 @@
+/** Records what reaches the backend servers, independently of the system under test. */
+import type { Fleet } from '@jujubelanding/simulation';
+import type { ModelEngine, PlainService, StreamSink } from '@jujubelanding/stand-ins';
+import type { Generation, ServiceRequest } from '@jujubelanding/types';
+import { Invariant, type Violations } from './violation.js';
+
+/** Bound after which a leaving worker or a cancelled job gets nothing new, in milliseconds. */
+export const STOP_BOUND_MS = 2000;
+
+const JOB_TAG = /\[job=([^\s\]]+) item=(\d+)\]/;
+const ORDER_TAG = /\[order=([^\s\]]+)\]/;
+
+/** Marks the prompt of a batch item, so that the observer knows it again. */
+export const tagItem = (job: string, item: number): string => `[job=${job} item=${item}]`;
+
+export const tagOrder = (order: string): string => `[order=${order}]`;
+
+export class Observer {
+  /** Executions by request id. */
+  readonly executions = new Map<string, number>();
+
+  /** Executions by order tag. */
+  readonly orders = new Map<string, number>();
+
+  /** Time at which the VM list showed the worker as leaving. */
+  readonly leavingSince = new Map<string, number>();
+
+  /** Time of the acknowledged cancel by job tag. */
+  readonly cancelledAt = new Map<string, number>();
+
+  private readonly batchRunning = new Map<string, number>();
+
+  private readonly highestFence = new Map<string, number>();
+
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly violations: Violations,
+  ) {}
+
+  watchEngine(engine: ModelEngine): void {
+    const start = engine.start.bind(engine);
+    const { workerId } = engine;
+    engine.start = (generation, sink) => {
+      const item = JOB_TAG.exec(generation.messages.at(-1)?.content ?? '');
+      if (item === null) return this.startOnline(engine, generation, () => start(generation, sink));
+      const watched = this.watchSink(workerId, sink);
+      const started = start(generation, watched);
+      if (started.isErr()) return started;
+      this.checkDispatch(workerId);
+      this.checkBatchDispatch(engine, generation, item[1]!);
+      return started;
+    };
+  }
+
+  watchPlainService(workerId: string, service: PlainService): void {
+    const run = service.run.bind(service);
+    service.run = (request: ServiceRequest) => {
+      this.checkDispatch(workerId);
+      const executed = service.executions.get(request.requestId) ?? 0;
+      const reply = run(request);
+      // A refusal that says that the request did not run leaves the count unchanged.
+      const ran = (service.executions.get(request.requestId) ?? 0) > executed;
+      if (ran) this.countServiceRun(request);
+      return reply;
+    };
+  }
+
+  private startOnline<T extends { isOk(): boolean }>(
+    engine: ModelEngine,
+    generation: Generation,
+    start: () => T,
+  ): T {
+    const started = start();
+    if (started.isOk()) {
+      this.checkDispatch(engine.workerId);
+      this.count(this.executions, generation.requestId);
+    }
+    return started;
+  }
+
+  private countServiceRun(request: ServiceRequest): void {
+    this.count(this.executions, request.requestId);
+    const order = ORDER_TAG.exec(Buffer.from(request.body).toString('utf8'));
+    if (order === null) return;
+    this.count(this.orders, order[1]!);
+    const runs = this.orders.get(order[1]!)!;
+    if (runs > 1) this.violations.report(Invariant.AtMostOnce, order[1]!, `ran ${runs} times`);
+  }
+
+  private count(counts: Map<string, number>, key: string): void {
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+
+  private checkDispatch(workerId: string): void {
+    const since = this.leavingSince.get(workerId);
+    const late = this.fleet.timer.now() - (since ?? Infinity);
+    if (late > STOP_BOUND_MS) {
+      this.violations.report(Invariant.LeavingWorker, workerId, `dispatch ${late} ms after`);
+    }
+  }
+
+  private checkBatchDispatch(engine: ModelEngine, generation: Generation, job: string): void {
+    const { workerId } = engine;
+    const late = this.fleet.timer.now() - (this.cancelledAt.get(job) ?? Infinity);
+    if (late > STOP_BOUND_MS) {
+      this.violations.report(Invariant.CancelledJob, job, `dispatch ${late} ms after the cancel`);
+    }
+    const running = (this.batchRunning.get(workerId) ?? 0) + 1;
+    this.batchRunning.set(workerId, running);
+    if (running > engine.settings.slots) {
+      const detail = `${running} batch streams on ${engine.settings.slots} slots`;
+      this.violations.report(Invariant.BatchLimit, workerId, detail);
+    }
+    const highest = this.highestFence.get(workerId) ?? 0;
+    const fence = generation.fence ?? 0;
+    if (fence < highest) {
+      this.violations.report(
+        Invariant.Fencing,
+        workerId,
+        `dispatch under ${fence} after ${highest}`,
+      );
+    }
+    this.highestFence.set(workerId, Math.max(fence, highest));
+  }
+
+  private watchSink(workerId: string, sink: StreamSink): StreamSink {
+    let isRunning = true;
+    const end = (): void => {
+      if (!isRunning) return;
+      isRunning = false;
+      this.batchRunning.set(workerId, (this.batchRunning.get(workerId) ?? 1) - 1);
+    };
+    return {
+      onToken: (token) => sink.onToken(token),
+      onEnd: (event) => {
+        end();
+        sink.onEnd(event);
+      },
+      onFault: (fault) => {
+        end();
+        sink.onFault(fault);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/soak/src/step.ts
@@ -0,0 +1,100 @@
+/** Steps of a run: what callers and operators do, and which faults are caused. */
+import fc from 'fast-check';
+
+export enum StepKind {
+  Chat = 'chat',
+  ChatBurst = 'chatBurst',
+  Order = 'order',
+  RetryOrder = 'retryOrder',
+  SubmitJob = 'submitJob',
+  ResendJob = 'resendJob',
+  CancelJob = 'cancelJob',
+  ReadResults = 'readResults',
+  ApplyRecord = 'applyRecord',
+  RaceRecord = 'raceRecord',
+  CrashEntryVm = 'crashEntryVm',
+  StartEntryVm = 'startEntryVm',
+  StopEntryVm = 'stopEntryVm',
+  PauseEntryVm = 'pauseEntryVm',
+  CutOneWay = 'cutOneWay',
+  IsolateZone = 'isolateZone',
+  HealLinks = 'healLinks',
+  CutStore = 'cutStore',
+  StoreDown = 'storeDown',
+  StoreSlow = 'storeSlow',
+  StoreLossy = 'storeLossy',
+  StoreUp = 'storeUp',
+  LoseDatagrams = 'loseDatagrams',
+  CrashWorker = 'crashWorker',
+  PauseWorker = 'pauseWorker',
+  BreakStreams = 'breakStreams',
+  RestoreWorkers = 'restoreWorkers',
+  LeaveWorker = 'leaveWorker',
+  FillDisk = 'fillDisk',
+  CorruptSegment = 'corruptSegment',
+}
+
+export interface Step {
+  kind: StepKind;
+  /** Chooses the object of the step. */
+  target: number;
+  /** Chooses its size or variant. */
+  amount: number;
+  /** Virtual time until the next step. */
+  waitMs: number;
+}
+
+/** Frequency of each kind; callers act far more often than faults strike. */
+const WEIGHTS: Record<StepKind, number> = {
+  [StepKind.Chat]: 30,
+  [StepKind.ChatBurst]: 4,
+  [StepKind.Order]: 8,
+  [StepKind.RetryOrder]: 4,
+  [StepKind.SubmitJob]: 4,
+  [StepKind.ResendJob]: 2,
+  [StepKind.CancelJob]: 1,
+  [StepKind.ReadResults]: 5,
+  [StepKind.ApplyRecord]: 4,
+  [StepKind.RaceRecord]: 2,
+  [StepKind.CrashEntryVm]: 1,
+  [StepKind.StartEntryVm]: 4,
+  [StepKind.StopEntryVm]: 1,
+  [StepKind.PauseEntryVm]: 1,
+  [StepKind.CutOneWay]: 1,
+  [StepKind.IsolateZone]: 1,
+  [StepKind.HealLinks]: 3,
+  [StepKind.CutStore]: 1,
+  [StepKind.StoreDown]: 1,
+  [StepKind.StoreSlow]: 1,
+  [StepKind.StoreLossy]: 1,
+  [StepKind.StoreUp]: 5,
+  [StepKind.LoseDatagrams]: 1,
+  [StepKind.CrashWorker]: 1,
+  [StepKind.PauseWorker]: 1,
+  [StepKind.BreakStreams]: 1,
+  [StepKind.RestoreWorkers]: 4,
+  [StepKind.LeaveWorker]: 1,
+  [StepKind.FillDisk]: 1,
+  [StepKind.CorruptSegment]: 1,
+};
+
+const MAX_WAIT_MS = 400;
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  kind: fc.oneof(
+    ...Object.values(StepKind).map((kind) => ({
+      weight: WEIGHTS[kind],
+      arbitrary: fc.constant(kind),
+    })),
+  ),
+  target: fc.nat(1_000_000),
+  amount: fc.nat(1_000_000),
+  waitMs: fc.integer({ min: 1, max: MAX_WAIT_MS }),
+});
+
+/** Returns the steps of a seed; the same seed and count give the same steps. */
+export const createSteps = (seed: number, count: number): Step[] =>
+  fc.sample(fc.array(stepArbitrary, { minLength: count, maxLength: count, size: 'max' }), {
+    seed,
+    numRuns: 1,
+  })[0]!;
