Add calls, segment transfers and datagrams between entry VMs

Calls are one generic tRPC procedure for each method, with the handler's fault as data, so that its outcome survives. The server closes connections that never had a request itself: undici opens a new connection after an abort, and waiting for it made a stop take 3.0 s.

--- /dev/null
+++ b/packages/peer-transport/src/authentication.ts
@@ -0,0 +1,32 @@
+/** Proofs that a message comes from an entry VM of the same fleet. */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+
+/** Bytes of the HMAC in front of each datagram. */
+export const DATAGRAM_TAG_BYTES = 16;
+
+const TOKEN_PURPOSE = 'jujubelanding peer calls';
+
+/** Derives the bearer token of calls, so that the fleet key itself is never sent. */
+export const deriveBearerToken = (fleetKey: string): string =>
+  createHmac('sha256', fleetKey).update(TOKEN_PURPOSE).digest('hex');
+
+/** Compares secrets in a time that does not depend on their content. */
+export const isSameSecret = (expected: string, actual: string): boolean => {
+  const [a, b] = [Buffer.from(expected), Buffer.from(actual)];
+  return a.length === b.length && timingSafeEqual(a, b);
+};
+
+const computeTag = (fleetKey: string, payload: Uint8Array): Buffer =>
+  createHmac('sha256', fleetKey).update(payload).digest().subarray(0, DATAGRAM_TAG_BYTES);
+
+/** Puts the tag in front of a payload. */
+export const sealDatagram = (fleetKey: string, payload: Uint8Array): Buffer =>
+  Buffer.concat([computeTag(fleetKey, payload), payload]);
+
+/** Returns the payload of a packet, or undefined when its tag is wrong. */
+export const openDatagram = (fleetKey: string, packet: Buffer): Buffer | undefined => {
+  if (packet.length < DATAGRAM_TAG_BYTES) return undefined;
+  const payload = packet.subarray(DATAGRAM_TAG_BYTES);
+  const tag = packet.subarray(0, DATAGRAM_TAG_BYTES);
+  return timingSafeEqual(tag, computeTag(fleetKey, payload)) ? payload : undefined;
+};
--- /dev/null
+++ b/packages/peer-transport/src/fault-carrier.ts
@@ -0,0 +1,8 @@
+import type { Fault } from '@jujubelanding/errors';
+
+/** A fault on its way through tRPC, which knows exceptions only. */
+export class FaultCarrier extends Error {
+  constructor(readonly fault: Fault) {
+    super(fault.message);
+  }
+}
--- /dev/null
+++ b/packages/peer-transport/src/input-schemas.ts
@@ -0,0 +1,66 @@
+/** Checks of call inputs. Unknown fields pass, so that newer entry VMs can add some. */
+import { PeerMethod, type PeerCalls } from '@jujubelanding/peer-protocol';
+import { z } from 'zod';
+
+const segmentSchema = z.looseObject({
+  id: z.string().min(1),
+  bytes: z.number(),
+  copies: z.array(z.string()),
+});
+
+const recordSchema = z.looseObject({
+  kind: z.string(),
+  name: z.string(),
+  revision: z.number(),
+  value: z.string(),
+});
+
+const shard = z.number().int().min(0);
+
+type Schemas = { [M in PeerMethod]: z.ZodType<PeerCalls[M]['input']> };
+
+export const INPUT_SCHEMAS: Schemas = {
+  [PeerMethod.PullConfiguration]: z.looseObject({ afterRevision: z.number() }),
+  [PeerMethod.PushConfiguration]: z.looseObject({
+    afterRevision: z.number(),
+    revision: z.number(),
+    records: z.array(recordSchema),
+  }),
+  [PeerMethod.RequestChunk]: z.looseObject({
+    shard,
+    executorId: z.string(),
+    models: z.array(z.string()),
+    slots: z.number(),
+  }),
+  [PeerMethod.ReportProgress]: z.looseObject({
+    shard,
+    executorId: z.string(),
+    grants: z.array(z.looseObject({ jobId: z.string(), chunk: z.number(), grantId: z.string() })),
+  }),
+  [PeerMethod.CompleteChunk]: z.looseObject({
+    shard,
+    jobId: z.string(),
+    chunk: z.number(),
+    grantId: z.string(),
+    result: segmentSchema,
+    failedItems: z.number(),
+  }),
+  [PeerMethod.NotifyJobChanged]: z.looseObject({ shard, jobId: z.string() }),
+  [PeerMethod.Claim]: z.looseObject({
+    shard,
+    claimId: z.string(),
+    digest: z.string(),
+    requestId: z.string(),
+  }),
+  [PeerMethod.RequestGrant]: z.looseObject({
+    shard,
+    entryVmId: z.string(),
+    team: z.string(),
+    demandPerSecond: z.number(),
+    inFlight: z.number(),
+  }),
+  [PeerMethod.StoreCopy]: z.looseObject({
+    segmentId: z.string(),
+    sources: z.array(z.string()),
+  }),
+};
--- /dev/null
+++ b/packages/peer-transport/src/peer-caller.ts
@@ -0,0 +1,187 @@
+/** Sends calls and segment transfers to other entry VMs. */
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { PeerCalls, PeerMethod } from '@jujubelanding/peer-protocol';
+import {
+  ConnectionPools,
+  exchange,
+  expectSuccess,
+  type Answer,
+  type ExchangeRequest,
+} from '@jujubelanding/platform-clients';
+import type { Timer } from '@jujubelanding/timer';
+import type { PeerAddress } from '@jujubelanding/types';
+import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
+import { err, ok } from 'neverthrow';
+import { deriveBearerToken } from './authentication.js';
+import { FaultCarrier } from './fault-carrier.js';
+import { CALL_PATH, SEGMENT_PATH } from './peer-server.js';
+import type { CallAnswer, PeerRouter } from './router.js';
+import type { TrafficCounters } from './traffic.js';
+
+export interface PeerCallerOptions {
+  fleetKey: string;
+  counters: TrafficCounters;
+  timer: Timer;
+}
+
+/** Time for the transfer of one segment. */
+const SEGMENT_TIMEOUT_MS = 30_000;
+
+const LIMITS = { connections: 32, connectTimeoutMs: 1000 };
+
+/** Carries the timeout from the call to the request that tRPC makes of it. */
+const TIMEOUT_HEADER = 'x-timeout-ms';
+
+const HEADER_OVERHEAD_BYTES = ': \r\n'.length;
+
+const measureHeaders = (headers: Answer['headers']): number =>
+  Object.entries(headers).reduce(
+    (sum, [name, value]) => sum + name.length + String(value).length + HEADER_OVERHEAD_BYTES,
+    0,
+  );
+
+type PeerClient = ReturnType<typeof createTRPCClient<PeerRouter>>;
+
+export class PeerCaller {
+  private readonly pools = new ConnectionPools(LIMITS);
+
+  private readonly clients = new Map<string, PeerClient>();
+
+  private readonly authorization: string;
+
+  constructor(private readonly options: PeerCallerOptions) {
+    this.authorization = `Bearer ${deriveBearerToken(options.fleetKey)}`;
+  }
+
+  async call<M extends PeerMethod>(
+    peer: PeerAddress,
+    method: M,
+    input: PeerCalls[M]['input'],
+    timeoutMs: number,
+  ): Reply<PeerCalls[M]['output']> {
+    try {
+      const client = this.findClient(peer);
+      const procedure = client[method] as {
+        mutate: (input: unknown, options: { context: object }) => Promise<CallAnswer>;
+      };
+      const answer = await procedure.mutate(input, { context: { timeoutMs } });
+      if ('value' in answer) return ok(answer.value as PeerCalls[M]['output']);
+      return err({ ...answer.fault, peer: peer.entryVmId });
+    } catch (thrown) {
+      return err(this.toFault(peer, method, thrown));
+    }
+  }
+
+  async putSegment(peer: PeerAddress, segmentId: string, content: Uint8Array): Reply<void> {
+    const answer = await this.transfer(peer, 'putSegment', 'PUT', segmentId, content);
+    return answer.map(() => undefined);
+  }
+
+  async getSegment(peer: PeerAddress, segmentId: string): Reply<Uint8Array> {
+    const answer = await this.transfer(peer, 'getSegment', 'GET', segmentId);
+    return answer.map(({ body }) => new Uint8Array(body));
+  }
+
+  close(): Promise<void> {
+    return this.pools.close();
+  }
+
+  private async transfer(
+    peer: PeerAddress,
+    step: string,
+    method: 'PUT' | 'GET',
+    segmentId: string,
+    body?: Uint8Array,
+  ): Reply<Answer> {
+    const target = { step, peer: peer.entryVmId };
+    const answer = await this.send('segment', {
+      ...target,
+      address: peer.peerAddress,
+      method,
+      path: `${SEGMENT_PATH}/${encodeURIComponent(segmentId)}`,
+      headers: {
+        authorization: this.authorization,
+        'content-type': 'application/octet-stream',
+      },
+      body,
+      timeoutMs: SEGMENT_TIMEOUT_MS,
+    });
+    return answer.andThen((received) => expectSuccess(received, target));
+  }
+
+  private findClient(peer: PeerAddress): PeerClient {
+    const key = `${peer.entryVmId}@${peer.peerAddress}`;
+    const known = this.clients.get(key);
+    if (known !== undefined) return known;
+    const client = createTRPCClient<PeerRouter>({
+      links: [
+        httpLink({
+          url: `http://${peer.peerAddress}${CALL_PATH}`,
+          headers: ({ op }) => ({ [TIMEOUT_HEADER]: String(op.context.timeoutMs) }),
+          fetch: (url, init) => this.fetch(peer, url, init),
+        }),
+      ],
+    });
+    this.clients.set(key, client);
+    return client;
+  }
+
+  /** Carries a request of tRPC over the pooled connections, keeping its outcome. */
+  private async fetch(
+    peer: PeerAddress,
+    url: URL | string | object,
+    init?: { body?: unknown; headers?: unknown },
+  ): Promise<Response> {
+    const { pathname } = new URL(String(url));
+    const method = pathname.slice(CALL_PATH.length + 1);
+    const { [TIMEOUT_HEADER]: timeout, ...headers } = init?.headers as Record<string, string>;
+    const answer = await this.send(method, {
+      step: method,
+      peer: peer.entryVmId,
+      address: peer.peerAddress,
+      method: 'POST',
+      path: pathname,
+      headers: { ...headers, authorization: this.authorization },
+      body: String(init?.body ?? ''),
+      timeoutMs: Number(timeout),
+    });
+    if (answer.isErr()) throw new FaultCarrier(answer.error);
+    const { status, body } = answer.value;
+    const refused = expectSuccess(answer.value, { step: method, peer: peer.entryVmId });
+    // An answer that states its outcome does not come from a procedure.
+    if (refused.isErr() && answer.value.headers['x-outcome'] !== undefined) {
+      throw new FaultCarrier(refused.error);
+    }
+    return new Response(body as Uint8Array<ArrayBuffer>, { status });
+  }
+
+  private async send(name: string, request: ExchangeRequest): Reply<Answer> {
+    const { counters, timer } = this.options;
+    const answer = await exchange(this.pools, timer, request);
+    // undici adds the headers host, connection and content-length, and the request line.
+    const added = 70 + request.path.length + request.address.length;
+    const size = Buffer.byteLength(request.body ?? '');
+    counters.countOut(name, added + measureHeaders(request.headers ?? {}) + size);
+    answer.map(({ headers, body }) =>
+      counters.countIn(
+        name,
+        'HTTP/1.1 200 OK\r\n\r\n'.length + measureHeaders(headers) + body.length,
+      ),
+    );
+    return answer;
+  }
+
+  private toFault(peer: PeerAddress, step: string, thrown: unknown): Fault {
+    const cause = thrown instanceof TRPCClientError ? thrown.cause : thrown;
+    if (cause instanceof FaultCarrier) return cause.fault;
+    const invalid = thrown instanceof TRPCClientError && thrown.data?.code === 'BAD_REQUEST';
+    return {
+      code: invalid ? FaultCode.InvalidInput : FaultCode.Internal,
+      // Inputs are checked before the handler runs.
+      outcome: invalid ? Outcome.NotRun : Outcome.OutcomeUnknown,
+      step,
+      peer: peer.entryVmId,
+      message: thrown instanceof Error ? thrown.message : String(thrown),
+    };
+  }
+}
--- /dev/null
+++ b/packages/peer-transport/src/peer-network.test.ts
@@ -0,0 +1,193 @@
+import { createSocket } from 'node:dgram';
+import test, { type ExecutionContext } from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import { silentLog } from '@jujubelanding/log';
+import { DatagramKind, PeerMethod, type Datagram } from '@jujubelanding/peer-protocol';
+import { computeChecksum } from '@jujubelanding/random';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import { getFault, getValue } from './fixtures/results.js';
+import { createPeerNetwork, DropReason } from './index.js';
+
+const startPeer = async (t: ExecutionContext, entryVmId: string, fleetKey = 'key') => {
+  const timer = new VirtualTimer();
+  const options = { address: '127.0.0.1:0', fleetKey, log: silentLog, timer };
+  const transport = createPeerNetwork(options);
+  const peerAddress = getValue(await transport.start());
+  t.teardown(() => transport.stop());
+  return { ...transport, timer, peer: { entryVmId, peerAddress } };
+};
+
+const setUp = async (t: ExecutionContext) => ({
+  a: await startPeer(t, 'a'),
+  b: await startPeer(t, 'b'),
+});
+
+const PROBE: Datagram = { kind: DatagramKind.Probe, sequence: 1, from: 'a', updates: [] };
+
+/** Real time passes only until the condition holds. */
+const awaitCondition = async (holds: () => boolean): Promise<void> => {
+  while (!holds()) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+};
+
+test('a call carries input and output unchanged, also fields of newer versions', async (t) => {
+  const { a, b } = await setUp(t);
+  const delta = { afterRevision: 1, revision: 2, records: [], added: { by: 'ü' } };
+  b.network.handle(PeerMethod.PushConfiguration, async (input) => {
+    t.deepEqual(input, delta);
+    return ok({ heldRevision: 7 });
+  });
+  const reply = await a.network.call(b.peer, PeerMethod.PushConfiguration, delta);
+  t.deepEqual(getValue(reply), { heldRevision: 7 });
+  const { traffic } = a.counters();
+  t.is(traffic[PeerMethod.PushConfiguration]?.messagesOut, 1);
+  t.true(traffic[PeerMethod.PushConfiguration]!.bytesIn > 0);
+});
+
+test('a fault of the handler reaches the caller with its outcome', async (t) => {
+  const { a, b } = await setUp(t);
+  const fault = { code: FaultCode.NotOwner, outcome: Outcome.NotRun, step: 'x', message: 'no' };
+  b.network.handle(PeerMethod.NotifyJobChanged, async () => err(fault));
+  const input = { shard: 1, jobId: 'j' };
+  const reply = await a.network.call(b.peer, PeerMethod.NotifyJobChanged, input);
+  t.deepEqual(getFault(reply), { ...fault, peer: 'b' });
+});
+
+test('a handler that throws leaves the outcome unknown; a missing one is not-run', async (t) => {
+  const { a, b } = await setUp(t);
+  b.network.handle(PeerMethod.NotifyJobChanged, () => {
+    throw new Error('broken');
+  });
+  const input = { shard: 1, jobId: 'j' };
+  const thrown = getFault(await a.network.call(b.peer, PeerMethod.NotifyJobChanged, input));
+  t.is(thrown.outcome, Outcome.OutcomeUnknown);
+  const pull = await a.network.call(b.peer, PeerMethod.PullConfiguration, { afterRevision: 0 });
+  t.is(getFault(pull).outcome, Outcome.NotRun);
+});
+
+test('an input of another shape is refused before the handler runs', async (t) => {
+  const { a, b } = await setUp(t);
+  b.network.handle(PeerMethod.NotifyJobChanged, async () => {
+    t.fail();
+    return ok({});
+  });
+  const input = { shard: 'one', jobId: 'j' } as never;
+  const fault = getFault(await a.network.call(b.peer, PeerMethod.NotifyJobChanged, input));
+  t.deepEqual([fault.code, fault.outcome], [FaultCode.InvalidInput, Outcome.NotRun]);
+});
+
+test('a call without answer in time has unknown outcome, one to a closed port is not-run', async (t) => {
+  const { a, b } = await setUp(t);
+  let called = false;
+  b.network.handle(PeerMethod.NotifyJobChanged, () => {
+    called = true;
+    return new Promise(() => {});
+  });
+  const input = { shard: 1, jobId: 'j' };
+  const call = a.network.call(b.peer, PeerMethod.NotifyJobChanged, input, 300);
+  await awaitCondition(() => called);
+  await a.timer.advance(400);
+  const timeout = getFault(await call);
+  t.deepEqual([timeout.code, timeout.outcome], [FaultCode.Timeout, Outcome.OutcomeUnknown]);
+  const closed = { entryVmId: 'c', peerAddress: '127.0.0.1:1' };
+  const refused = getFault(await a.network.call(closed, PeerMethod.NotifyJobChanged, input));
+  t.like(refused, { outcome: Outcome.NotRun, peer: 'c', step: PeerMethod.NotifyJobChanged });
+});
+
+test('a caller with another fleet key is refused and counted', async (t) => {
+  const { b } = await setUp(t);
+  const stranger = await startPeer(t, 's', 'other');
+  b.network.handle(PeerMethod.PullConfiguration, async () => {
+    t.fail();
+    return err({ code: FaultCode.Internal, outcome: Outcome.Failed, step: '', message: '' });
+  });
+  const input = { afterRevision: 0 };
+  const fault = getFault(await stranger.network.call(b.peer, PeerMethod.PullConfiguration, input));
+  t.deepEqual([fault.code, fault.outcome], [FaultCode.Unauthorized, Outcome.NotRun]);
+  t.is(b.counters().dropped[DropReason.BadToken], 1);
+});
+
+test('segments arrive byte for byte; a missing one is NotFound', async (t) => {
+  const { a, b } = await setUp(t);
+  const stored = new Map<string, Uint8Array>();
+  b.network.handleSegments({
+    put: async (id, content) => {
+      stored.set(id, content);
+      return ok();
+    },
+    get: async (id) => {
+      const content = stored.get(id);
+      const fault = { code: FaultCode.NotFound, outcome: Outcome.Failed, step: 'get' };
+      return content === undefined ? err({ ...fault, message: 'missing' }) : ok(content);
+    },
+  });
+  const content = Buffer.alloc(3_000_000, 'segment content \u0000\u00ff');
+  t.true((await a.network.putSegment(b.peer, 's1', content)).isOk());
+  const read = getValue(await a.network.getSegment(b.peer, 's1'));
+  t.is(computeChecksum(read), computeChecksum(content));
+  const missing = getFault(await a.network.getSegment(b.peer, 's2'));
+  t.deepEqual([missing.code, missing.outcome], [FaultCode.NotFound, Outcome.Failed]);
+  t.is(getFault(await b.network.getSegment(a.peer, 's1')).outcome, Outcome.NotRun);
+});
+
+test('datagrams arrive; those with a wrong tag or without sense are dropped and counted', async (t) => {
+  const { a, b } = await setUp(t);
+  const stranger = await startPeer(t, 's', 'other');
+  const received: Datagram[] = [];
+  b.network.handleDatagram(DatagramKind.Probe, (probe) => received.push(probe));
+  a.network.send(b.peer.peerAddress, PROBE);
+  await awaitCondition(() => received.length === 1);
+  t.deepEqual(received, [PROBE]);
+  stranger.network.send(b.peer.peerAddress, PROBE);
+  await awaitCondition(() => b.counters().dropped[DropReason.BadTag] === 1);
+  a.network.send(b.peer.peerAddress, { kind: 'unknown', from: 'a' } as never);
+  await awaitCondition(() => b.counters().dropped[DropReason.Malformed] === 1);
+  t.is(received.length, 1);
+});
+
+test('a changed or short datagram is dropped', async (t) => {
+  const { b } = await setUp(t);
+  const socket = createSocket('udp4');
+  t.teardown(() => socket.close());
+  const port = Number(b.peer.peerAddress.split(':')[1]);
+  socket.send(Buffer.from('short'), port, '127.0.0.1');
+  socket.send(Buffer.alloc(64), port, '127.0.0.1');
+  await awaitCondition(() => b.counters().dropped[DropReason.BadTag] === 2);
+  t.pass();
+});
+
+test('a stop lets calls in progress end and refuses new ones', async (t) => {
+  const { a, b } = await setUp(t);
+  let answer = (): void => {};
+  b.network.handle(
+    PeerMethod.NotifyJobChanged,
+    () =>
+      new Promise((resolve) => {
+        answer = () => resolve(ok({}));
+      }),
+  );
+  const input = { shard: 1, jobId: 'j' };
+  const call = a.network.call(b.peer, PeerMethod.NotifyJobChanged, input);
+  const ready = answer;
+  await awaitCondition(() => answer !== ready);
+  const stopped = b.stop();
+  answer();
+  t.true((await call).isOk());
+  await b.timer.advance(1000);
+  await stopped;
+  t.is(
+    getFault(await a.network.call(b.peer, PeerMethod.NotifyJobChanged, input)).outcome,
+    Outcome.NotRun,
+  );
+});
+
+test('a port in use is reported as a fault', async (t) => {
+  const { a } = await setUp(t);
+  const options = { address: a.peer.peerAddress, fleetKey: 'key', log: silentLog, timer: a.timer };
+  const fault = getFault(await createPeerNetwork(options).start());
+  t.like(fault, { code: FaultCode.Unavailable, peer: a.peer.peerAddress });
+});
--- /dev/null
+++ b/packages/peer-transport/src/peer-network.ts
@@ -0,0 +1,98 @@
+/** Network between entry VMs: calls over HTTP, datagrams over UDP, on the same port number. */
+import type { Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import { PEER_CALL_TIMEOUT_MS, type PeerNetwork } from '@jujubelanding/peer-protocol';
+import type { Timer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import { parseAddress, type HostPort } from './address.js';
+import { DatagramChannel } from './datagram-channel.js';
+import { Handlers } from './handlers.js';
+import { PeerCaller } from './peer-caller.js';
+import { PeerServer } from './peer-server.js';
+import { TrafficCounters, type TransportCounters } from './traffic.js';
+
+export interface PeerNetworkOptions {
+  /** host:port to listen on; port 0 chooses a free one. */
+  address: string;
+  /** Secret that all entry VMs share. */
+  fleetKey: string;
+  log: Log;
+  timer: Timer;
+}
+
+export interface PeerTransport {
+  network: PeerNetwork;
+  /** Listens and returns the bound host:port. */
+  start(): Reply<string>;
+  /** Lets calls in progress end, then closes all connections. */
+  stop(): Promise<void>;
+  /** The bound host:port; undefined before start. */
+  address(): string | undefined;
+  counters(): TransportCounters;
+}
+
+/** Free ports tried until one is free for both TCP and UDP. */
+const PORT_ATTEMPTS = 10;
+
+interface Parts {
+  server: PeerServer;
+  channel: DatagramChannel;
+}
+
+const bind = async ({ server, channel }: Parts, { host, port }: HostPort): Reply<string> => {
+  const listening = await server.open({ host, port });
+  if (listening.isErr()) return err(listening.error);
+  const bound = await channel.open({ host, port: listening.value });
+  if (bound.isOk()) return ok(`${host}:${listening.value}`);
+  await server.close();
+  return err(bound.error);
+};
+
+const bindAny = async (parts: Parts, wanted: HostPort): Reply<string> => {
+  let result = await bind(parts, wanted);
+  const attempts = wanted.port === 0 ? PORT_ATTEMPTS : 1;
+  for (let attempt = 1; attempt < attempts && result.isErr(); attempt += 1) {
+    result = await bind(parts, wanted);
+  }
+  return result;
+};
+
+/** Creates the network of one entry VM. */
+export const createPeerNetwork = (options: PeerNetworkOptions): PeerTransport => {
+  const { fleetKey, timer, log } = options;
+  const handlers = new Handlers();
+  const counters = new TrafficCounters();
+  const channel = new DatagramChannel({ fleetKey, handlers, counters, log });
+  const server = new PeerServer({ fleetKey, handlers, counters, timer });
+  const caller = new PeerCaller({ fleetKey, counters, timer });
+  let boundAddress: string | undefined;
+  return {
+    network: {
+      call: (peer, method, input, timeoutMs = PEER_CALL_TIMEOUT_MS) =>
+        caller.call(peer, method, input, timeoutMs),
+      send: (peerAddress, datagram) => channel.send(peerAddress, datagram),
+      putSegment: (peer, segmentId, content) => caller.putSegment(peer, segmentId, content),
+      getSegment: (peer, segmentId) => caller.getSegment(peer, segmentId),
+      handle: (method, handler) => handlers.setCall(method, handler),
+      handleDatagram: (kind, handler) => handlers.setDatagram(kind, handler),
+      handleSegments: (segments) => {
+        handlers.segments = segments;
+      },
+    },
+    start: async () => {
+      const bound = await bindAny({ server, channel }, parseAddress(options.address));
+      bound.map((address) => {
+        boundAddress = address;
+        log.write('peerNetworkStarted', { address });
+        return address;
+      });
+      return bound;
+    },
+    stop: async () => {
+      await Promise.all([server.close(), channel.close()]);
+      await caller.close();
+    },
+    address: () => boundAddress,
+    counters: () => counters.read(),
+  };
+};
--- /dev/null
+++ b/packages/peer-transport/src/peer-server.ts
@@ -0,0 +1,173 @@
+/** Serves calls and segment transfers of other entry VMs. */
+import type { Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { serve, type HttpBindings } from '@hono/node-server';
+import { FaultCode, getStatus, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Timer } from '@jujubelanding/timer';
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
+import { Hono, type Context } from 'hono';
+import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import { err, ok } from 'neverthrow';
+import type { HostPort } from './address.js';
+import { deriveBearerToken, isSameSecret } from './authentication.js';
+import { createMissingHandlerFault, type Handlers } from './handlers.js';
+import { createPeerRouter } from './router.js';
+import { DropReason, type TrafficCounters } from './traffic.js';
+
+export const CALL_PATH = '/peer/calls';
+export const SEGMENT_PATH = '/peer/segments';
+
+/** Largest segment that is accepted. */
+const MAX_SEGMENT_BYTES = 128 * 1024 * 1024;
+
+/** Requests still in progress after this time are cut off when the server closes. */
+const CLOSE_TIMEOUT_MS = 5000;
+
+export interface PeerServerOptions {
+  fleetKey: string;
+  handlers: Handlers;
+  counters: TrafficCounters;
+  timer: Timer;
+}
+
+interface Connection {
+  requests: number;
+  /** Bytes that are already counted. */
+  read: number;
+  written: number;
+}
+
+type App = Hono<{ Bindings: HttpBindings }>;
+
+const sendFault = (context: Context, fault: Fault): Response =>
+  context.json(fault, getStatus(fault) as ContentfulStatusCode, { 'x-outcome': fault.outcome });
+
+const getTrafficName = (path: string): string =>
+  path.startsWith(SEGMENT_PATH) ? 'segment' : path.slice(CALL_PATH.length + 1);
+
+export class PeerServer {
+  private server: Server | undefined;
+
+  private readonly token: string;
+
+  private readonly connections = new Map<Socket, Connection>();
+
+  constructor(private readonly options: PeerServerOptions) {
+    this.token = `Bearer ${deriveBearerToken(options.fleetKey)}`;
+  }
+
+  /** Listens and returns the port. */
+  open({ host, port }: HostPort): Reply<number> {
+    const app = this.createApp();
+    return new Promise((resolve) => {
+      const server = serve({ fetch: app.fetch, hostname: host, port }, (info: AddressInfo) => {
+        this.server = server;
+        resolve(ok(info.port));
+      }) as Server;
+      server.on('connection', (socket) => this.track(socket));
+      server.once('error', (error) => {
+        const fault = { code: FaultCode.Unavailable, outcome: Outcome.NotRun, step: 'listen' };
+        resolve(err({ ...fault, peer: `${host}:${port}`, message: error.message }));
+      });
+    });
+  }
+
+  /** Stops accepting requests and waits for those in progress. */
+  close(): Promise<void> {
+    const { server } = this;
+    this.server = undefined;
+    if (server === undefined) return Promise.resolve();
+    const { timer } = this.options;
+    const timeout = timer.after(CLOSE_TIMEOUT_MS, () => server.closeAllConnections());
+    return new Promise((resolve) => {
+      server.close(() => {
+        timeout.cancel();
+        resolve();
+      });
+      this.closeIdleConnections();
+    });
+  }
+
+  /** Includes connections that never had a request, which the server itself keeps. */
+  private closeIdleConnections(): void {
+    for (const [socket, { requests }] of this.connections) {
+      if (requests === 0) socket.destroySoon();
+    }
+  }
+
+  private createApp(): App {
+    const app: App = new Hono();
+    const router = createPeerRouter(this.options.handlers);
+    app.use('/peer/*', async (context, next) => {
+      this.countExchange(context.env, context.req.path);
+      if (this.isAuthorized(context)) return next();
+      this.options.counters.countDrop(DropReason.BadToken);
+      return sendFault(context, {
+        code: FaultCode.Unauthorized,
+        outcome: Outcome.NotRun,
+        step: 'authenticate',
+        message: 'the bearer token is wrong',
+      });
+    });
+    app.all(`${CALL_PATH}/*`, (context) =>
+      fetchRequestHandler({ endpoint: CALL_PATH, req: context.req.raw, router }),
+    );
+    this.addSegmentRoutes(app);
+    return app;
+  }
+
+  private addSegmentRoutes(app: App): void {
+    const { handlers } = this.options;
+    app.put(`${SEGMENT_PATH}/:id`, async (context) => {
+      if (handlers.segments === undefined) {
+        return sendFault(context, createMissingHandlerFault('putSegment'));
+      }
+      if (Number(context.req.header('content-length') ?? 0) > MAX_SEGMENT_BYTES) {
+        return sendFault(context, {
+          code: FaultCode.TooLarge,
+          outcome: Outcome.NotRun,
+          step: 'putSegment',
+          message: 'the segment exceeds the limit',
+        });
+      }
+      const content = new Uint8Array(await context.req.arrayBuffer());
+      const stored = await handlers.segments.put(context.req.param('id'), content);
+      return stored.isOk() ? context.json({}) : sendFault(context, stored.error);
+    });
+    app.get(`${SEGMENT_PATH}/:id`, async (context) => {
+      if (handlers.segments === undefined) {
+        return sendFault(context, createMissingHandlerFault('getSegment'));
+      }
+      const content = await handlers.segments.get(context.req.param('id'));
+      if (content.isErr()) return sendFault(context, content.error);
+      context.header('content-type', 'application/octet-stream');
+      return context.body(content.value as Uint8Array<ArrayBuffer>);
+    });
+  }
+
+  private isAuthorized(context: Context): boolean {
+    return isSameSecret(this.token, context.req.header('authorization') ?? '');
+  }
+
+  private track(socket: Socket): void {
+    this.connections.set(socket, { requests: 0, read: 0, written: 0 });
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  /** Counts the bytes of a connection since its last exchange once this one has ended. */
+  private countExchange({ incoming, outgoing }: HttpBindings, path: string): void {
+    const { socket } = incoming;
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    const name = getTrafficName(path);
+    connection.requests += 1;
+    outgoing.once('close', () => {
+      const { bytesRead, bytesWritten } = socket;
+      this.options.counters.countIn(name, bytesRead - connection.read);
+      this.options.counters.countOut(name, bytesWritten - connection.written);
+      Object.assign(connection, { read: bytesRead, written: bytesWritten });
+      connection.requests -= 1;
+      if (this.server === undefined) this.closeIdleConnections();
+    });
+  }
+}
