--- /dev/null
+++ b/packages/online/src/online-dispatch.test.ts
@@ -0,0 +1,196 @@
+import test, { type ExecutionContext } from 'ava';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import { computeAnswer, Reachability, type StreamFaults } from '@jujubelanding/stand-ins';
+import { Idempotency } from '@jujubelanding/types';
+import type { Result } from 'neverthrow';
+import { Fleet } from './fixtures/fleet.js';
+
+const getFault = <T>(result: Result<T, Fault>): Fault | undefined =>
+  result.isErr() ? result.error : undefined;
+
+const checkWhole = (
+  t: ExecutionContext,
+  stream: Pick<ReturnType<Fleet['generate']>, 'generation' | 'tokens'>,
+): void => {
+  const { tokens } = computeAnswer(stream.generation);
+  t.deepEqual(
+    stream.tokens.map(({ text }) => text),
+    tokens,
+  );
+  t.deepEqual(
+    stream.tokens.map(({ index }) => index),
+    tokens.map((_, index) => index),
+  );
+  t.true(stream.tokens.every(({ requestId }) => requestId === stream.generation.requestId));
+};
+
+const STREAM_FAULTS: (keyof StreamFaults)[] = [
+  'breakChance',
+  'wrongIdChance',
+  'swapChance',
+  'gapChance',
+  'truncateChance',
+];
+
+for (const fault of STREAM_FAULTS) {
+  test(`answers stay whole, in order and of their own request under ${fault}`, async (t) => {
+    const fleet = new Fleet(1);
+    fleet.engines[0]!.streamFaults[fault] = 1;
+    fleet.engines[1]!.streamFaults[fault] = 0.2;
+    const streams = Array.from({ length: 30 }, () => fleet.generate());
+    await fleet.timer.advance(30_000);
+    let whole = 0;
+    for (const stream of streams) {
+      const answer = await stream.answer;
+      if (answer.isErr()) continue;
+      whole += 1;
+      checkWhole(t, stream);
+    }
+    t.is(whole, 30);
+    t.true([...fleet.inFlight.values()].every((count) => count === 0));
+  });
+}
+
+test('a worker that dies mid-stream: tokens arrive once each from another worker', async (t) => {
+  const fleet = new Fleet(2);
+  const streams = Array.from({ length: 12 }, () => fleet.generate({ maxTokens: 30 }));
+  await fleet.timer.advance(300);
+  t.true(streams.every(({ tokens }) => tokens.length > 0));
+  fleet.engines[0]!.crash();
+  await fleet.timer.advance(10_000);
+  for (const stream of streams) {
+    t.true((await stream.answer).isOk());
+    checkWhole(t, stream);
+  }
+});
+
+test('a worker that stops without closing its streams is given up', async (t) => {
+  const fleet = new Fleet(3);
+  const streams = Array.from({ length: 6 }, () => fleet.generate({ maxTokens: 30 }));
+  await fleet.timer.advance(300);
+  fleet.engines[0]!.pause();
+  await fleet.timer.advance(15_000);
+  for (const stream of streams) {
+    t.true((await stream.answer).isOk());
+    checkWhole(t, stream);
+  }
+});
+
+test('a non-idempotent generation that breaks is not sent again', async (t) => {
+  const fleet = new Fleet(4);
+  fleet.engines.forEach((engine) => {
+    engine.streamFaults.breakChance = 1;
+  });
+  const stream = fleet.generate({}, Idempotency.NonIdempotent);
+  await fleet.timer.advance(10_000);
+  const fault = getFault(await stream.answer);
+  t.like(fault, { code: FaultCode.Interrupted, outcome: Outcome.OutcomeUnknown });
+  t.is(stream.tokens.length, 3);
+});
+
+test('a refusal before anything ran is retried also for non-idempotent calls', async (t) => {
+  const fleet = new Fleet(5);
+  fleet.services[0]!.answerFaults.refusalChance = 1;
+  fleet.services[1]!.faults.reachability = Reachability.Refusing;
+  const calls = Array.from({ length: 10 }, () => fleet.call(Idempotency.NonIdempotent));
+  await fleet.timer.advance(5000);
+  for (const { request, answer } of calls) {
+    t.true((await answer).isOk());
+    t.is(fleet.countExecutions(request.requestId), 1);
+  }
+});
+
+test('a non-idempotent call whose answer is lost runs at most once and says so', async (t) => {
+  const fleet = new Fleet(6);
+  fleet.services.forEach(({ faults }) => {
+    faults.lostReplyChance = 1;
+  });
+  const { request, answer } = fleet.call(Idempotency.NonIdempotent);
+  await fleet.timer.advance(61_000);
+  t.is(getFault(await answer)?.outcome, Outcome.OutcomeUnknown);
+  t.is(fleet.countExecutions(request.requestId), 1);
+});
+
+test('an answer with the id of another request is not delivered', async (t) => {
+  const fleet = new Fleet(7);
+  fleet.services.forEach(({ answerFaults }) => {
+    answerFaults.wrongIdChance = 1;
+  });
+  const once = fleet.call(Idempotency.NonIdempotent);
+  const repeated = fleet.call(Idempotency.Idempotent);
+  await fleet.timer.advance(5000);
+  const expected = { code: FaultCode.InvalidStream, outcome: Outcome.OutcomeUnknown };
+  t.like(getFault(await once.answer), expected);
+  t.like(getFault(await repeated.answer), expected);
+  t.is(fleet.countExecutions(once.request.requestId), 1);
+});
+
+test('the outcome is not-run only if no attempt can have run', async (t) => {
+  const fleet = new Fleet(8, 2);
+  fleet.services.forEach(({ faults }) => {
+    faults.reachability = Reachability.Refusing;
+  });
+  const refused = fleet.call(Idempotency.Idempotent);
+  await fleet.timer.advance(5000);
+  t.is(getFault(await refused.answer)?.outcome, Outcome.NotRun);
+  fleet.services[0]!.faults.reachability = Reachability.Up;
+  fleet.services[0]!.answerFaults.wrongIdChance = 1;
+  const mixed = fleet.call(Idempotency.Idempotent);
+  await fleet.timer.advance(5000);
+  t.true(fleet.countExecutions(mixed.request.requestId) > 0);
+  t.is(getFault(await mixed.answer)?.outcome, Outcome.OutcomeUnknown);
+});
+
+test('the upstream is cancelled when the caller goes away', async (t) => {
+  const fleet = new Fleet(9, 1);
+  const stream = fleet.generate({ maxTokens: 500 });
+  await fleet.timer.advance(300);
+  stream.abort.abort();
+  await fleet.timer.advance(500);
+  t.is(getFault(await stream.answer)?.code, FaultCode.Cancelled);
+  t.is(fleet.engines[0]!.readLoad(0).running, 0);
+  const received = stream.tokens.length;
+  await fleet.timer.advance(1000);
+  t.is(stream.tokens.length, received);
+});
+
+test('the deadline ends a request, and retries stop with the budget', async (t) => {
+  const fleet = new Fleet(10);
+  const late = fleet.generate({ maxTokens: 500 }, Idempotency.Idempotent, 1000);
+  await fleet.timer.advance(1001);
+  t.is(getFault(await late.answer)?.code, FaultCode.Timeout);
+  fleet.services.forEach(({ faults }) => {
+    faults.reachability = Reachability.Refusing;
+  });
+  const calls = Array.from({ length: 200 }, () => fleet.call(Idempotency.Idempotent));
+  await fleet.timer.advance(10_000);
+  await Promise.all(calls.map(({ answer }) => answer));
+  // One attempt each, the reserve of 50 and 10% of the requests; the generation before counts too.
+  t.true(fleet.attempts <= 201 + 50 + 20);
+});
+
+test('a model that a worker lacks is asked of another one; an unknown one is refused', async (t) => {
+  const fleet = new Fleet(11, 2);
+  const unknown = fleet.generate({ model: 'other' });
+  t.like(getFault(await unknown.answer), { code: FaultCode.NotFound, outcome: Outcome.NotRun });
+  fleet.engines[0]!.sendOrder({ kind: 'unloadModel' as never, target: 'base', fence: 1 });
+  await fleet.timer.advance(5000);
+  const streams = Array.from({ length: 8 }, () => fleet.generate());
+  await fleet.timer.advance(5000);
+  for (const stream of streams) t.true((await stream.answer).isOk());
+});
+
+test('draining waits for requests in progress', async (t) => {
+  const fleet = new Fleet(12);
+  const stream = fleet.generate();
+  let isDrained = false;
+  void fleet.dispatcher.drain().then(() => {
+    isDrained = true;
+  });
+  await fleet.timer.advance(50);
+  t.false(isDrained);
+  t.is(fleet.dispatcher.inFlight(), 1);
+  await fleet.timer.advance(5000);
+  t.true((await stream.answer).isOk());
+  t.true(isDrained);
+});
