--- a/packages/cli/src/client/client.ts
+++ b/packages/cli/src/client/client.ts
@@ -9,9 +9,12 @@
 
 /** What may be done after a reply was lost. */
 export enum Repetition {
-  /** The request changes nothing, or carries an id under which it takes effect once. */
-  Safe = 'safe',
-  Unsafe = 'unsafe',
+  /** The request changes nothing, so only its last answer counts. */
+  Read = 'read',
+  /** The request carries an id under which it takes effect once. */
+  Once = 'once',
+  /** Each repetition might take effect again. */
+  Never = 'never',
 }
 
 export interface ClientRequest {
@@ -37,7 +40,8 @@
 }
 
 const REQUEST_TIMEOUT_MS = 30_000;
-const MAX_REPETITIONS = 5;
+// The pauses add up to 12.7 s, longer than the 6 s in which another entry VM takes over a shard.
+const MAX_REPETITIONS = 7;
 const FIRST_PAUSE_MS = 100;
 
 // Another entry VM would refuse these as well.
@@ -69,8 +73,13 @@
   FaultCode.TooLarge,
 ]);
 
-const mergeFaults = (lost: Fault | undefined, last: Fault): Fault => {
+const mergeFaults = (
+  { repetition }: ClientRequest,
+  lost: Fault | undefined,
+  last: Fault,
+): Fault => {
   if (lost === undefined || lost === last || CONCLUSIVE_CODES.has(last.code)) return last;
+  if (repetition === Repetition.Read) return last;
   return {
     ...last,
     outcome: Outcome.OutcomeUnknown,
@@ -142,11 +151,12 @@
         if (lost === undefined) return result;
       } else if (fault.outcome === Outcome.OutcomeUnknown) {
         lost = fault;
-        if (request.repetition === Repetition.Unsafe) return result;
+        if (request.repetition === Repetition.Never) return result;
       } else {
-        return err(mergeFaults(lost, fault));
+        return err(mergeFaults(request, lost, fault));
       }
-      if (repetitions >= MAX_REPETITIONS || this.isTimeOver()) return err(mergeFaults(lost, fault));
+      if (repetitions >= MAX_REPETITIONS || this.isTimeOver())
+        return err(mergeFaults(request, lost, fault));
       refusals = 0;
       await this.pause(FIRST_PAUSE_MS * 2 ** repetitions);
       repetitions += 1;
--- a/packages/cli/src/client/jobs.ts
+++ b/packages/cli/src/client/jobs.ts
@@ -12,13 +12,13 @@
 
 export const readJob = (client: Client, jobId: string): Promise<Result<BatchJob, Fault>> =>
   client.send(
-    { method: 'GET', path: createJobPath(jobId), repetition: Repetition.Safe },
+    { method: 'GET', path: createJobPath(jobId), repetition: Repetition.Read },
     BATCH_JOB,
   );
 
 /** Cancels a job; cancelling it twice has no further effect. */
 export const cancelJob = (client: Client, jobId: string): Promise<Result<BatchJob, Fault>> =>
   client.send(
-    { method: 'POST', path: createJobPath(jobId, 'cancel'), repetition: Repetition.Safe },
+    { method: 'POST', path: createJobPath(jobId, 'cancel'), repetition: Repetition.Once },
     BATCH_JOB,
   );
--- a/packages/cli/src/client/records.ts
+++ b/packages/cli/src/client/records.ts
@@ -18,7 +18,7 @@
   name: string,
 ): Promise<Result<StoredRecord, Fault>> =>
   client.send(
-    { method: 'GET', path: createRecordPath(kind, name), repetition: Repetition.Safe },
+    { method: 'GET', path: createRecordPath(kind, name), repetition: Repetition.Read },
     RECORD,
   );
 
@@ -51,7 +51,7 @@
     {
       method: 'PUT',
       path: createRecordPath(kind, name),
-      repetition: Repetition.Safe,
+      repetition: Repetition.Once,
       headers: { 'content-type': 'application/json', 'x-write-id': client.createId() },
       createBody: () => JSON.stringify(content),
     },
@@ -71,7 +71,7 @@
     {
       method: 'DELETE',
       path: `${createRecordPath(kind, name)}?expectedRevision=${expectedRevision}`,
-      repetition: Repetition.Safe,
+      repetition: Repetition.Once,
       headers: { 'x-write-id': client.createId() },
     },
     DELETION,
@@ -81,7 +81,7 @@
 
 export const readStatus = (client: Client): Promise<Result<FleetStatus, Fault>> =>
   client.send(
-    { method: 'GET', path: '/admin/v1/status', repetition: Repetition.Safe },
+    { method: 'GET', path: '/admin/v1/status', repetition: Repetition.Read },
     FLEET_STATUS,
   );
 
--- a/packages/cli/src/commands/chat/index.ts
+++ b/packages/cli/src/commands/chat/index.ts
@@ -30,7 +30,7 @@
     const opened = await client.open({
       method: 'POST',
       path: '/v1/chat/completions',
-      repetition: Repetition.Unsafe,
+      repetition: Repetition.Never,
       headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
       createBody: () => body,
     });
--- a/packages/cli/src/commands/entry-points/index.ts
+++ b/packages/cli/src/commands/entry-points/index.ts
@@ -17,7 +17,7 @@
     const zone = values[Flag.AvailabilityZone];
     const query = zone === undefined ? '' : `?zone=${encodeURIComponent(zone)}`;
     const answer = await client.send(
-      { method: 'GET', path: `/v1/entry-points${query}`, repetition: Repetition.Safe },
+      { method: 'GET', path: `/v1/entry-points${query}`, repetition: Repetition.Read },
       ENTRY_POINT_ANSWER,
     );
     if (answer.isErr()) return reportFault(output, answer.error);
--- a/packages/cli/src/commands/history/index.ts
+++ b/packages/cli/src/commands/history/index.ts
@@ -18,7 +18,7 @@
     const kind = readKind(kindText);
     if (kind.isErr()) return reportUsage(output, [kind.error]);
     const path = `${createRecordPath(kind.value, name)}/history`;
-    const answer = await client.send({ method: 'GET', path, repetition: Repetition.Safe }, HISTORY);
+    const answer = await client.send({ method: 'GET', path, repetition: Repetition.Read }, HISTORY);
     if (answer.isErr()) return reportFault(output, answer.error);
     writeAnswer(output, answer.value, () =>
       formatTable(
--- a/packages/cli/src/commands/jobs-list/index.ts
+++ b/packages/cli/src/commands/jobs-list/index.ts
@@ -15,7 +15,7 @@
   defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
   run: async (_, client, output) => {
     const answer = await client.send(
-      { method: 'GET', path: JOBS_PATH, repetition: Repetition.Safe },
+      { method: 'GET', path: JOBS_PATH, repetition: Repetition.Read },
       BATCH_JOB_LIST,
     );
     if (answer.isErr()) return reportFault(output, answer.error);
--- a/packages/cli/src/commands/jobs-results/read-results.ts
+++ b/packages/cli/src/commands/jobs-results/read-results.ts
@@ -55,7 +55,7 @@
     const answer = await this.client.open({
       method: 'GET',
       path: `${createJobPath(this.job.id, 'results')}?from=${this.#next}&to=${this.range.to}`,
-      repetition: Repetition.Safe,
+      repetition: Repetition.Read,
     });
     if (answer.isErr()) return err(answer.error);
     try {
--- a/packages/cli/src/commands/jobs-submit/index.ts
+++ b/packages/cli/src/commands/jobs-submit/index.ts
@@ -58,7 +58,7 @@
     {
       method: 'POST',
       path: `${JOBS_PATH}?${query}`,
-      repetition: Repetition.Safe,
+      repetition: Repetition.Once,
       headers: {
         'content-type': 'application/x-ndjson',
         'idempotency-key': idempotencyKey,
--- a/packages/cli/src/commands/list/index.ts
+++ b/packages/cli/src/commands/list/index.ts
@@ -18,7 +18,7 @@
     const kind = readKind(kindText);
     if (kind.isErr()) return reportUsage(output, [kind.error]);
     const answer = await client.send(
-      { method: 'GET', path: createRecordPath(kind.value), repetition: Repetition.Safe },
+      { method: 'GET', path: createRecordPath(kind.value), repetition: Repetition.Read },
       RECORD_LIST,
     );
     if (answer.isErr()) return reportFault(output, answer.error);
--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -73,6 +73,12 @@
   t.is(first.requests.length, 2);
 });
 
+test('a lost reply to a read does not cast doubt on the answer to its repetition', async (t) => {
+  const first = await startEntryVm(t);
+  first.misbehave('GET', Misbehaviour.LoseReply);
+  t.is((await runTool(['get', 'version', 'v1'], [first])).code, ExitCode.NotFound);
+});
+
 test('a truncated answer is not taken for complete', async (t) => {
   const first = new TestEntryVm();
   first.route('GET', '/admin/v1/records/version', () => new Response('{"records":['));
