--- a/packages/cli/src/client/client.ts
+++ b/packages/cli/src/client/client.ts
@@ -155,8 +155,9 @@
       } else {
         return err(mergeFaults(request, lost, fault));
       }
-      if (repetitions >= MAX_REPETITIONS || this.isTimeOver())
+      if (repetitions >= MAX_REPETITIONS || this.isTimeOver()) {
         return err(mergeFaults(request, lost, fault));
+      }
       refusals = 0;
       await this.pause(FIRST_PAUSE_MS * 2 ** repetitions);
       repetitions += 1;
