Add shard ownership under leases with fencing numbers

The fencing number is counted in a key without lease and checked again after the ownership key is created, so that a candidate paused between the two steps cannot bring back a lower number.

--- /dev/null
+++ b/packages/shards/src/plan.ts
@@ -0,0 +1,94 @@
+/** Decides which shards this VM should acquire and which it should hand over. */
+import { type Member, MemberState } from '@jujubelanding/types';
+import { Ranking, SHARDS } from './ranking.js';
+
+/** Time per rank after which the next-ranked member tries; longer than a lease lasts. */
+export const RANK_DELAY_MS = 8000;
+/** A member must be first-ranked for so long before a shard is handed over to it. */
+export const STABLE_MS = 5000;
+export const HANDOVER_INTERVAL_MS = 2000;
+/** Few shards move at a time, because each one is without owner for a moment. */
+const HANDOVERS_PER_INTERVAL = 4;
+const HANDOVERS_WHEN_LEAVING = 16;
+/** The first-ranked member of a shard taken over by a later one could not take it; it has to wait. */
+const RETURN_DELAY_MS = 60_000;
+
+export interface PlanInput {
+  self: Member;
+  members: readonly Member[];
+  /** Shards that this VM owns. */
+  owned: readonly number[];
+  /** Shards that another member claims. */
+  claimed: ReadonlySet<number>;
+}
+
+export interface Plan {
+  acquire: number[];
+  release: number[];
+}
+
+export class Planner {
+  private readonly ranking = new Ranking();
+
+  private readonly unownedSince = new Map<number, number>();
+
+  private readonly preferred = new Map<number, { entryVmId: string; since: number }>();
+
+  private readonly keepUntil = new Map<number, number>();
+
+  private nextHandoverAt = 0;
+
+  plan(input: PlanInput, now: number): Plan {
+    const ranks = this.ranking.of(input.members);
+    const owned = new Set(input.owned);
+    return {
+      acquire: SHARDS.filter(
+        (shard) => !owned.has(shard) && this.shouldAcquire(shard, input, ranks[shard]!, now),
+      ),
+      release: this.chooseHandovers(input, ranks, now),
+    };
+  }
+
+  /** Records a gain; a shard gained out of turn stays here for a while. */
+  recordGain(shard: number, input: PlanInput, now: number): void {
+    const [first] = this.ranking.of(input.members)[shard]!;
+    if (first !== input.self.entryVmId) this.keepUntil.set(shard, now + RETURN_DELAY_MS);
+  }
+
+  /** Restarts the delays of later ranks: after an outage the first-ranked members come first again. */
+  restartDelays(now: number): void {
+    for (const shard of this.unownedSince.keys()) this.unownedSince.set(shard, now);
+  }
+
+  private shouldAcquire(shard: number, input: PlanInput, ranks: string[], now: number): boolean {
+    if (input.claimed.has(shard)) {
+      this.unownedSince.delete(shard);
+      return false;
+    }
+    const since = this.unownedSince.get(shard) ?? now;
+    this.unownedSince.set(shard, since);
+    const rank = ranks.indexOf(input.self.entryVmId);
+    return rank >= 0 && now - since >= rank * RANK_DELAY_MS;
+  }
+
+  private chooseHandovers(input: PlanInput, ranks: string[][], now: number): number[] {
+    const due = input.owned.filter((shard) => this.isHandoverDue(shard, input, ranks[shard]!, now));
+    if (due.length === 0 || now < this.nextHandoverAt) return [];
+    this.nextHandoverAt = now + HANDOVER_INTERVAL_MS;
+    const isLeaving = input.self.state === MemberState.Leaving;
+    return due.slice(0, isLeaving ? HANDOVERS_WHEN_LEAVING : HANDOVERS_PER_INTERVAL);
+  }
+
+  private isHandoverDue(shard: number, input: PlanInput, ranks: string[], now: number): boolean {
+    const [first] = ranks;
+    if (first === undefined || first === input.self.entryVmId) {
+      this.preferred.delete(shard);
+      return false;
+    }
+    const known = this.preferred.get(shard);
+    const since = known?.entryVmId === first ? known.since : now;
+    this.preferred.set(shard, { entryVmId: first, since });
+    if (input.self.state === MemberState.Leaving) return true;
+    return now - since >= STABLE_MS && now >= (this.keepUntil.get(shard) ?? 0);
+  }
+}
--- /dev/null
+++ b/packages/shards/src/shards-controller.ts
@@ -0,0 +1,285 @@
+import type {
+  EntryVmIo,
+  EntryVmSettings,
+  Membership,
+  ShardOwner,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import type { ShardClaim } from '@jujubelanding/types';
+import { Backoff } from './backoff.js';
+import type { Lease } from './lease.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import { indexOwners } from './owner-index.js';
+import { type OwnerEntry, type Ownership, OwnershipStore } from './ownership-store.js';
+import { type Plan, Planner, type PlanInput } from './plan.js';
+
+const TICK_MS = 250;
+/** Membership needs some time to find the others; a VM alone would take all shards. */
+export const START_DELAY_MS = 2000;
+/** Interval at which ownership keys are compared with what this VM believes to own. */
+const AUDIT_INTERVAL_MS = 30_000;
+/** Time between two attempts at shards whose ownership key still exists. */
+const RETRY_MS = 1000;
+/** Acquisitions in progress at a time. */
+const PARALLEL_ACQUISITIONS = 8;
+/** A lease without shards is given back after this time. */
+const IDLE_LEASE_MS = 10_000;
+
+export interface ShardsOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'createLog' | 'metrics'>;
+  settings: Pick<EntryVmSettings, 'entryVmId'>;
+  membership: Membership;
+}
+
+interface Held extends Ownership {
+  since: number;
+}
+
+/** Acquires, keeps and hands over shards. */
+export class ShardsController implements ShardTable {
+  private readonly log: Log;
+
+  private readonly ownership: OwnershipStore;
+
+  private readonly keeper: LeaseKeeper;
+
+  private readonly planner = new Planner();
+
+  private readonly backoff: Backoff;
+
+  private readonly handlers = new Set<() => void>();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  private readonly held = new Map<number, Held>();
+
+  /** Ownership keys that are to be removed. */
+  private readonly releasing = new Map<number, Ownership>();
+
+  private owners: Map<number, ShardOwner> | undefined;
+
+  private isPassing = false;
+
+  private isStopped = false;
+
+  private startedAt = 0;
+
+  private nextAuditAt = 0;
+
+  private nextAttemptAt = 0;
+
+  private lastUsedAt = 0;
+
+  constructor(private readonly options: ShardsOptions) {
+    const { io } = options;
+    this.log = io.createLog('shards');
+    this.ownership = new OwnershipStore(io.store, () => io.random.createId());
+    this.keeper = new LeaseKeeper(io, this.log);
+    this.backoff = new Backoff(io.random);
+  }
+
+  start(): void {
+    this.startedAt = this.now();
+    this.subscriptions.push(
+      this.options.io.timer.every(TICK_MS, () => this.tick()),
+      this.options.membership.onChange(() => {
+        this.owners = undefined;
+      }),
+    );
+  }
+
+  /** Releases all shards. */
+  async stop(): Promise<void> {
+    if (this.isStopped) return;
+    this.isStopped = true;
+    this.subscriptions.forEach((subscription) => subscription.cancel());
+    this.drop([...this.held.keys()], 'stop');
+    await this.keeper.revoke();
+  }
+
+  ownerOf(shard: number): ShardOwner | undefined {
+    const { membership } = this.options;
+    const self = membership.self();
+    this.owners ??= indexOwners(
+      membership.members().filter(({ entryVmId }) => entryVmId !== self.entryVmId),
+    );
+    const other = this.owners.get(shard);
+    const fence = this.fenceOf(shard);
+    if (fence === undefined || (other !== undefined && other.fence > fence)) return other;
+    return { entryVmId: self.entryVmId, peerAddress: self.peerAddress, fence };
+  }
+
+  fenceOf(shard: number): number | undefined {
+    return this.keeper.isValid() ? this.held.get(shard)?.fence : undefined;
+  }
+
+  owned(): ShardClaim[] {
+    if (!this.keeper.isValid()) return [];
+    return [...this.held.values()]
+      .map(({ shard, fence }) => ({ shard, fence }))
+      .toSorted((a, b) => a.shard - b.shard);
+  }
+
+  onChange(handler: () => void): Subscription {
+    this.handlers.add(handler);
+    return { cancel: () => this.handlers.delete(handler) };
+  }
+
+  ownedSince(shard: number): number | undefined {
+    return this.keeper.isValid() ? this.held.get(shard)?.since : undefined;
+  }
+
+  private now(): number {
+    return this.options.io.timer.now();
+  }
+
+  private tick(): void {
+    this.dropAfterLapse();
+    void this.keeper.renewIfDue().then(() => this.dropAfterLapse());
+    void this.runPass();
+  }
+
+  /** Gives up all shards once the lease has ended on the own clock or at the service. */
+  private dropAfterLapse(): void {
+    if (this.keeper.isValid() || this.held.size === 0) return;
+    this.drop([...this.held.keys()], 'lease-end');
+    // The lease may live on at the service; its keys are then found and adopted.
+    this.nextAuditAt = this.now();
+    this.releasing.clear();
+  }
+
+  private async runPass(): Promise<void> {
+    const now = this.now();
+    if (this.isPassing || this.isStopped || now - this.startedAt < START_DELAY_MS) return;
+    const input = this.createPlanInput();
+    const plan = this.planner.plan(input, now);
+    // During an outage a released key would stay until the lease ends.
+    if (this.backoff.isHealthy()) this.beginRelease(plan.release);
+    if (!this.backoff.isDue(now) || !this.hasWork(plan, now)) return;
+    this.isPassing = true;
+    const isDone = await this.executePlan(plan, input);
+    this.isPassing = false;
+    if (isDone) {
+      this.backoff.recordSuccess();
+      return;
+    }
+    this.backoff.recordFailure(this.now());
+    this.planner.restartDelays(this.now());
+    this.nextAuditAt = this.now();
+  }
+
+  private hasWork(plan: Plan, now: number): boolean {
+    if (this.releasing.size > 0) return true;
+    if (plan.acquire.length > 0 && now >= this.nextAttemptAt) return true;
+    return this.keeper.current() !== undefined && now >= this.nextAuditAt;
+  }
+
+  /** Carries out a plan; false after a fault, so that the next pass waits. */
+  private async executePlan(plan: Plan, input: PlanInput): Promise<boolean> {
+    this.nextAttemptAt = this.now() + RETRY_MS * (0.75 + this.options.io.random.next() / 2);
+    if (!(await this.removeReleased())) return false;
+    if (plan.acquire.length === 0 && (await this.isIdle())) return true;
+    const lease = await this.keeper.obtain();
+    if (lease === undefined) return false;
+    const owners = await this.ownership.listOwners();
+    if (owners.isErr()) return false;
+    this.nextAuditAt = this.now() + AUDIT_INTERVAL_MS;
+    if (!(await this.reconcile(lease, owners.value, input))) return false;
+    const free = plan.acquire.filter((shard) => !owners.value.has(shard));
+    return this.acquireAll(free, lease, input);
+  }
+
+  private async removeReleased(): Promise<boolean> {
+    for (const ownership of this.releasing.values()) {
+      const released = await this.ownership.release(ownership);
+      if (released.isErr()) return false;
+      this.releasing.delete(ownership.shard);
+    }
+    return true;
+  }
+
+  /** True without a lease; one that is no longer used is given back. */
+  private async isIdle(): Promise<boolean> {
+    if (this.keeper.current() === undefined) return true;
+    if (this.held.size > 0) this.lastUsedAt = this.now();
+    if (this.now() - this.lastUsedAt < IDLE_LEASE_MS) return false;
+    await this.keeper.revoke();
+    return true;
+  }
+
+  /** Compares ownership keys under this VM's lease with what it believes to own. */
+  private async reconcile(
+    lease: Lease,
+    owners: Map<number, OwnerEntry>,
+    input: PlanInput,
+  ): Promise<boolean> {
+    const own = [...owners.values()].filter(({ leaseId }) => leaseId === lease.id);
+    const lost = [...this.held.keys()].filter((shard) => owners.get(shard)?.leaseId !== lease.id);
+    this.drop(lost, 'key-missing');
+    for (const entry of own.filter(({ shard }) => !this.held.has(shard))) {
+      const confirmed = await this.ownership.confirm(entry);
+      if (confirmed.isErr()) return false;
+      if (confirmed.value !== undefined) this.gain(confirmed.value, lease, input);
+    }
+    return true;
+  }
+
+  private async acquireAll(shards: number[], lease: Lease, input: PlanInput): Promise<boolean> {
+    const { entryVmId, bootId } = this.options.membership.self();
+    let isDone = true;
+    const acquire = async (shard: number): Promise<void> => {
+      const acquired = await this.ownership.acquire(shard, {
+        entryVmId,
+        bootId,
+        leaseId: lease.id,
+      });
+      if (acquired.isErr()) isDone = false;
+      else if (acquired.value !== undefined) this.gain(acquired.value, lease, input);
+    };
+    for (let first = 0; first < shards.length && isDone; first += PARALLEL_ACQUISITIONS) {
+      await Promise.all(shards.slice(first, first + PARALLEL_ACQUISITIONS).map(acquire));
+    }
+    return isDone;
+  }
+
+  private gain(ownership: Ownership, lease: Lease, input: PlanInput): void {
+    // The lease may have ended while the calls were in progress; the next audit then finds the key.
+    if (this.isStopped || this.keeper.current() !== lease || !this.keeper.isValid()) return;
+    const { shard, fence, revision } = ownership;
+    this.lastUsedAt = this.now();
+    this.held.set(shard, { shard, fence, revision, since: this.now() });
+    this.planner.recordGain(shard, input, this.now());
+    this.log.write('shard-gained', { shard, fence });
+    this.publish();
+  }
+
+  private beginRelease(shards: readonly number[]): void {
+    shards.forEach((shard) => this.releasing.set(shard, this.held.get(shard)!));
+    this.drop(shards, 'handover');
+  }
+
+  private drop(shards: readonly number[], reason: string): void {
+    if (shards.length === 0) return;
+    shards.forEach((shard) => this.held.delete(shard));
+    this.log.write('shards-lost', { shards, reason });
+    this.options.io.metrics.increment('shards_lost', { reason }, shards.length);
+    this.publish();
+  }
+
+  private publish(): void {
+    this.options.membership.updateSelf({ shards: this.owned() });
+    this.options.io.metrics.gauge('shards_owned', this.held.size);
+    this.handlers.forEach((handler) => handler());
+  }
+
+  private createPlanInput(): PlanInput {
+    const { membership } = this.options;
+    const self = membership.self();
+    const members = membership.members();
+    const others = members.filter(({ entryVmId }) => entryVmId !== self.entryVmId);
+    const claimed = new Set(others.flatMap(({ shards }) => shards.map(({ shard }) => shard)));
+    return { self, members, owned: [...this.held.keys()], claimed };
+  }
+}
