Defer messages to a paused engine until it resumes

A paused process finds requests and cancellations in its socket buffers when it continues; before, the HTTP program left them without an answer for good and the in-process engine handled them while paused.

--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -52,6 +52,9 @@
 
   private paused = false;
 
+  /** Messages that arrived while paused, in order. */
+  private deferred: (() => void)[] = [];
+
   constructor(private readonly options: ModelEngineOptions) {
     const { timer, random, workerId } = options;
     this.settings = { ...DEFAULT_ENGINE_SETTINGS, ...options.settings };
@@ -95,8 +98,16 @@
     return this.orders.accept(order);
   }
 
+  /** Handles a message now, or once the engine is no longer paused. */
+  whenRunning(handle: () => void): void {
+    if (this.paused) this.deferred.push(handle);
+    else handle();
+  }
+
   /** Breaks all streams and refuses connections until restarted. */
   crash(): void {
+    this.reporter.refresh();
+    this.deferred = [];
     this.faults.reachability = Reachability.Refusing;
     const broken = [...this.running, ...this.waiting];
     this.running = [];
@@ -104,7 +115,7 @@
     this.stopSteps();
     this.streamCache.clear();
     this.prefixCache.clear();
-    broken.forEach((stream) => this.breakStream(stream, 'the engine crashed'));
+    broken.forEach((stream) => stream.interrupt(this.workerId, 'the engine crashed'));
   }
 
   /** Starts again after a crash, with the models of the settings and empty caches. */
@@ -114,7 +125,7 @@
     this.paused = false;
   }
 
-  /** Stops generating; requests and streams hang. */
+  /** Stops generating; requests, cancellations and streams hang. */
   pause(): void {
     this.paused = true;
     this.stopSteps();
@@ -122,6 +133,9 @@
 
   resume(): void {
     this.paused = false;
+    const messages = this.deferred;
+    this.deferred = [];
+    messages.forEach((handle) => handle());
     this.admit();
   }
 
@@ -209,17 +223,14 @@
   private advance(stream: Stream): void {
     // A callback of another stream in this step may have cancelled this one.
     if (!this.running.includes(stream)) return;
-    if (this.failsAlways(stream)) {
+    if (stream.failsAlways(this.settings.failureMarker)) {
       this.remove(stream);
-      const message = 'generation failed';
-      stream.sink.onFault(
-        stream.createFault(FaultCode.Upstream, Outcome.Failed, message, this.workerId),
-      );
+      stream.fail(this.workerId);
       return;
     }
     if (stream.fault === StreamFault.Break && stream.next >= stream.faultIndex) {
       this.remove(stream);
-      this.breakStream(stream, 'the stream broke');
+      stream.interrupt(this.workerId, 'the stream broke');
       return;
     }
     if (!stream.isComplete()) this.sendToken(stream);
@@ -242,13 +253,6 @@
     stream.sink.onToken(token);
   }
 
-  private failsAlways(stream: Stream): boolean {
-    const { failureMarker } = this.settings;
-    if (stream.fault === StreamFault.Fail) return true;
-    if (failureMarker === '') return false;
-    return stream.generation.messages.some(({ content }) => content.includes(failureMarker));
-  }
-
   private cancelStream(stream: Stream): void {
     if (!this.running.includes(stream) && !this.waiting.includes(stream)) return;
     this.reporter.refresh();
@@ -261,12 +265,6 @@
     this.admit();
   }
 
-  private breakStream(stream: Stream, message: string): void {
-    stream.sink.onFault(
-      stream.createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown, message, this.workerId),
-    );
-  }
-
   private remove(stream: Stream): void {
     const { promptDigest, next: tokens } = stream;
     const now = this.options.timer.now();
--- a/packages/stand-ins/src/engine/stream.ts
+++ b/packages/stand-ins/src/engine/stream.ts
@@ -95,8 +95,32 @@
     };
   }
 
-  /** Creates the fault of a stream that has run. */
-  createFault(code: FaultCode, outcome: Outcome, message: string, workerId: string): Fault {
-    return { code, outcome, step: 'generate', peer: workerId, message };
+  /** True when generation ends in a known failure, by a fault or by a marker in the prompt. */
+  failsAlways(marker: string): boolean {
+    if (this.fault === StreamFault.Fail) return true;
+    if (marker === '') return false;
+    return this.generation.messages.some(({ content }) => content.includes(marker));
+  }
+
+  /** Reports that generation has ended in a known failure. */
+  fail(workerId: string): void {
+    this.sink.onFault({
+      code: FaultCode.Upstream,
+      outcome: Outcome.Failed,
+      step: 'generate',
+      peer: workerId,
+      message: 'generation failed',
+    });
+  }
+
+  /** Breaks the connection. */
+  interrupt(workerId: string, message: string): void {
+    this.sink.onFault({
+      code: FaultCode.Interrupted,
+      outcome: Outcome.OutcomeUnknown,
+      step: 'generate',
+      peer: workerId,
+      message,
+    });
   }
 }
--- a/packages/stand-ins/src/group-client.ts
+++ b/packages/stand-ins/src/group-client.ts
@@ -87,14 +87,18 @@
     if (signal.aborted) {
       return err(link.createFault('call', FaultCode.Cancelled, Outcome.NotRun));
     }
-    const cancelled = new Promise<Result<never, Fault>>((resolve) => {
-      signal.addEventListener(
-        'abort',
-        () => resolve(err(link.createFault('call', FaultCode.Cancelled, Outcome.OutcomeUnknown))),
-        { once: true },
-      );
+    return new Promise((resolve) => {
+      const abort = (): void => {
+        resolve(err(link.createFault('call', FaultCode.Cancelled, Outcome.OutcomeUnknown)));
+      };
+      signal.addEventListener('abort', abort, { once: true });
+      void link
+        .call('call', () => service.run(request))
+        .then((response) => {
+          signal.removeEventListener('abort', abort);
+          resolve(response);
+        });
     });
-    return Promise.race([link.call('call', () => service.run(request)), cancelled]);
   }
 
   async readLoad(
@@ -129,8 +133,13 @@
     const engine = this.group.findEngine(worker.id);
     if (engine === undefined) return err(this.createUnavailable(worker, step));
     const link = this.createLink(worker, engine.faults, this.callTimeoutMs());
-    // A paused engine accepts the connection and answers nothing.
-    return link.call(step, () => (engine.isPaused() ? new Promise(() => {}) : run(engine)));
+    return link.call(
+      step,
+      () =>
+        new Promise((resolve) => {
+          engine.whenRunning(() => resolve(run(engine)));
+        }),
+    );
   }
 
   private callTimeoutMs(): number {
--- a/packages/stand-ins/src/group-stream.ts
+++ b/packages/stand-ins/src/group-stream.ts
@@ -47,11 +47,11 @@
       const abort = (): void => this.giveUp(FaultCode.Cancelled);
       signal.addEventListener('abort', abort, { once: true });
       this.stopListening = () => signal.removeEventListener('abort', abort);
-      timer.after(link.drawLatency(), () => this.start(generation));
+      timer.after(link.drawLatency(), () => this.deliver(generation));
     });
   }
 
-  private start(generation: Generation): void {
+  private deliver(generation: Generation): void {
     const { link, engine } = this.options;
     if (this.settled) return;
     if (link.isCut() || link.drawRequestLoss()) {
@@ -62,7 +62,11 @@
       this.settle(err(link.createFault('generate', FaultCode.Unavailable, Outcome.NotRun)));
       return;
     }
-    const started = engine.start(generation, {
+    engine.whenRunning(() => this.start(generation));
+  }
+
+  private start(generation: Generation): void {
+    const started = this.options.engine.start(generation, {
       onToken: (token) => this.arrive(() => this.options.onToken(token)),
       onEnd: (end) => this.arrive(() => this.settle(ok(end))),
       onFault: (fault) => this.arrive(() => this.settle(err(fault))),
@@ -103,10 +107,10 @@
   /** Closes the connection; the engine learns of it unless the path is cut. */
   private giveUp(code: FaultCode): void {
     if (this.settled) return;
-    const { link, timer } = this.options;
+    const { link, timer, engine } = this.options;
     this.settle(err(link.createFault('generate', code, Outcome.OutcomeUnknown)));
     timer.after(link.drawLatency(), () => {
-      if (!link.isCut()) this.handle?.cancel();
+      if (!link.isCut()) engine.whenRunning(() => this.handle?.cancel());
     });
   }
 
--- a/packages/stand-ins/src/http/model-engine-app.ts
+++ b/packages/stand-ins/src/http/model-engine-app.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod';
 import type { ModelEngine } from '../engine/model-engine.js';
 import { addControl, linkFaultsSchema, streamFaultsSchema } from './control.js';
-import { applyFaults, hang, sendFault, sendResult, type App, type Bindings } from './server.js';
+import { applyFaults, sendFault, sendResult, type App, type Bindings } from './server.js';
 
 /** Operation of the engine process. */
 export enum EngineOperation {
@@ -69,7 +69,7 @@
   if (started.isErr()) return sendFault(context, started.error);
   outgoing.writeHead(200, EVENT_STREAM_HEADERS);
   outgoing.flushHeaders();
-  outgoing.once('close', () => started.value.cancel());
+  outgoing.once('close', () => engine.whenRunning(() => started.value.cancel()));
   return RESPONSE_ALREADY_SENT;
 };
 
@@ -132,17 +132,21 @@
     }),
   });
 
-const hangWhilePaused =
+const waitWhilePaused =
   (engine: ModelEngine): MiddlewareHandler<Bindings> =>
-  (context, next) =>
-    engine.isPaused() ? hang(context) : next();
+  async (_, next) => {
+    await new Promise<void>((resolve) => {
+      engine.whenRunning(resolve);
+    });
+    return next();
+  };
 
 /** Creates the HTTP interface of a model engine; tokens are sent as server-sent events. */
 export const createModelEngineApp = (engine: ModelEngine, timer: Timer, random: Random): App => {
   const app = new Hono<Bindings>();
   addEngineControl(app, engine);
   app.use('/v1/*', applyFaults({ timer, random, faults: engine.faults }));
-  app.use('/v1/*', hangWhilePaused(engine));
+  app.use('/v1/*', waitWhilePaused(engine));
   addStreamRoutes(app, engine);
   addControlRoutes(app, engine);
   return app;
--- a/packages/stand-ins/src/http/server.ts
+++ b/packages/stand-ins/src/http/server.ts
@@ -51,7 +51,7 @@
 };
 
 /** Leaves the request without an answer until its connection ends. */
-export const hang = (context: Context<Bindings>): Promise<Response> =>
+const hang = (context: Context<Bindings>): Promise<Response> =>
   new Promise((resolve) => {
     context.env.incoming.socket.once('close', () => resolve(RESPONSE_ALREADY_SENT));
   });
