--- a/packages/caller-api/src/batch-input.ts
+++ b/packages/caller-api/src/batch-input.ts
@@ -30,7 +30,7 @@
 }
 
 const refuseLongItem = (location: Record<string, string>, maxItemBytes: number): never => {
-  const message = `an item exceeds ${maxItemBytes} characters`;
+  const message = `${describeLocation(location)}the item exceeds ${maxItemBytes} characters`;
   throw new InputRejection(createRefusal(FaultCode.TooLarge, 'body-limit', message, location));
 };
 
--- a/packages/caller-api/src/request-body.ts
+++ b/packages/caller-api/src/request-body.ts
@@ -69,7 +69,8 @@
   const checked = schema.safeParse(value);
   if (checked.success) return ok(checked.data);
   const issue = checked.error.issues[0]!;
-  const field = issue.path.join('.') || '(whole value)';
+  const unknown = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
+  const field = [...issue.path, ...unknown].join('.') || '(whole value)';
   const message = `${describeLocation(location)}field ${field}: ${issue.message}`;
   const details = { ...location, field, problem: issue.message };
   return err(createRefusal(FaultCode.InvalidInput, 'body', message, details));
