--- a/packages/caller-api/src/json-item-scanner.ts
+++ b/packages/caller-api/src/json-item-scanner.ts
@@ -22,6 +22,11 @@
 
 const WHITESPACE = /\s/;
 
+/** What changes the state inside and outside strings. */
+const IN_STRING = /["\\]/g;
+
+const OUTSIDE_STRINGS = /["{}[\]\n]/g;
+
 /**
  * Splits on structure only (nesting depth and strings); the parts are parsed and checked by the
  * reader. Fields must come before `items`, so that the job is known before its items are stored.
@@ -51,14 +56,17 @@
 
   async *scan(texts: AsyncIterable<string>): AsyncGenerator<Scanned> {
     for await (const text of texts) {
-      for (const character of text) {
-        const scanned = this.step(character);
+      let position = 0;
+      while (position < text.length) {
+        // Items make up nearly all of a body; they are searched instead of read by character.
+        const isInItem = this.isInItems && this.depth > 2;
+        const end = isInItem ? this.skipItem(text, position) : position + 1;
+        const scanned = isInItem ? this.endItem() : this.step(text[position]!);
+        position = end;
         if (scanned !== undefined) yield scanned;
         if (this.text.length > this.maxItemLength) {
-          this.refuse(
-            FaultCode.TooLarge,
-            `a part of the body exceeds ${this.maxItemLength} characters`,
-          );
+          const problem = `a part of the body exceeds ${this.maxItemLength} characters`;
+          this.refuse(FaultCode.TooLarge, problem);
         }
       }
     }
@@ -67,13 +75,37 @@
     }
   }
 
+  /** Takes the text of an item up to its end or that of the chunk; returns the position after it. */
+  private skipItem(text: string, start: number): number {
+    let position = start;
+    while (position < text.length && this.depth > 2) {
+      if (this.isEscaped) {
+        this.isEscaped = false;
+        position += 1;
+      } else {
+        const pattern = this.isInString ? IN_STRING : OUTSIDE_STRINGS;
+        pattern.lastIndex = position;
+        const found = pattern.exec(text)?.index ?? text.length;
+        position = found + 1;
+        if (found < text.length) this.trackStructure(text[found]!);
+        if (text[found] === '\n') this.line += 1;
+      }
+    }
+    const end = Math.min(position, text.length);
+    this.text += text.slice(start, end);
+    return end;
+  }
+
+  private endItem(): Scanned | undefined {
+    return this.depth === 2 ? this.takeItem() : undefined;
+  }
+
   private step(character: string): Scanned | undefined {
     if (character === '\n') this.line += 1;
     if (this.isPastItems) return this.stepAfterItems(character);
-    if (this.isInItems && this.depth === 2) return this.stepBetweenItems(character);
+    if (this.isInItems) return this.stepBetweenItems(character);
     this.text += character;
     this.trackStructure(character);
-    if (this.isInItems) return this.depth === 2 && !this.isInString ? this.takeItem() : undefined;
     return character === '[' && this.depth === 2 && !this.isInString ? this.openItems() : undefined;
   }
 
