--- /dev/null
+++ b/packages/configuration/src/configuration-controller.ts
@@ -0,0 +1,251 @@
+import type {
+  ActiveRecord,
+  Configuration,
+  Directory,
+  EntryVmIo,
+  EntryVmSettings,
+  Membership,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { ConfigurationDelta } from '@jujubelanding/peer-protocol';
+import type { Subscription } from '@jujubelanding/timer';
+import type { RecordKind } from '@jujubelanding/types';
+import { decideActivation } from './activation.js';
+import { ActiveRecords, type InvalidRecord } from './active-records.js';
+import { PeerSync } from './peer-sync.js';
+import { ApplyStatus, Replica } from './replica.js';
+import { Snapshot } from './snapshot.js';
+import type { Electorate } from './start-vote.js';
+import { StoreFollower } from './store-follower.js';
+
+const TICK_MS = 250;
+/** The key-value service gets this head start before the other VMs are asked. */
+const VOTE_DELAY_MS = 1000;
+const VOTE_INTERVAL_MS = 1000;
+const SAVE_RETRY_MS = 5000;
+
+export interface ConfigurationOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'network' | 'disk' | 'createLog' | 'metrics'>;
+  settings: Pick<EntryVmSettings, 'entryVmId'>;
+  membership: Membership;
+  directory: Pick<Directory, 'entryVms'>;
+  /** Shard owners watch the key-value service. */
+  shards: Pick<ShardTable, 'owned'>;
+}
+
+/** Replica of the operator records; what it puts in force never reverts. */
+export class ConfigurationController implements Configuration {
+  private readonly log: Log;
+
+  private readonly replica = new Replica();
+
+  private readonly active = new ActiveRecords();
+
+  private readonly follower: StoreFollower;
+
+  private readonly sync: PeerSync;
+
+  private readonly snapshot: Snapshot | undefined;
+
+  private readonly handlers = new Set<() => void>();
+
+  private readonly subscriptions: Subscription[] = [];
+
+  private activatedRevision = 0;
+
+  /** Revision that must be in force before this VM is ready; undefined until it is known. */
+  private startRevision: number | undefined;
+
+  private hasSnapshot = false;
+
+  private nextSaveAt = 0;
+
+  private isStopped = false;
+
+  constructor(private readonly options: ConfigurationOptions) {
+    const { io, membership } = options;
+    this.log = io.createLog('configuration');
+    this.snapshot = io.disk === undefined ? undefined : new Snapshot(io.disk, this.log);
+    this.follower = new StoreFollower({
+      io,
+      log: this.log,
+      replica: this.replica,
+      isOwner: () => this.startRevision !== undefined && this.options.shards.owned().length > 0,
+      isKnown: () => this.startRevision !== undefined,
+      accept: (delta) => this.accept(delta),
+      onRead: () => this.evaluate(),
+      onReadAll: () => this.setStarted('key-value'),
+    });
+    this.sync = new PeerSync({
+      io,
+      membership,
+      replica: this.replica,
+      canAnswer: () => this.startRevision !== undefined || this.hasSnapshot,
+      accept: (delta) => this.accept(delta),
+    });
+  }
+
+  start(): void {
+    this.sync.start();
+    this.subscriptions.push(
+      this.options.io.timer.every(TICK_MS, () => this.tick()),
+      this.options.membership.onChange(() => this.onMembershipChange()),
+    );
+    void this.run();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.sync.stop();
+    this.follower.stop();
+    this.subscriptions.forEach((subscription) => subscription.cancel());
+  }
+
+  isReady(): boolean {
+    return this.startRevision !== undefined && this.activatedRevision >= this.startRevision;
+  }
+
+  /** On a VM with a disk a revision counts as held once it is saved. */
+  heldRevision(): number {
+    return this.snapshot?.savedRevision() ?? this.replica.heldRevision();
+  }
+
+  activeRevision(): number {
+    return this.activatedRevision;
+  }
+
+  get<K extends RecordKind>(kind: K, name: string): ActiveRecord<K> | undefined {
+    return this.active.get(kind, name);
+  }
+
+  list<K extends RecordKind>(kind: K): ActiveRecord<K>[] {
+    return this.active.list(kind);
+  }
+
+  /** Records that are stored but cannot be put in force. */
+  invalidRecords(): InvalidRecord[] {
+    return this.active.listInvalid();
+  }
+
+  onChange(handler: () => void): Subscription {
+    this.handlers.add(handler);
+    return { cancel: () => this.handlers.delete(handler) };
+  }
+
+  private now(): number {
+    return this.options.io.timer.now();
+  }
+
+  private async run(): Promise<void> {
+    const saved = await this.snapshot?.load();
+    if (saved !== undefined) {
+      this.hasSnapshot = true;
+      this.accept(saved);
+    }
+    void this.runVotes();
+    await this.follower.run();
+  }
+
+  /** Asks the other VMs until the start revision is known from them or from the service. */
+  private async runVotes(): Promise<void> {
+    const { io } = this.options;
+    await io.timer.sleep(VOTE_DELAY_MS);
+    while (this.startRevision === undefined && !this.isStopped) {
+      const isDecided = await this.sync.vote(this.createElectorate());
+      if (isDecided) this.setStarted('vote');
+      else await io.timer.sleep(VOTE_INTERVAL_MS * (0.5 + io.random.next()));
+    }
+  }
+
+  private createElectorate(): Electorate {
+    return {
+      selfId: this.options.settings.entryVmId,
+      listed: this.options.directory.entryVms(),
+      hasSnapshot: this.hasSnapshot,
+    };
+  }
+
+  private setStarted(source: string): void {
+    if (this.startRevision !== undefined || this.isStopped) return;
+    this.startRevision = this.replica.heldRevision();
+    this.log.write('configuration-known', { source, revision: this.startRevision });
+    this.evaluate();
+  }
+
+  private accept(delta: ConfigurationDelta): ApplyStatus {
+    const before = this.replica.heldRevision();
+    const status = this.replica.apply(delta, this.now());
+    if (status !== ApplyStatus.Applied) return status;
+    const { records, revision } = this.replica.pendingBatches().at(-1)!;
+    this.log.write('records-held', { revision, records: records.length });
+    this.sync.push({ afterRevision: before, revision, records });
+    void this.save();
+    this.evaluate();
+    return status;
+  }
+
+  private async save(): Promise<void> {
+    if (this.snapshot === undefined || this.now() < this.nextSaveAt) return;
+    const isSaved = await this.snapshot.save(() => this.replica.deltaAfter(0));
+    if (!isSaved) this.nextSaveAt = this.now() + SAVE_RETRY_MS;
+    this.evaluate();
+  }
+
+  private tick(): void {
+    this.evaluate();
+    void this.sync.pullIfBehind();
+    void this.follower.confirmIfOverdue();
+    if (this.heldRevision() < this.replica.heldRevision()) void this.save();
+  }
+
+  private onMembershipChange(): void {
+    this.evaluate();
+    void this.sync.pullIfBehind();
+  }
+
+  /** Puts in force what may be, and publishes the revisions. */
+  private evaluate(): void {
+    if (this.isStopped) return;
+    const { membership, directory, settings } = this.options;
+    const activation =
+      this.startRevision === undefined
+        ? undefined
+        : decideActivation({
+            pending: this.replica.pendingBatches(),
+            selfId: settings.entryVmId,
+            heldRevision: this.heldRevision(),
+            confirmedRevision: this.follower.confirmedRevision(),
+            members: membership.members(),
+            listed: directory.entryVms(),
+            now: this.now(),
+          });
+    if (activation !== undefined) this.activate(activation.revision, activation.cause);
+    membership.updateSelf({
+      heldRevision: this.heldRevision(),
+      activeRevision: this.activatedRevision,
+    });
+  }
+
+  private activate(revision: number, cause: string): void {
+    const records = this.replica.takeUpTo(revision).flatMap((batch) => batch.records);
+    for (const record of records) {
+      const invalid = this.active.apply(record);
+      if (invalid !== undefined) this.reportInvalid(invalid);
+    }
+    this.activatedRevision = revision;
+    this.log.write('configuration-activated', { revision, cause, records: records.length });
+    this.options.io.metrics.gauge('configuration_active_revision', revision);
+    this.handlers.forEach((handler) => handler());
+  }
+
+  private reportInvalid({ kind, name, revision, faults }: InvalidRecord): void {
+    this.options.io.metrics.increment('invalid_records', { kind });
+    this.log.write('record-invalid', {
+      kind,
+      name,
+      revision,
+      fields: faults.map(({ field }) => field),
+    });
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/store-follower.ts
@@ -0,0 +1,135 @@
+/** Follows the records in the key-value service and confirms held revisions with it. */
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { ConfigurationDelta } from '@jujubelanding/peer-protocol';
+import { CONFIRMED_DELAY_MS } from './activation.js';
+import type { Replica } from './replica.js';
+import { StoreReader, WatchStatus } from './store-reader.js';
+
+const WATCH_WAIT_MS = 15_000;
+const IDLE_MS = 500;
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 4000;
+/** Spread of the VMs that have to confirm a revision themselves. */
+const CONFIRM_SPREAD_MS = 1000;
+
+export interface StoreFollowerOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store'>;
+  log: Log;
+  replica: Replica;
+  /** True while this VM has to watch. */
+  isOwner: () => boolean;
+  /** True once the start revision is known, from the service or from other VMs. */
+  isKnown: () => boolean;
+  accept: (delta: ConfigurationDelta) => unknown;
+  /** Called after each successful read. */
+  onRead: () => void;
+  /** Called after all records were read. */
+  onReadAll: () => void;
+}
+
+export class StoreFollower {
+  private readonly reader: StoreReader;
+
+  private readonly confirmDelayMs: number;
+
+  /** Store revision up to which this VM knows all changes. */
+  private cursor = 0;
+
+  private confirmed = 0;
+
+  private isConfirming = false;
+
+  private failures = 0;
+
+  private isStopped = false;
+
+  constructor(private readonly options: StoreFollowerOptions) {
+    this.reader = new StoreReader(options.io.store);
+    this.confirmDelayMs = CONFIRMED_DELAY_MS + options.io.random.below(CONFIRM_SPREAD_MS);
+  }
+
+  /** Revision up to which the key-value service itself confirmed the held records. */
+  confirmedRevision(): number {
+    return this.confirmed;
+  }
+
+  /** Reads all records once, then watches while this VM owns shards. */
+  async run(): Promise<void> {
+    const { isKnown, isOwner, io } = this.options;
+    while (!this.isStopped) {
+      if (!isKnown()) await this.readAll();
+      else if (isOwner()) await this.watch();
+      else await io.timer.sleep(IDLE_MS);
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Confirms a revision that neither a majority nor gossip has put in force in time. */
+  async confirmIfOverdue(): Promise<void> {
+    const { timer, random } = this.options.io;
+    const batch = this.options.replica
+      .pendingBatches()
+      .findLast(({ heldAt }) => timer.now() - heldAt >= this.confirmDelayMs);
+    const record = batch?.records.find(({ revision }) => revision === batch.revision);
+    if (batch === undefined || record === undefined || this.isConfirming) return;
+    if (batch.revision <= this.confirmed) return;
+    this.isConfirming = true;
+    const confirmed = await this.reader.confirm(record);
+    if (confirmed.isOk() && confirmed.value) this.recordConfirmed(batch.revision);
+    else await timer.sleep(MAX_RETRY_MS * (0.5 + random.next()));
+    this.isConfirming = false;
+  }
+
+  private async readAll(): Promise<void> {
+    const read = await this.reader.readAll();
+    if (this.isStopped) return;
+    if (read.isErr()) {
+      await this.pauseAfterFailure(read.error.message);
+      return;
+    }
+    this.failures = 0;
+    this.options.accept(read.value.delta);
+    this.cursor = Math.max(this.cursor, read.value.storeRevision);
+    this.recordConfirmed(read.value.storeRevision);
+    this.options.onReadAll();
+  }
+
+  private async watch(): Promise<void> {
+    const held = this.options.replica.heldRevision();
+    // All record changes up to the cursor are held, and so are all up to the held revision.
+    const after = Math.max(this.cursor, held);
+    const read = await this.reader.watch(after, WATCH_WAIT_MS);
+    if (this.isStopped) return;
+    if (read.isErr()) {
+      await this.pauseAfterFailure(read.error.message);
+      return;
+    }
+    this.failures = 0;
+    if (read.value.status === WatchStatus.Compacted) {
+      await this.readAll();
+      return;
+    }
+    const { delta, storeRevision } = read.value;
+    if (delta.records.length > 0) this.options.accept({ ...delta, afterRevision: held });
+    this.cursor = Math.max(this.cursor, storeRevision);
+    this.recordConfirmed(storeRevision);
+  }
+
+  private recordConfirmed(revision: number): void {
+    const held = this.options.replica.heldRevision();
+    this.confirmed = Math.max(this.confirmed, Math.min(revision, held));
+    this.options.onRead();
+  }
+
+  private async pauseAfterFailure(message: string): Promise<void> {
+    const { timer, random } = this.options.io;
+    if (this.failures === 0) this.options.log.write('records-not-read', { message });
+    const delay = Math.min(FIRST_RETRY_MS * 2 ** this.failures, MAX_RETRY_MS);
+    this.failures += 1;
+    await timer.sleep(delay * (0.5 + random.next()));
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/store-reader.ts
@@ -0,0 +1,90 @@
+/** Reads records from the key-value service. */
+import type { Reply } from '@jujubelanding/errors';
+import type { ConfigurationDelta, ReplicatedRecord } from '@jujubelanding/peer-protocol';
+import { ChangeKind, type KeyValueEntry, type KeyValueStore } from '@jujubelanding/platform';
+import { parseRecordKey, recordKey, RECORDS_PREFIX } from '@jujubelanding/records';
+import { err, ok } from 'neverthrow';
+
+const PAGE_SIZE = 500;
+
+/** Records read, and the store revision up to which nothing is missing. */
+export interface StoreRead {
+  delta: ConfigurationDelta;
+  storeRevision: number;
+}
+
+export enum WatchStatus {
+  Read = 'read',
+  /** Changes in between are no longer kept. */
+  Compacted = 'compacted',
+}
+
+export type WatchRead =
+  { status: WatchStatus.Compacted } | ({ status: WatchStatus.Read } & StoreRead);
+
+const toRecord = ({ key, value, modRevision }: KeyValueEntry): ReplicatedRecord[] => {
+  const parsed = parseRecordKey(key);
+  return parsed === undefined ? [] : [{ ...parsed, revision: modRevision, value }];
+};
+
+const createDelta = (afterRevision: number, entries: KeyValueEntry[]): ConfigurationDelta => {
+  const records = entries.flatMap(toRecord);
+  const revision = records.reduce((highest, record) => Math.max(highest, record.revision), 0);
+  return { afterRevision, revision: Math.max(afterRevision, revision), records };
+};
+
+export class StoreReader {
+  constructor(private readonly store: KeyValueStore) {}
+
+  /**
+   * Reads all records page by page. Changes during the reading may be missing from pages read before
+   * them, so those since the first page are read again.
+   */
+  async readAll(): Reply<StoreRead> {
+    const entries: KeyValueEntry[] = [];
+    let firstRevision: number | undefined;
+    for (let isLast = false, after: string | undefined; !isLast; after = entries.at(-1)?.key) {
+      const page = await this.store.list(RECORDS_PREFIX, PAGE_SIZE, after);
+      if (page.isErr()) return err(page.error);
+      firstRevision ??= page.value.revision;
+      entries.push(...page.value.entries);
+      isLast = page.value.entries.length < PAGE_SIZE;
+    }
+    const since = await this.watch(firstRevision!, 0);
+    if (since.isErr()) return err(since.error);
+    // More changes than the service keeps passed during the reading.
+    if (since.value.status === WatchStatus.Compacted) return this.readAll();
+    const delta = createDelta(0, entries);
+    const { records, revision } = since.value.delta;
+    return ok({
+      storeRevision: since.value.storeRevision,
+      delta: {
+        afterRevision: 0,
+        revision: records.length === 0 ? delta.revision : Math.max(delta.revision, revision),
+        records: [...delta.records, ...records],
+      },
+    });
+  }
+
+  /** Waits for changes after a store revision. */
+  async watch(afterRevision: number, waitMs: number): Reply<WatchRead> {
+    const watched = await this.store.watch(RECORDS_PREFIX, afterRevision, waitMs);
+    return watched.map(({ changes, revision, compacted }) => {
+      if (compacted) return { status: WatchStatus.Compacted };
+      const entries = changes
+        .filter(({ kind }) => kind === ChangeKind.Put)
+        .map(({ entry }) => entry);
+      return {
+        status: WatchStatus.Read,
+        delta: createDelta(afterRevision, entries),
+        storeRevision: revision,
+      };
+    });
+  }
+
+  /** True when the service has the record in this revision or a later one. */
+  async confirm({ kind, name, revision }: ReplicatedRecord): Reply<boolean> {
+    const entry = await this.store.get(recordKey(kind, name));
+    return entry.map((found) => found !== undefined && found.modRevision >= revision);
+  }
+}
