--- /dev/null
+++ b/packages/replay/src/actions/callers.ts
@@ -0,0 +1,68 @@
+/** Online requests of callers. */
+import { listEntryVms } from '../trace/header.js';
+import type { EventKind, EventOf } from '../trace/events.js';
+import { tagRequest } from '../tags.js';
+import type { World } from '../world.js';
+
+interface ChatRequest {
+  name: string;
+  via: string;
+  model: string;
+  prompt: string;
+  maxTokens: number;
+  stream: boolean;
+  key?: string | undefined;
+  idempotent?: boolean | undefined;
+}
+
+const createHeaders = (
+  type: string,
+  { key, idempotent }: Pick<ChatRequest, 'key' | 'idempotent'>,
+): Record<string, string> => ({
+  'content-type': type,
+  ...(key === undefined ? {} : { 'idempotency-key': key }),
+  ...(idempotent === undefined ? {} : { idempotent: String(idempotent) }),
+});
+
+const sendChat = (world: World, chat: ChatRequest): void => {
+  const { name, via, model, maxTokens, stream, key } = chat;
+  const tag = { request: name, ...(key === undefined ? {} : { key }) };
+  void world.send(name, via, {
+    method: 'POST',
+    path: '/v1/chat/completions',
+    headers: createHeaders('application/json', chat),
+    body: JSON.stringify({
+      model,
+      stream,
+      max_tokens: maxTokens,
+      messages: [{ role: 'user', content: tagRequest(chat.prompt, tag) }],
+    }),
+  });
+};
+
+export const chat = (world: World, event: EventOf<EventKind.Chat>): void =>
+  sendChat(world, { ...event, name: event.id });
+
+/** Requests spread evenly over the time and the entry VMs. */
+export const burst = (world: World, event: EventOf<EventKind.Burst>): void => {
+  const entryVms = listEntryVms(world.header);
+  const { count, overMs } = event;
+  for (let index = 0; index < count; index += 1) {
+    const name = `${event.id}/${index}`;
+    const via = entryVms[index % entryVms.length]!;
+    world.fleet.timer.after((index * overMs) / count, () =>
+      sendChat(world, { ...event, name, via, stream: true }),
+    );
+  }
+};
+
+export const call = (world: World, event: EventOf<EventKind.Call>): void => {
+  const { id, via, service, path, body, key } = event;
+  const tag = { request: id, ...(key === undefined ? {} : { key }) };
+  void world.send(id, via, {
+    method: 'POST',
+    path: `/services/${service}${path}`,
+    headers: createHeaders('text/plain', event),
+    body: tagRequest(body, tag),
+  });
+};
--- /dev/null
+++ b/packages/replay/src/caller.ts
@@ -0,0 +1,210 @@
+/** A caller of entry VMs that sees what a real one sees over a connection. */
+import { Outcome, type Problem } from '@jujubelanding/errors';
+import { HostState, type FleetNode } from '@jujubelanding/simulation';
+import type { Timer } from '@jujubelanding/timer';
+import { RequestOutcome } from './trace/expectations.js';
+
+export enum ReplyKind {
+  /** A whole HTTP response arrived. */
+  Answered = 'answered',
+  /** Nothing was sent: the address does not accept connections. */
+  Refused = 'refused',
+  /** The connection ended before the response did, or the caller gave up. */
+  Broken = 'broken',
+  /** Neither an answer nor an end so far. */
+  Pending = 'pending',
+}
+
+export interface CallerReply {
+  kind: ReplyKind;
+  status: number;
+  body: string;
+  sentAt: number;
+  /** Times at which the first and the last part of the body arrived. */
+  firstPartAt?: number;
+  endedAt?: number;
+}
+
+export interface CallerRequest {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body?: string;
+}
+
+/** Longer than every time-out of the system, so that only a lost VM breaks a request. */
+const CALLER_PATIENCE_MS = 120_000;
+
+export class Caller {
+  constructor(
+    private readonly timer: Timer,
+    private readonly delayMs: number,
+  ) {}
+
+  /** Sends a request to an entry VM; the returned reply is filled in as it arrives. */
+  send(node: FleetNode, request: CallerRequest): { reply: CallerReply; done: Promise<void> } {
+    const reply: CallerReply = {
+      kind: ReplyKind.Pending,
+      status: 0,
+      body: '',
+      sentAt: this.timer.now(),
+    };
+    const done = this.connect(node, request, reply);
+    return { reply, done };
+  }
+
+  private async connect(
+    node: FleetNode,
+    request: CallerRequest,
+    reply: CallerReply,
+  ): Promise<void> {
+    await this.timer.sleep(this.delayMs);
+    if (!node.entryVm.isListening() || node.host.state() === HostState.Crashed) {
+      this.settle(reply, ReplyKind.Refused);
+      return;
+    }
+    const connection = this.hold(node, request, reply);
+    node.connections.add(connection);
+    await connection;
+    node.connections.delete(connection);
+  }
+
+  /** Runs an exchange over one connection, which breaks when the VM is lost. */
+  private hold(node: FleetNode, request: CallerRequest, reply: CallerReply): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (kind: ReplyKind): void => {
+        this.settle(reply, kind);
+        resolve();
+      };
+      const removeCrashHandler = node.host.onCrash(() => finish(ReplyKind.Broken));
+      const patience = this.timer.after(CALLER_PATIENCE_MS, () => finish(ReplyKind.Broken));
+      node.host.deliver(() => {
+        void this.exchange(node, request, reply).then((kind) =>
+          this.timer.after(this.delayMs, () => {
+            removeCrashHandler();
+            patience.cancel();
+            finish(kind);
+          }),
+        );
+      });
+    });
+  }
+
+  private async exchange(
+    node: FleetNode,
+    { method, path, headers, body }: CallerRequest,
+    reply: CallerReply,
+  ): Promise<ReplyKind> {
+    const response = await node.entryVm.app.request(`http://entry${path}`, {
+      method,
+      headers,
+      ...(body === undefined ? {} : { body }),
+    });
+    const parts = response.body?.getReader();
+    const decoder = new TextDecoder();
+    const received: string[] = [];
+    try {
+      for (let part = await parts?.read(); part?.value !== undefined; part = await parts?.read()) {
+        if (reply.kind === ReplyKind.Pending) reply.firstPartAt ??= this.timer.now() + this.delayMs;
+        received.push(decoder.decode(part.value, { stream: true }));
+      }
+    } catch {
+      // The entry VM breaks off a response that it can't complete.
+      return ReplyKind.Broken;
+    }
+    if (reply.kind === ReplyKind.Pending) {
+      reply.status = response.status;
+      reply.body = received.join('');
+    }
+    return ReplyKind.Answered;
+  }
+
+  private settle(reply: CallerReply, kind: ReplyKind): void {
+    if (reply.kind !== ReplyKind.Pending) return;
+    reply.kind = kind;
+    reply.endedAt = this.timer.now();
+    if (kind === ReplyKind.Answered) return;
+    reply.status = 0;
+    reply.body = '';
+  }
+}
+
+const UNANSWERED: Partial<Record<ReplyKind, RequestOutcome>> = {
+  [ReplyKind.Refused]: RequestOutcome.NotRun,
+  [ReplyKind.Broken]: RequestOutcome.OutcomeUnknown,
+  [ReplyKind.Pending]: RequestOutcome.Pending,
+};
+
+const STATED: Record<Outcome, RequestOutcome> = {
+  [Outcome.NotRun]: RequestOutcome.NotRun,
+  [Outcome.Failed]: RequestOutcome.Failed,
+  [Outcome.OutcomeUnknown]: RequestOutcome.OutcomeUnknown,
+};
+
+export interface StreamedAnswer {
+  text: string;
+  tokenCount: number;
+  /** True when the closing mark arrived and the tokens are as many as announced. */
+  isWhole: boolean;
+  problem?: Problem;
+}
+
+interface Chunk {
+  outcome?: Outcome;
+  choices?: { delta: { content?: string } }[];
+  usage?: { completion_tokens: number };
+}
+
+/** Reads an answer from server-sent events. */
+export const readEvents = (body: string): StreamedAnswer => {
+  const data = body
+    .split('\n')
+    .filter((line) => line.startsWith('data: '))
+    .map((line) => line.slice('data: '.length));
+  const isClosed = data.at(-1) === '[DONE]';
+  const chunks = data
+    .filter((event) => event !== '[DONE]')
+    .map((event) => JSON.parse(event) as Chunk);
+  const texts = chunks.flatMap(({ choices }) => choices?.[0]?.delta.content ?? []);
+  const problem = chunks.find(({ outcome }) => outcome !== undefined) as Problem | undefined;
+  const announced = chunks.at(-1)?.usage?.completion_tokens;
+  return {
+    text: texts.join(''),
+    tokenCount: texts.length,
+    isWhole: isClosed && announced === texts.length,
+    ...(problem === undefined ? {} : { problem }),
+  };
+};
+
+const isEventStream = (body: string): boolean => /^(event|data): /.test(body);
+
+const readProblemOutcome = (body: string): RequestOutcome => {
+  try {
+    const { outcome } = JSON.parse(body) as Partial<Problem>;
+    return outcome === undefined ? RequestOutcome.Failed : STATED[outcome];
+  } catch {
+    return RequestOutcome.Failed;
+  }
+};
+
+/** Outcome of a request as its caller knows it. */
+export const readOutcome = ({ kind, status, body }: CallerReply): RequestOutcome => {
+  const unanswered = UNANSWERED[kind];
+  if (unanswered !== undefined) return unanswered;
+  if (status >= 300) return readProblemOutcome(body);
+  if (!isEventStream(body)) return RequestOutcome.Succeeded;
+  const { isWhole, problem } = readEvents(body);
+  if (problem !== undefined) return STATED[problem.outcome];
+  return isWhole ? RequestOutcome.Succeeded : RequestOutcome.OutcomeUnknown;
+};
+
+/** Text of a chat answer, streamed or whole; of other replies the body. */
+export const readAnswer = ({ body }: CallerReply): string => {
+  if (isEventStream(body)) return readEvents(body).text;
+  try {
+    const whole = JSON.parse(body) as { choices?: { message: { content: string } }[] };
+    return whole.choices?.[0]?.message.content ?? body;
+  } catch {
+    return body;
+  }
+};
--- /dev/null
+++ b/packages/replay/src/checks/index.ts
@@ -0,0 +1,40 @@
+/** Check of each kind of expectation. */
+import { ExpectationKind, type Expectation, type ExpectationOf } from '../trace/expectations.js';
+import type { World } from '../world.js';
+import type { Difference } from './difference.js';
+import * as fleet from './fleet.js';
+import * as jobs from './jobs.js';
+import * as requests from './requests.js';
+
+type Checks = {
+  [K in ExpectationKind]: (world: World, expectation: ExpectationOf<K>) => Difference | undefined;
+};
+
+const CHECKS: Checks = {
+  [ExpectationKind.Outcome]: requests.checkOutcome,
+  [ExpectationKind.Burst]: requests.checkBurst,
+  [ExpectationKind.JobEnd]: jobs.checkJobEnd,
+  [ExpectationKind.SameJob]: jobs.checkSameJob,
+  [ExpectationKind.OneWinner]: fleet.checkOneWinner,
+  [ExpectationKind.CancelBound]: jobs.checkCancelBound,
+  [ExpectationKind.LeavingBound]: fleet.checkLeavingBound,
+  [ExpectationKind.YieldBound]: fleet.checkYieldBound,
+  [ExpectationKind.ConfigurationInForce]: fleet.checkConfigurationInForce,
+  [ExpectationKind.ConfigurationReverts]: fleet.checkConfigurationReverts,
+  [ExpectationKind.FirstToken]: requests.checkFirstToken,
+  [ExpectationKind.Executions]: requests.checkExecutions,
+  [ExpectationKind.NotRunExecutions]: requests.checkNotRunExecutions,
+  [ExpectationKind.PlannedStop]: requests.checkPlannedStop,
+};
+
+/** Checks an expectation after the end of the trace. */
+export const checkExpectation = (
+  world: World,
+  expectation: Expectation,
+): Difference | undefined => {
+  const check = CHECKS[expectation.expect] as (
+    world: World,
+    expectation: Expectation,
+  ) => Difference | undefined;
+  return check(world, expectation);
+};
--- /dev/null
+++ b/packages/replay/src/checks/jobs.ts
@@ -0,0 +1,73 @@
+/** Checks of batch jobs. */
+import { computeChecksum } from '@jujubelanding/random';
+import { ItemStatus, type ItemResult } from '@jujubelanding/types';
+import { ReplyKind } from '../caller.js';
+import type { EventKind, EventOf } from '../trace/events.js';
+import type { ExpectationKind, ExpectationOf } from '../trace/expectations.js';
+import type { World } from '../world.js';
+import { compare, compareBound, type Difference } from './difference.js';
+
+/** Identifies index, status and text of all results of a job. */
+export const digestResults = (
+  results: readonly Pick<ItemResult, 'index' | 'status' | 'text'>[],
+): string =>
+  computeChecksum(
+    JSON.stringify(
+      results
+        .toSorted((a, b) => a.index - b.index)
+        .map(({ index, status, text }) => [index, status, text ?? null]),
+    ),
+  );
+
+export const checkJobEnd = (
+  world: World,
+  expectation: ExpectationOf<ExpectationKind.JobEnd>,
+): Difference | undefined => {
+  const { event, status, succeeded, failed, duplicates, textDigest } = expectation;
+  const job = world.jobs.get(event)!;
+  const results = job.final ?? [];
+  const count = (wanted: ItemStatus): number =>
+    results.filter((result) => result.status === wanted).length;
+  return compare(
+    { status, succeeded, failed, duplicates, changes: 0, textDigest },
+    {
+      status: job.status ?? 'unknown',
+      succeeded: count(ItemStatus.Succeeded),
+      failed: count(ItemStatus.Failed),
+      duplicates: job.duplicates,
+      changes: job.changes,
+      textDigest: digestResults(results),
+    },
+  );
+};
+
+/** All acknowledged submissions must have got the same job id, and at least two must have one. */
+export const checkSameJob = (
+  world: World,
+  { events }: ExpectationOf<ExpectationKind.SameJob>,
+): Difference | undefined => {
+  const ids = events
+    .map((event) => world.replies.get(event)!)
+    .filter(({ kind, status }) => kind === ReplyKind.Answered && status < 300)
+    .map(({ body }) => (JSON.parse(body) as { id: string }).id);
+  return compare(
+    { jobs: 1, isRepeated: true },
+    { jobs: new Set(ids).size, isRepeated: ids.length > 1 },
+  );
+};
+
+/** Time from the acknowledgement to the last dispatch of the job and to the end of its streams. */
+export const checkCancelBound = (
+  world: World,
+  { event, limitMs }: ExpectationOf<ExpectationKind.CancelBound>,
+): Difference | undefined => {
+  const { kind, status, endedAt } = world.replies.get(event)!;
+  if (kind !== ReplyKind.Answered || status >= 300) {
+    return compare({ acknowledged: true }, { acknowledged: false });
+  }
+  const { job } = world.events.get(event) as EventOf<EventKind.Cancel>;
+  const late = world.observer.dispatches
+    .filter((dispatch) => dispatch.job === job)
+    .map((dispatch) => Math.max(dispatch.at, dispatch.endedAt ?? Infinity) - endedAt!);
+  return compareBound('lastBatchWorkMs', limitMs, Math.max(0, ...late));
+};
--- /dev/null
+++ b/packages/replay/src/main.ts
@@ -0,0 +1,51 @@
+/** Command line of the replay. */
+import { readFile } from 'node:fs/promises';
+import { createLog } from '@jujubelanding/log';
+import meow from 'meow';
+import { describeThrown } from '@jujubelanding/errors';
+import { ExitCode, replayText, type ReplayReport } from './replay-text.js';
+
+const HELP = `
+  Usage
+    $ npm run replay -- FILE... [--log]
+
+  Options
+    --log  write log lines of all entry VMs; select with DEBUG
+
+  Exit codes
+    0  all outcomes are as stated
+    1  an outcome differs
+    2  a trace is invalid or can't be read
+`;
+
+const { input, flags } = meow(HELP, {
+  importMeta: import.meta,
+  flags: { log: { type: 'boolean', default: false } },
+});
+
+const replayFile = async (file: string): Promise<ReplayReport> => {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch (thrown) {
+    return { exitCode: ExitCode.Invalid, lines: [`${file}: ${describeThrown(thrown)}`] };
+  }
+  return replayText(
+    file,
+    text,
+    flags.log ? { createLog: (entryVmId) => (part) => createLog(`${entryVmId}:${part}`) } : {},
+  );
+};
+
+if (input.length === 0) {
+  console.error('no FILE given; see --help');
+  process.exit(ExitCode.Invalid);
+}
+
+let exitCode = ExitCode.AsStated;
+for (const file of input) {
+  const report = await replayFile(file);
+  report.lines.forEach((line) => console.log(line));
+  exitCode = Math.max(exitCode, report.exitCode);
+}
+process.exit(exitCode);
--- /dev/null
+++ b/packages/replay/src/run-trace.ts
@@ -0,0 +1,63 @@
+/** Runs a trace on virtual time and compares its stated outcomes with what happened. */
+import { HostState } from '@jujubelanding/simulation';
+import { readEnd } from './actions/jobs.js';
+import { runEvent } from './actions/index.js';
+import { checkExpectation } from './checks/index.js';
+import type { Difference } from './checks/difference.js';
+import type { Expectation } from './trace/expectations.js';
+import type { Trace } from './trace/parse-trace.js';
+import { World, type WorldOptions } from './world.js';
+
+/** Time in which state and results of all jobs are read after the end of a trace. */
+const FINAL_READ_MS = 5000;
+
+export interface LocatedDifference extends Difference {
+  line: number;
+  expectation: Expectation;
+}
+
+export interface ReplayResult {
+  name: string;
+  events: number;
+  expectations: number;
+  differences: LocatedDifference[];
+}
+
+const playEvents = async (world: World, { header, events }: Trace): Promise<void> => {
+  for (const event of events) {
+    await world.fleet.advance(event.at - world.now());
+    world.events.set(event.id, event);
+    runEvent(world, event);
+  }
+  await world.fleet.advance(header.durationMs - world.now());
+};
+
+/** Reads the end of all jobs through an entry VM that serves callers. */
+const readEnds = async (world: World): Promise<void> => {
+  const node = world.fleet
+    .liveNodes()
+    .find(({ host, entryVm }) => host.state() === HostState.Running && entryVm.isReady());
+  if (node === undefined) return;
+  const reads = [...world.jobs.values()].map((job) => readEnd(world, node.host.id, job));
+  await world.fleet.advance(FINAL_READ_MS);
+  // A read without an answer by now leaves the job's end unknown, which is a difference.
+  await Promise.race([Promise.all(reads), world.fleet.timer.settle()]);
+};
+
+/** Replays a trace. */
+export const runTrace = async (trace: Trace, options: WorldOptions = {}): Promise<ReplayResult> => {
+  const world = new World(trace.header, options);
+  await world.start();
+  await playEvents(world, trace);
+  await readEnds(world);
+  const differences = trace.expectations.flatMap(({ line, expectation }) => {
+    const difference = checkExpectation(world, expectation);
+    return difference === undefined ? [] : [{ line, expectation, ...difference }];
+  });
+  return {
+    name: trace.header.name,
+    events: trace.events.length,
+    expectations: trace.expectations.length,
+    differences,
+  };
+};
--- /dev/null
+++ b/packages/replay/src/trace/header.ts
@@ -0,0 +1,68 @@
+/** Header of a trace: the deployment that it runs on. */
+import { FencingMode, RecordKind, ServiceKind } from '@jujubelanding/types';
+import { z } from 'zod';
+
+/** Version of the format that this package reads. */
+export const FORMAT_VERSION = 1;
+
+export enum Source {
+  Hand = 'hand',
+  Generator = 'generator',
+}
+
+const name = z.string().min(1).max(100);
+const duration = z.number().min(0);
+const count = z.int().min(1).max(1000);
+
+const serviceSchema = z.strictObject({
+  name,
+  kind: z.enum(ServiceKind),
+  workers: count,
+  slots: count,
+  fencing: z.enum(FencingMode),
+  /** Models that the engines have loaded at the start. */
+  models: z.array(name).default([]),
+  stepBaseMs: duration.optional(),
+  stepPerStreamMs: duration.optional(),
+});
+
+const recordSchema = z.strictObject({
+  kind: z.enum(RecordKind),
+  name,
+  schemaVersion: z.int().min(1),
+  spec: z.record(z.string(), z.unknown()),
+});
+
+export const headerSchema = z.strictObject({
+  format: z.literal(FORMAT_VERSION),
+  name: z.string().regex(/^[a-z0-9][a-z0-9-]*$/),
+  source: z.enum(Source),
+  description: z.string().min(1),
+  seed: z.int().min(0),
+  region: name,
+  availabilityZones: z.array(name).min(1),
+  localDelayMs: duration,
+  remoteDelayMs: duration,
+  callerDelayMs: duration,
+  vmListLagMs: duration,
+  entryVms: z.strictObject({ count, disks: z.int().min(0) }),
+  /** Time for which callers keep an entry-point answer, also the first phase of a planned stop. */
+  entryPointLifetimeMs: duration.default(5000),
+  services: z.array(serviceSchema).min(1),
+  records: z.array(recordSchema),
+  teamKey: z.string().min(1),
+  /** End of the trace; outcomes are read after it. */
+  durationMs: duration,
+});
+
+export type Header = z.infer<typeof headerSchema>;
+
+export type ServicePlan = z.infer<typeof serviceSchema>;
+
+/** Ids of the entry VMs of a deployment. */
+export const listEntryVms = ({ entryVms }: Header): string[] =>
+  Array.from({ length: entryVms.count }, (_, index) => `entry-${index}`);
+
+/** Ids of the workers of a service. */
+export const listWorkers = (service: ServicePlan): string[] =>
+  Array.from({ length: service.workers }, (_, index) => `${service.name}-${index + 1}`);
--- /dev/null
+++ b/packages/replay/src/world.ts
@@ -0,0 +1,187 @@
+/** The fleet of a trace, with what callers and the observer saw. */
+import { Fleet, OPERATOR_TOKEN, type FleetNode } from '@jujubelanding/simulation';
+import type { Log } from '@jujubelanding/log';
+import type { ModelEngine, PlainService } from '@jujubelanding/stand-ins';
+import { ServiceKind, type ItemResult } from '@jujubelanding/types';
+import { Caller, ReplyKind, type CallerReply, type CallerRequest } from './caller.js';
+import { ConfigurationWatch } from './configuration-watch.js';
+import { Observer } from './observer.js';
+import type { EventOf, EventKind, TraceEvent } from './trace/events.js';
+import { listWorkers, type Header, type ServicePlan } from './trace/header.js';
+
+/** Time in which a new fleet agrees on its members and on the owners of shards. */
+const WARM_UP_MS = 15_000;
+
+const RECORD_INTERVAL_MS = 500;
+
+export interface JobLog {
+  event: EventOf<EventKind.Submit>;
+  id?: string;
+  /** Each result as first read, by item. */
+  results: Map<number, string>;
+  /** Items that appeared twice in one answer, and results that differed from the first one. */
+  duplicates: number;
+  changes: number;
+  /** Read after the end of the trace. */
+  status?: string;
+  final?: ItemResult[];
+}
+
+export interface WorkerPlace {
+  id: string;
+  service: ServicePlan;
+  availabilityZone: string;
+}
+
+export interface WorldOptions {
+  createLog?: (entryVmId: string) => (part: string) => Log;
+}
+
+export class World {
+  readonly fleet: Fleet;
+
+  readonly observer: Observer;
+
+  readonly configuration: ConfigurationWatch;
+
+  /** Events that have begun, by id. */
+  readonly events = new Map<string, TraceEvent>();
+
+  /** Ids of the stop events whose planned stop has ended. */
+  readonly stopped = new Set<string>();
+
+  readonly workers = new Map<string, WorkerPlace>();
+
+  readonly engines = new Map<string, ModelEngine>();
+
+  readonly plainServices = new Map<string, PlainService>();
+
+  /** Replies by request name: the event id, within a burst followed by a slash and the position. */
+  readonly replies = new Map<string, CallerReply>();
+
+  /** Entry VM to which each request was sent. */
+  readonly sentVia = new Map<string, string>();
+
+  readonly jobs = new Map<string, JobLog>();
+
+  /** Virtual time at which the trace begins. */
+  startedAt = 0;
+
+  /** Revisions of header records, by kind and name. */
+  private readonly initialRevisions = new Map<string, number>();
+
+  private readonly caller: Caller;
+
+  constructor(
+    readonly header: Header,
+    options: WorldOptions = {},
+  ) {
+    this.fleet = new Fleet({
+      seed: header.seed,
+      availabilityZones: header.availabilityZones,
+      entryVmCount: header.entryVms.count,
+      diskVmCount: header.entryVms.disks,
+      localDelayMs: header.localDelayMs,
+      remoteDelayMs: header.remoteDelayMs,
+      vmListLagMs: header.vmListLagMs,
+      settings: { entryPointLifetimeMs: header.entryPointLifetimeMs },
+      ...options,
+    });
+    const { timer } = this.fleet;
+    this.observer = new Observer(timer);
+    this.configuration = new ConfigurationWatch(this.fleet);
+    this.caller = new Caller(timer, header.callerDelayMs);
+  }
+
+  /** Starts workers and entry VMs, writes the header's records and waits until they are in force. */
+  async start(): Promise<void> {
+    this.header.services.forEach((service) => this.addService(service));
+    this.fleet.startAll();
+    this.configuration.start();
+    await this.fleet.advance(WARM_UP_MS);
+    for (const record of this.header.records) await this.writeInitial(record);
+    await this.fleet.advance(WARM_UP_MS);
+    this.startedAt = this.fleet.timer.now();
+  }
+
+  /** Time since the trace began. */
+  now(): number {
+    return this.fleet.timer.now() - this.startedAt;
+  }
+
+  /** Sends a request with the team's key and keeps the reply under the given name. */
+  send(name: string, entryVmId: string, request: CallerRequest): Promise<CallerReply> {
+    const headers = { authorization: `Bearer ${this.header.teamKey}`, ...request.headers };
+    return this.exchange(name, this.fleet.node(entryVmId), { ...request, headers });
+  }
+
+  /** Sends an administration request. */
+  administer(name: string, entryVmId: string, request: Omit<CallerRequest, 'headers'>) {
+    const headers = {
+      authorization: `Bearer ${OPERATOR_TOKEN}`,
+      'content-type': 'application/json',
+    };
+    return this.exchange(name, this.fleet.node(entryVmId), { ...request, headers });
+  }
+
+  initialRevision(kind: string, name: string): number {
+    return this.initialRevisions.get(`${kind}/${name}`) ?? 0;
+  }
+
+  private async exchange(
+    name: string,
+    node: FleetNode,
+    request: CallerRequest,
+  ): Promise<CallerReply> {
+    const { reply, done } = this.caller.send(node, request);
+    this.replies.set(name, reply);
+    this.sentVia.set(name, node.host.id);
+    await done;
+    return reply;
+  }
+
+  private addService(service: ServicePlan): void {
+    const { availabilityZones } = this.header;
+    for (const id of listWorkers(service)) {
+      const availabilityZone = availabilityZones[this.workers.size % availabilityZones.length]!;
+      this.workers.set(id, { id, service, availabilityZone });
+      if (service.kind === ServiceKind.ModelEngine) this.addEngine(id, service, availabilityZone);
+      else this.addPlainService(id, service, availabilityZone);
+    }
+  }
+
+  private addEngine(id: string, service: ServicePlan, availabilityZone: string): void {
+    const { slots, fencing, models, stepBaseMs, stepPerStreamMs } = service;
+    const engine = this.fleet.addEngine(id, service.name, availabilityZone, {
+      slots,
+      fencing,
+      models,
+      ...(stepBaseMs === undefined ? {} : { stepBaseMs }),
+      ...(stepPerStreamMs === undefined ? {} : { stepPerStreamMs }),
+    });
+    this.observer.watchEngine(engine);
+    this.engines.set(id, engine);
+  }
+
+  private addPlainService(id: string, service: ServicePlan, availabilityZone: string): void {
+    const plainService = this.fleet.addPlainService(id, service.name, availabilityZone);
+    this.observer.watchPlainService(id, plainService);
+    this.plainServices.set(id, plainService);
+  }
+
+  private async writeInitial(record: Header['records'][number]): Promise<void> {
+    const { kind, name, schemaVersion, spec } = record;
+    const written = this.administer(`header/${kind}/${name}`, 'entry-0', {
+      method: 'PUT',
+      path: `/admin/v1/records/${kind}/${name}`,
+      body: JSON.stringify({ schemaVersion, spec, expectedRevision: 0 }),
+    });
+    await this.fleet.advance(RECORD_INTERVAL_MS);
+    const { kind: replyKind, status, body } = await written;
+    if (replyKind !== ReplyKind.Answered || status >= 300) {
+      throw new Error(`header record ${kind}/${name} was refused: ${status} ${body}`);
+    }
+    const { revision } = JSON.parse(body) as { revision: number };
+    this.initialRevisions.set(`${kind}/${name}`, revision);
+  }
+}
