--- a/packages/stand-ins/src/engine/answer.ts
+++ b/packages/stand-ins/src/engine/answer.ts
@@ -2,9 +2,9 @@
 import { computeChecksum, hashText } from '@jujubelanding/random';
 import { FinishReason, type Generation, type Message } from '@jujubelanding/types';
 
-/** Natural answer lengths are spread from 8 tokens up to this many more. */
-const NATURAL_LENGTH_SPAN = 512;
-const MIN_NATURAL_LENGTH = 8;
+/** Answers end by themselves after 64 to 511 tokens; a lower maxTokens always decides. */
+const MIN_NATURAL_LENGTH = 64;
+const NATURAL_LENGTH_SPAN = 448;
 
 const CHARACTERS_PER_TOKEN = 4;
 
@@ -15,9 +15,14 @@
   finishReason: FinishReason;
 }
 
+/** Digits of the digest; short, because each token hashes them. */
+const DIGEST_DIGITS = 16;
+
 /** Identifies what determines the generated text. */
 export const computePromptDigest = ({ messages, adapter }: Prompt): string =>
-  computeChecksum(JSON.stringify([messages.map((m) => [m.role, m.content]), adapter ?? null]));
+  computeChecksum(
+    JSON.stringify([messages.map((m) => [m.role, m.content]), adapter ?? null]),
+  ).slice(0, DIGEST_DIGITS);
 
 /** Returns the token at an index of the answer. */
 export const computeToken = (promptDigest: string, index: number): string =>
--- a/packages/stand-ins/src/http/server.ts
+++ b/packages/stand-ins/src/http/server.ts
@@ -65,7 +65,7 @@
 }: FaultedPath): MiddlewareHandler<Bindings> => {
   const happens = (chance: number): boolean => chance > 0 && random.next() < chance;
   const wait = async (): Promise<void> => {
-    const delay = drawLatency(random, [faults.latency]);
+    const delay = drawLatency(random, faults.latency);
     if (delay > 0) await timer.sleep(delay);
   };
   return async (context, next) => {
--- a/packages/stand-ins/src/link.ts
+++ b/packages/stand-ins/src/link.ts
@@ -47,12 +47,8 @@
 }
 
 /** Draws a one-way latency. */
-export const drawLatency = (random: Random, latencies: readonly Latency[]): number =>
-  latencies.reduce(
-    (sum, { floorMs, meanExtraMs }) =>
-      sum + floorMs + (meanExtraMs > 0 ? -Math.log(1 - random.next()) * meanExtraMs : 0),
-    0,
-  );
+export const drawLatency = (random: Random, { floorMs, meanExtraMs }: Latency): number =>
+  floorMs + (meanExtraMs > 0 ? -Math.log(1 - random.next()) * meanExtraMs : 0);
 
 /** Carries calls of one client to one service. */
 export class Link {
@@ -89,8 +85,11 @@
   }
 
   drawLatency(): number {
-    const latencies = this.options.faults.map(({ latency }) => latency);
-    return drawLatency(this.options.random, latencies);
+    const { random, faults } = this.options;
+    // A plain loop, since this runs for each token.
+    let delay = 0;
+    for (const { latency } of faults) delay += drawLatency(random, latency);
+    return delay;
   }
 
   drawRequestLoss(): boolean {
--- a/packages/stand-ins/src/plain-service.ts
+++ b/packages/stand-ins/src/plain-service.ts
@@ -50,7 +50,7 @@
     const { requestId } = request;
     this.executions.set(requestId, (this.executions.get(requestId) ?? 0) + 1);
     this.counters.add('execution');
-    await timer.sleep(drawLatency(random, [this.latency]));
+    await timer.sleep(drawLatency(random, this.latency));
     const failed = random.next() < this.answerFaults.failureChance;
     const wrongId = random.next() < this.answerFaults.wrongIdChance;
     return ok({
