Add the policy bench with the online-against-batch case

Runs the controllers over metered engines on virtual time for five policies and both deployments, so that changes of capacity decisions can be compared under the same seeds.

--- /dev/null
+++ b/packages/bench/src/batch-feed.ts
@@ -0,0 +1,93 @@
+/** An endless supply of batch chunks in place of job owners and segment storage. */
+import type { Reply } from '@jujubelanding/errors';
+import type { SegmentStore } from '@jujubelanding/interfaces';
+import {
+  CompletionStatus,
+  ProgressVerdict,
+  type ChunkCompletion,
+  type ChunkGrant,
+  type ChunkRequest,
+  type ProgressReply,
+  type ProgressReport,
+  type SegmentItem,
+} from '@jujubelanding/peer-protocol';
+import { createRandom } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import type { SegmentReference } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { createText, drawLogNormal, type LogNormal } from './distributions.js';
+import { MODEL } from './static-state.js';
+
+const ITEMS_PER_CHUNK = 200;
+
+const PROMPT_CHARACTERS: LogNormal = { median: 1500, sigma: 0.6, least: 200, greatest: 8000 };
+const ANSWER_TOKENS: LogNormal = { median: 130, sigma: 0.6, least: 10, greatest: 400 };
+
+const DUE_AFTER_MS = 3_600_000;
+
+const GRANT_TIMEOUT_MS = 3000;
+
+/** Time to read a segment from another VM. */
+const READ_MS = 5;
+
+export class BatchFeed {
+  private grants = 0;
+
+  constructor(
+    private readonly timer: Timer,
+    private readonly seed: number,
+  ) {}
+
+  async requestChunk(request: ChunkRequest): Reply<{ grants: ChunkGrant[] }> {
+    if (!request.models.includes(MODEL)) return ok({ grants: [] });
+    const chunk = this.grants;
+    this.grants += 1;
+    const grant: ChunkGrant = {
+      jobId: 'feed',
+      shard: request.shard,
+      fence: 1,
+      grantId: `chunk-${chunk}`,
+      chunk,
+      firstItem: chunk * ITEMS_PER_CHUNK,
+      itemCount: ITEMS_PER_CHUNK,
+      model: MODEL,
+      input: { id: String(chunk), bytes: 0, copies: [] },
+      dueAt: this.timer.wallClock() + DUE_AFTER_MS,
+      timeoutMs: GRANT_TIMEOUT_MS,
+    };
+    return ok({ grants: [grant] });
+  }
+
+  async reportProgress(report: ProgressReport): Reply<ProgressReply> {
+    return ok({ verdicts: report.grants.map(() => ProgressVerdict.Continue) });
+  }
+
+  async completeChunk(_completion: ChunkCompletion): Reply<{ status: CompletionStatus }> {
+    return ok({ status: CompletionStatus.Committed });
+  }
+
+  readonly segments: SegmentStore = {
+    write: async (content) => ok({ id: 'result', bytes: content.length, copies: [] }),
+    read: async (reference) => {
+      await this.timer.sleep(READ_MS);
+      return ok(this.createChunk(reference));
+    },
+  };
+
+  private createChunk({ id }: SegmentReference): Uint8Array {
+    const chunk = Number(id);
+    const random = createRandom(this.seed + chunk);
+    const lines = Array.from({ length: ITEMS_PER_CHUNK }, (_, position) => {
+      const index = chunk * ITEMS_PER_CHUNK + position;
+      const characters = Math.round(drawLogNormal(random, PROMPT_CHARACTERS));
+      const item: SegmentItem = {
+        index,
+        itemId: `item-${index}`,
+        messages: [{ role: 'user', content: `${index} ${createText(random, characters)}` }],
+        maxTokens: Math.round(drawLogNormal(random, ANSWER_TOKENS)),
+      };
+      return JSON.stringify(item);
+    });
+    return Buffer.from(lines.join('\n'));
+  }
+}
--- /dev/null
+++ b/packages/bench/src/bench-fleet.ts
@@ -0,0 +1,193 @@
+/** Wiring of one run: engines, network and the controllers of all entry VMs on virtual time. */
+import { createCapacityPolicy, type CapacityPolicyName } from '@jujubelanding/batch-capacity';
+import { BatchExecutor } from '@jujubelanding/batch-execution';
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import { TeamLimitsController } from '@jujubelanding/limits';
+import { silentLog, type Log } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { OnlineDispatchController } from '@jujubelanding/online';
+import { PeerMethod } from '@jujubelanding/peer-protocol';
+import { createRandom } from '@jujubelanding/random';
+import { Router, type Chooser } from '@jujubelanding/routing';
+import {
+  attachBackendServers,
+  Host,
+  HostTimer,
+  Links,
+  SimulatedNetwork,
+  type Medium,
+} from '@jujubelanding/simulation';
+import { BackendServerGroup, type BackendServersClient } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { VmState, type Member, type TeamRecord, type Worker } from '@jujubelanding/types';
+import { OwnedWorkersController, WorkerLoadsController } from '@jujubelanding/worker-load';
+import { BatchFeed } from './batch-feed.js';
+import { BatchLedger } from './batch-ledger.js';
+import type { Deployment } from './deployments.js';
+import { MeteredEngine } from './metered-engine.js';
+import { createMembers, createStaticState, SERVICE, type StaticState } from './static-state.js';
+import type { Window } from './window.js';
+
+const DATAGRAM_LOSS = 0.01;
+
+/** What the controllers of the bench use; none of them needs the platform's services. */
+type BenchIo = Pick<
+  EntryVmIo,
+  'timer' | 'random' | 'backendServers' | 'network' | 'createLog' | 'metrics'
+>;
+
+export interface BenchFleetOptions {
+  deployment: Deployment;
+  seed: number;
+  window: Window;
+  /** Batch runs with this policy; undefined for a fleet without batch work. */
+  batchPolicy?: CapacityPolicyName;
+  createChooser?: () => Chooser;
+  teams?: Record<string, TeamRecord>;
+  createLog?: (entryVmId: string) => (part: string) => Log;
+}
+
+/** Controllers of one entry VM. */
+export interface BenchNode {
+  member: Member;
+  dispatcher: OnlineDispatchController;
+  loads: WorkerLoadsController;
+  limits: TeamLimitsController;
+}
+
+export class BenchFleet {
+  readonly timer = new VirtualTimer();
+
+  readonly ledger: BatchLedger;
+
+  readonly medium: Medium;
+
+  readonly engines: MeteredEngine[];
+
+  readonly nodes: BenchNode[];
+
+  private readonly workers: Worker[];
+
+  private readonly members: Member[];
+
+  private readonly group: BackendServerGroup;
+
+  private readonly feed: BatchFeed;
+
+  constructor(readonly options: BenchFleetOptions) {
+    const { deployment, seed, window } = options;
+    const { engine, availabilityZones } = deployment;
+    const { timer } = this;
+    const random = createRandom(seed);
+    const links = new Links(deployment.localDelayMs, deployment.remoteDelayMs);
+    links.datagramLoss = DATAGRAM_LOSS;
+    const traffic = { calls: new Map(), datagrams: new Map() };
+    this.medium = { timer, random: createRandom(seed + 1), links, endpoints: new Map(), traffic };
+    this.ledger = new BatchLedger(
+      window,
+      engine.stepBaseMs + engine.slots * engine.stepPerStreamMs,
+    );
+    this.members = createMembers(deployment.entryVms, availabilityZones);
+    this.workers = Array.from({ length: deployment.workers }, (_, index) => ({
+      id: `worker-${index}`,
+      service: SERVICE,
+      address: `worker-${index}:80`,
+      availabilityZone: availabilityZones[index % availabilityZones.length]!,
+      state: VmState.Live,
+    }));
+    this.group = new BackendServerGroup({ timer, random });
+    this.engines = this.workers.map((worker) => this.addEngine(worker));
+    this.feed = new BatchFeed(timer, seed);
+    this.nodes = this.members.map((member) => this.startNode(member));
+  }
+
+  /** Runs until the given time. */
+  async runUntil(time: number): Promise<void> {
+    await this.timer.advance(time - this.timer.now());
+  }
+
+  /** Accounts everything up to now; call once at the end. */
+  finish(): void {
+    this.engines.forEach((engine) => engine.finish());
+    this.ledger.finish();
+  }
+
+  private addEngine(worker: Worker): MeteredEngine {
+    const { options, timer } = this;
+    const random = createRandom(options.seed + this.group.options.random.below(2 ** 30));
+    const settings = options.deployment.engine;
+    const engine = new MeteredEngine(
+      { timer, random, workerId: worker.id, settings },
+      options.window,
+      this.ledger,
+    );
+    this.group.addEngine(engine);
+    this.medium.links.place(worker.id, worker.availabilityZone);
+    return engine;
+  }
+
+  private startNode(member: Member): BenchNode {
+    const { entryVmId, availabilityZone } = member;
+    const { deployment, teams = {}, createChooser } = this.options;
+    const { members, workers } = this;
+    const slotsPerWorker = deployment.engine.slots;
+    const state = createStaticState({ members, workers, slotsPerWorker, teams }, entryVmId);
+    const io = this.createIo(member);
+    let router: Router | undefined;
+    const owned = new OwnedWorkersController({
+      io,
+      entryVmId,
+      ...state,
+      onCacheEvents: (id, events, askedAfter) => router?.applyCacheEvents(id, events, askedAfter),
+    });
+    const loads = new WorkerLoadsController({ io, entryVmId, ...state, owned });
+    router = new Router({
+      io,
+      availabilityZone,
+      directory: state.directory,
+      loads,
+      readReportedOnline: (id) => loads.reportedOnline(id),
+      ...(createChooser === undefined ? {} : { chooser: createChooser() }),
+    });
+    const dispatcher = new OnlineDispatchController({ io, ...state, router, loads });
+    const limits = new TeamLimitsController({ io, entryVmId, ...state });
+    [owned, loads, dispatcher, limits].forEach((controller) => controller.start());
+    this.startBatch(io, state, owned);
+    return { member, dispatcher, loads, limits };
+  }
+
+  private startBatch(io: BenchIo, state: StaticState, workers: OwnedWorkersController): void {
+    const { feed } = this;
+    const { batchPolicy } = this.options;
+    if (batchPolicy === undefined) return;
+    io.network.handle(PeerMethod.RequestChunk, (request) => feed.requestChunk(request));
+    io.network.handle(PeerMethod.ReportProgress, (report) => feed.reportProgress(report));
+    io.network.handle(PeerMethod.CompleteChunk, (report) => feed.completeChunk(report));
+    const policy = createCapacityPolicy(batchPolicy);
+    const { segments } = feed;
+    new BatchExecutor({ io, ...state, workers, segments, policy, owner: feed }).start();
+  }
+
+  private createIo({ entryVmId, availabilityZone, peerAddress }: Member): BenchIo {
+    const { medium } = this;
+    const host = new Host(entryVmId, availabilityZone);
+    medium.links.place(entryVmId, availabilityZone);
+    const client = this.group.createClient(entryVmId);
+    this.setDelays(client, entryVmId);
+    const { seed, createLog } = this.options;
+    return {
+      timer: new HostTimer(this.timer, host),
+      random: createRandom(seed + Number(entryVmId.slice('entry-'.length)) * 7919),
+      backendServers: attachBackendServers(host, client),
+      network: new SimulatedNetwork(medium, host, peerAddress),
+      createLog: createLog?.(entryVmId) ?? (() => silentLog),
+      metrics: silentMetrics,
+    };
+  }
+
+  private setDelays(client: BackendServersClient, entryVmId: string): void {
+    this.workers.forEach(({ id }) => {
+      client.faultsTo(id).latency.floorMs = this.medium.links.delayMs(entryVmId, id);
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/cases/policies.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava';
+import { GLASS_TRADERS } from '../deployments.js';
+import { FIRST_TOKEN_RATIO_TARGET, YIELD_TARGET_MS } from '../targets.js';
+import { BenchPolicy, runPolicy } from './policies.js';
+
+const run = (policy: BenchPolicy, seed: number) =>
+  runPolicy({ deployment: GLASS_TRADERS, policy, seed, seconds: 25 });
+
+// Guards against randomness or real time that the seed does not control.
+test('a run is the same for the same seed', async (t) => {
+  const first = await run(BenchPolicy.Jujubelanding, 7);
+  t.deepEqual(await run(BenchPolicy.Jujubelanding, 7), first);
+  const other = await run(BenchPolicy.Jujubelanding, 8);
+  t.notDeepEqual(other, first);
+});
+
+// Guards against a load that is too light or a meter that is too kind to find a bad policy.
+test('fifo misses the online targets', async (t) => {
+  const baseline = await run(BenchPolicy.OnlineOnly, 7);
+  const fifo = await run(BenchPolicy.Fifo, 7);
+  t.true(baseline.bursts! > 0);
+  t.true(fifo.firstTokenP99Ms! > FIRST_TOKEN_RATIO_TARGET * baseline.firstTokenP99Ms!);
+  t.true(fifo.yieldMaxMs! > YIELD_TARGET_MS);
+});
--- /dev/null
+++ b/packages/bench/src/distributions.ts
@@ -0,0 +1,39 @@
+/** Random distributions of load. */
+import type { Random } from '@jujubelanding/random';
+
+export const drawBetween = (random: Random, least: number, greatest: number): number =>
+  least + (greatest - least) * random.next();
+
+export const drawExponential = (random: Random, mean: number): number =>
+  -Math.log(1 - random.next()) * mean;
+
+/** Log-normal by Box-Muller, limited to a range. */
+export const drawLogNormal = (
+  random: Random,
+  { median, sigma, least, greatest }: LogNormal,
+): number => {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  const normal = radius * Math.cos(2 * Math.PI * random.next());
+  return Math.min(greatest, Math.max(least, median * Math.exp(sigma * normal)));
+};
+
+export interface LogNormal {
+  median: number;
+  sigma: number;
+  least: number;
+  greatest: number;
+}
+
+const WORDS = ['kit', 'match', 'team', 'goal', 'field', 'score', 'coach', 'season', 'ticket'];
+
+/** Creates text of a length in characters that differs for each seed word. */
+export const createText = (random: Random, characters: number): string => {
+  const parts: string[] = [];
+  let length = 0;
+  while (length < characters) {
+    const part = `${random.pick(WORDS)}${random.below(1000)}`;
+    parts.push(part);
+    length += part.length + 1;
+  }
+  return parts.join(' ').slice(0, characters);
+};
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,62 @@
+/** Command line of the policy bench. */
+import { writeFile } from 'node:fs/promises';
+import meow from 'meow';
+import { CASES } from './cases/index.js';
+import { formatReportLine, type Figures, type Line } from './report.js';
+import { runTasks } from './run-pool.js';
+
+const SEED_COUNT = 3;
+
+const cli = meow(
+  `
+  Usage
+    $ npm run bench -- [options]
+
+  Options
+    --seed N      first of ${SEED_COUNT} seeds (default 1)
+    --seconds N   measured virtual seconds of each run (default 240)
+    --case NAME   one of: ${Object.keys(CASES).join(', ')} (default: all)
+    --json FILE   also write the lines as JSON
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      seed: { type: 'number', default: 1 },
+      seconds: { type: 'number', default: 240 },
+      case: { type: 'string', choices: Object.keys(CASES) },
+      json: { type: 'string' },
+    },
+  },
+);
+
+const { seed: firstSeed, seconds, json, case: chosen } = cli.flags;
+const seeds = Array.from({ length: SEED_COUNT }, (_, index) => firstSeed + index);
+
+const runCase = async (caseName: string): Promise<Line[]> => {
+  const { variants, summarize } = CASES[caseName]!;
+  const tasks = variants.flatMap((variant) =>
+    seeds.map((seed) => ({ caseName, variant, seed, seconds })),
+  );
+  const figures = await runTasks(tasks);
+  const results = new Map<string, Figures[]>(
+    variants.map((variant, index) => [
+      variant,
+      figures.slice(index * seeds.length, (index + 1) * seeds.length),
+    ]),
+  );
+  const common = { virtualSeconds: seconds, seeds: `${seeds[0]!}..${seeds.at(-1)!}` };
+  const lines = summarize(results, seconds).map((line) => ({
+    ...line,
+    fields: { ...common, ...line.fields },
+  }));
+  lines.forEach((line) => console.log(formatReportLine(line)));
+  return lines;
+};
+
+const lines: Line[] = [];
+for (const name of chosen === undefined ? Object.keys(CASES) : [chosen]) {
+  lines.push(...(await runCase(name)));
+}
+if (json !== undefined) {
+  await writeFile(json, `${JSON.stringify({ firstSeed, seconds, lines }, null, 2)}\n`);
+}
--- /dev/null
+++ b/packages/bench/src/online-load.ts
@@ -0,0 +1,180 @@
+/** Seeded online load: a rate that changes every few seconds, and bursts out of silence. */
+import { createRandom, type Random } from '@jujubelanding/random';
+import type { Message } from '@jujubelanding/types';
+import {
+  createText,
+  drawBetween,
+  drawExponential,
+  drawLogNormal,
+  type LogNormal,
+} from './distributions.js';
+import { createOnlineId } from './request-ids.js';
+
+/** Prompt lengths in characters without the shared prefix, and answer lengths in tokens. */
+const PROMPT_CHARACTERS: LogNormal = { median: 600, sigma: 0.7, least: 80, greatest: 6000 };
+const ANSWER_TOKENS: LogNormal = { median: 55, sigma: 0.7, least: 4, greatest: 300 };
+
+/** Mean slot time of an answer of this distribution on an engine of 8 slots; sets the rate. */
+const MEAN_SLOT_MS = 2500;
+
+/** Share of the load that arrives at the entry VMs, by rank; callers are not spread evenly. */
+const VM_WEIGHT_DECAY = 0.8;
+
+export interface Arrival {
+  at: number;
+  /** Index of the entry VM. */
+  entryVm: number;
+  requestId: string;
+  messages: Message[];
+  maxTokens: number;
+}
+
+export interface Burst {
+  index: number;
+  from: number;
+  to: number;
+}
+
+export interface OnlineLoad {
+  arrivals: Arrival[];
+  bursts: Burst[];
+}
+
+/** A stretch of time with a constant rate, preceded by a burst where `burst` is given. */
+interface Phase {
+  durationMs: number;
+  /** Share of all slots that the rate keeps busy. */
+  utilization: number;
+  burst?: { slotShare: number; spreadMs: number };
+}
+
+export interface LoadShape {
+  /** Draws the phases that follow each other. */
+  drawPhases: (random: Random) => Phase[];
+  prefixGroups: number;
+  /** Characters of the prompt prefix that requests of a group share. */
+  prefixCharacters: number;
+}
+
+export interface LoadOptions {
+  seed: number;
+  durationMs: number;
+  slots: number;
+  entryVms: number;
+  shape: LoadShape;
+}
+
+/** Rates change every 2 to 5 s; near silence is followed by a burst that takes most slots. */
+const drawChangingPhases = (random: Random): Phase[] => {
+  if (random.next() < 0.6) {
+    return [
+      { durationMs: drawBetween(random, 2000, 5000), utilization: drawBetween(random, 0.1, 0.6) },
+    ];
+  }
+  return [
+    { durationMs: drawBetween(random, 3000, 5000), utilization: 0.02 },
+    {
+      durationMs: drawBetween(random, 2000, 4000),
+      utilization: drawBetween(random, 0.05, 0.25),
+      burst: { slotShare: drawBetween(random, 0.6, 0.85), spreadMs: drawBetween(random, 20, 90) },
+    },
+  ];
+};
+
+export const CHANGING_SHAPE: LoadShape = {
+  drawPhases: drawChangingPhases,
+  prefixGroups: 12,
+  prefixCharacters: 1024,
+};
+
+/** A constant rate. */
+export const createSteadyShape = (
+  utilization: number,
+  prefixGroups: number,
+  prefixCharacters: number,
+): LoadShape => ({
+  drawPhases: () => [{ durationMs: 1000, utilization }],
+  prefixGroups,
+  prefixCharacters,
+});
+
+class LoadBuilder {
+  readonly load: OnlineLoad = { arrivals: [], bursts: [] };
+
+  private readonly random: Random;
+
+  private readonly prefixes: string[];
+
+  private now = 0;
+
+  constructor(private readonly options: LoadOptions) {
+    this.random = createRandom(options.seed);
+    const { prefixGroups, prefixCharacters } = options.shape;
+    this.prefixes = Array.from({ length: prefixGroups }, () =>
+      createText(this.random, prefixCharacters),
+    );
+  }
+
+  build(): OnlineLoad {
+    const { shape, durationMs } = this.options;
+    while (this.now < durationMs) {
+      for (const phase of shape.drawPhases(this.random)) this.addPhase(phase);
+    }
+    const { arrivals, bursts } = this.load;
+    return {
+      arrivals: arrivals.filter(({ at }) => at < durationMs).toSorted((a, b) => a.at - b.at),
+      bursts: bursts.filter(({ to }) => to < durationMs),
+    };
+  }
+
+  private addPhase({ durationMs, utilization, burst }: Phase): void {
+    const start = this.now;
+    if (burst !== undefined) this.addBurst(burst.slotShare, burst.spreadMs);
+    const meanGapMs = MEAN_SLOT_MS / (utilization * this.options.slots);
+    const drawGap = (): number => drawExponential(this.random, meanGapMs);
+    for (let at = start + drawGap(); at < start + durationMs; at += drawGap()) {
+      this.addArrival(at);
+    }
+    this.now = start + durationMs;
+  }
+
+  private addBurst(slotShare: number, spreadMs: number): void {
+    const count = Math.round(slotShare * this.options.slots);
+    const index = this.load.bursts.length;
+    const times = Array.from({ length: count }, () => this.now + spreadMs * this.random.next());
+    times.forEach((at) => this.addArrival(at, index));
+    this.load.bursts.push({ index, from: Math.min(...times), to: Math.max(...times) });
+  }
+
+  private addArrival(at: number, burst?: number): void {
+    const { random } = this;
+    const characters = Math.round(drawLogNormal(random, PROMPT_CHARACTERS));
+    const index = this.load.arrivals.length;
+    this.load.arrivals.push({
+      at,
+      entryVm: this.drawEntryVm(),
+      requestId: createOnlineId(index, burst),
+      messages: [
+        { role: 'system', content: random.pick(this.prefixes) },
+        { role: 'user', content: `${index} ${createText(random, characters)}` },
+      ],
+      maxTokens: Math.round(drawLogNormal(random, ANSWER_TOKENS)),
+    });
+  }
+
+  private drawEntryVm(): number {
+    const { entryVms } = this.options;
+    let total = 0;
+    for (let index = 0; index < entryVms; index += 1) total += VM_WEIGHT_DECAY ** index;
+    let rest = this.random.next() * total;
+    for (let index = 0; index < entryVms; index += 1) {
+      rest -= VM_WEIGHT_DECAY ** index;
+      if (rest < 0) return index;
+    }
+    return entryVms - 1;
+  }
+}
+
+/** Creates the arrivals of a run; the same for the same options. */
+export const createOnlineLoad = (options: LoadOptions): OnlineLoad =>
+  new LoadBuilder(options).build();
--- /dev/null
+++ b/packages/bench/src/online-player.ts
@@ -0,0 +1,96 @@
+/** Plays online load through the dispatchers of a fleet and records what callers see. */
+import { Idempotency } from '@jujubelanding/types';
+import type { BenchFleet } from './bench-fleet.js';
+import type { Arrival } from './online-load.js';
+import { MODEL } from './static-state.js';
+import { Samples } from './statistics.js';
+import { isWithin, type Window } from './window.js';
+
+const DEADLINE_MS = 60_000;
+
+const TEAM = 'bench';
+
+/** After the load has ended; the least time lets preempted batch items continue. */
+const MIN_DRAIN_MS = 4000;
+const MAX_DRAIN_MS = 30_000;
+const DRAIN_STEP_MS = 1000;
+
+/** Requests that arrived within the window. */
+export interface OnlineRecord {
+  firstTokenMs: Samples;
+  interTokenMs: Samples;
+  requests: number;
+  failed: number;
+  promptCharacters: number;
+}
+
+export class OnlinePlayer {
+  readonly record: OnlineRecord = {
+    firstTokenMs: new Samples(),
+    interTokenMs: new Samples(),
+    requests: 0,
+    failed: 0,
+    promptCharacters: 0,
+  };
+
+  private next = 0;
+
+  private running = 0;
+
+  constructor(
+    private readonly fleet: BenchFleet,
+    private readonly arrivals: readonly Arrival[],
+    private readonly window: Window,
+  ) {}
+
+  start(): void {
+    this.scheduleNext();
+  }
+
+  /** Lets time pass until all requests have ended. */
+  async drain(): Promise<void> {
+    const { timer } = this.fleet;
+    const end = timer.now() + MAX_DRAIN_MS;
+    await timer.advance(MIN_DRAIN_MS);
+    while (this.running > 0 && timer.now() < end) await timer.advance(DRAIN_STEP_MS);
+  }
+
+  private scheduleNext(): void {
+    const arrival = this.arrivals[this.next];
+    if (arrival === undefined) return;
+    this.next += 1;
+    this.fleet.timer.after(arrival.at - this.fleet.timer.now(), () => {
+      void this.play(arrival);
+      this.scheduleNext();
+    });
+  }
+
+  private async play(arrival: Arrival): Promise<void> {
+    const { timer, nodes } = this.fleet;
+    const { requestId, messages, maxTokens, at } = arrival;
+    const isCounted = isWithin(this.window, at);
+    let lastTokenAt: number | undefined;
+    const onToken = (): void => {
+      const now = timer.now();
+      if (isCounted && lastTokenAt === undefined) this.record.firstTokenMs.add(now - at);
+      else if (isCounted) this.record.interTokenMs.add(now - lastTokenAt!);
+      lastTokenAt = now;
+    };
+    this.running += 1;
+    const answer = await nodes[arrival.entryVm]!.dispatcher.generate(
+      {
+        generation: { requestId, model: MODEL, messages, maxTokens },
+        idempotency: Idempotency.Idempotent,
+        team: TEAM,
+        deadline: timer.now() + DEADLINE_MS,
+      },
+      onToken,
+      new AbortController().signal,
+    );
+    this.running -= 1;
+    if (!isCounted) return;
+    this.record.requests += 1;
+    this.record.promptCharacters += messages.reduce((sum, { content }) => sum + content.length, 0);
+    if (answer.isErr()) this.record.failed += 1;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/static-state.ts
@@ -0,0 +1,133 @@
+/** Membership, shards, directory and configuration that do not change during a run. */
+import type {
+  Configuration,
+  Directory,
+  Membership,
+  ShardOwner,
+  ShardTable,
+} from '@jujubelanding/interfaces';
+import { rankNodes } from '@jujubelanding/random';
+import {
+  FencingMode,
+  MemberState,
+  RecordKind,
+  ServiceKind,
+  SHARD_COUNT,
+  type Member,
+  type RecordSpecs,
+  type TeamRecord,
+  type Worker,
+} from '@jujubelanding/types';
+
+/** Name of the only service and of its only model. */
+export const SERVICE = 'engine';
+export const MODEL = 'base';
+
+const FENCE = 1;
+
+const noSubscription = { cancel: () => {} };
+
+export interface StaticOptions {
+  members: readonly Member[];
+  workers: readonly Worker[];
+  slotsPerWorker: number;
+  teams: Record<string, TeamRecord>;
+}
+
+/** Creates the members of a fleet whose VMs are spread over the zones. */
+export const createMembers = (count: number, availabilityZones: readonly string[]): Member[] =>
+  Array.from({ length: count }, (_, index) => ({
+    entryVmId: `entry-${index}`,
+    peerAddress: `entry-${index}:7400`,
+    callerAddress: `entry-${index}:7500`,
+    availabilityZone: availabilityZones[index % availabilityZones.length]!,
+    bootId: `boot-${index}`,
+    incarnation: 1,
+    state: MemberState.Alive,
+    hasDisk: false,
+    heldRevision: 1,
+    activeRevision: 1,
+    onlineLoad: 0,
+    shards: [],
+  }));
+
+const createShardTable = (options: StaticOptions, entryVmId: string): ShardTable => {
+  const ids = options.members.map((member) => member.entryVmId);
+  const owners: ShardOwner[] = Array.from({ length: SHARD_COUNT }, (_, shard) => {
+    const ownerId = rankNodes(`shard-${shard}`, ids)[0]!;
+    const { peerAddress } = options.members.find((member) => member.entryVmId === ownerId)!;
+    return { entryVmId: ownerId, peerAddress, fence: FENCE };
+  });
+  const isOwn = (shard: number): boolean => owners[shard]?.entryVmId === entryVmId;
+  return {
+    ownerOf: (shard) => owners[shard],
+    fenceOf: (shard) => (isOwn(shard) ? FENCE : undefined),
+    owned: () => owners.flatMap((_, shard) => (isOwn(shard) ? [{ shard, fence: FENCE }] : [])),
+    onChange: () => noSubscription,
+    // Long before the run, so that counts are complete from the start.
+    ownedSince: (shard) => (isOwn(shard) ? -60_000 : undefined),
+  };
+};
+
+const createConfiguration = (options: StaticOptions): Configuration => {
+  const specs: { [K in RecordKind]: Record<string, RecordSpecs[K]> } = {
+    [RecordKind.Service]: {
+      [SERVICE]: {
+        kind: ServiceKind.ModelEngine,
+        fencing: FencingMode.Checked,
+        slotsPerWorker: options.slotsPerWorker,
+        requestTimeoutMs: 60_000,
+        nonIdempotentPaths: [],
+      },
+    },
+    [RecordKind.Model]: {
+      [MODEL]: { service: SERVICE, version: 'v1', minWorkers: 1, maxTokens: 4096 },
+    },
+    [RecordKind.Adapter]: {},
+    [RecordKind.Version]: { v1: { weight: 'base-weights' } },
+    [RecordKind.Team]: options.teams,
+    [RecordKind.Job]: {},
+  };
+  return {
+    isReady: () => true,
+    heldRevision: () => 1,
+    activeRevision: () => 1,
+    get: (kind, name) => {
+      const spec = specs[kind][name];
+      return spec === undefined ? undefined : { name, revision: 1, spec };
+    },
+    list: (kind) =>
+      Object.entries(specs[kind]).map(([name, spec]) => ({ name, revision: 1, spec })),
+    onChange: () => noSubscription,
+  };
+};
+
+/** The view of one entry VM. */
+export interface StaticState {
+  membership: Membership;
+  shards: ShardTable;
+  directory: Directory;
+  configuration: Configuration;
+}
+
+export const createStaticState = (options: StaticOptions, entryVmId: string): StaticState => {
+  const self = options.members.find((member) => member.entryVmId === entryVmId)!;
+  return {
+    membership: {
+      self: () => self,
+      members: () => [...options.members],
+      find: (id) => options.members.find((member) => member.entryVmId === id),
+      updateSelf: () => {},
+      onChange: () => noSubscription,
+    },
+    shards: createShardTable(options, entryVmId),
+    directory: {
+      workersOf: () => [...options.workers],
+      find: (id) => options.workers.find((worker) => worker.id === id),
+      all: () => [...options.workers],
+      entryVms: () => [...options.members],
+      onChange: () => noSubscription,
+    },
+    configuration: createConfiguration(options),
+  };
+};
--- /dev/null
+++ b/packages/bench/src/statistics.ts
@@ -0,0 +1,47 @@
+/** Percentiles of samples and the spread of a figure over seeds. */
+
+/** Nearest-rank percentile of values in ascending order; NaN without values. */
+export const findPercentile = (sorted: ArrayLike<number>, percent: number): number => {
+  if (sorted.length === 0) return NaN;
+  const rank = Math.ceil((percent / 100) * sorted.length);
+  return sorted[Math.max(0, Math.min(sorted.length, rank) - 1)]!;
+};
+
+/** Collects samples and answers percentiles. */
+export class Samples {
+  private values: number[] = [];
+
+  private isSorted = true;
+
+  add(value: number): void {
+    this.values.push(value);
+    this.isSorted = false;
+  }
+
+  get count(): number {
+    return this.values.length;
+  }
+
+  percentile(percent: number): number {
+    if (!this.isSorted) this.values = Array.from(Float64Array.from(this.values).sort());
+    this.isSorted = true;
+    return findPercentile(this.values, percent);
+  }
+}
+
+/** A figure over several seeds. */
+export interface Spread {
+  median: number;
+  least: number;
+  greatest: number;
+}
+
+/** Median and range; NaN values, from runs without samples, are left out. */
+export const computeSpread = (values: readonly number[]): Spread => {
+  const sorted = values.filter((value) => !Number.isNaN(value)).toSorted((a, b) => a - b);
+  return {
+    median: findPercentile(sorted, 50),
+    least: sorted[0] ?? NaN,
+    greatest: sorted.at(-1) ?? NaN,
+  };
+};
