--- /dev/null
+++ b/packages/routing/src/worker-knowledge.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import { CacheEventKind, type CacheEvent } from '@jujubelanding/types';
+import { PrefixIndex, RetryBudget, WorkerHealth } from './index.js';
+
+const SERVICE = 'advisor';
+
+const createEvent = (
+  sequence: number,
+  prefixHash: string,
+  kind = CacheEventKind.Stored,
+): CacheEvent => ({ sequence, kind, prefixHash });
+
+test('faults in a row eject a worker; it returns gradually and leaves at the next fault', (t) => {
+  const health = new WorkerHealth();
+  t.false(health.recordFault(SERVICE, 'w', 0));
+  health.recordSuccess(SERVICE, 'w', 10, 0);
+  t.false(health.recordFault(SERVICE, 'w', 0));
+  t.false(health.recordFault(SERVICE, 'w', 0));
+  t.true(health.recordFault(SERVICE, 'w', 0));
+  t.is(health.admission('w', 4999), 0);
+  t.is(health.admission('w', 5000), 0.1);
+  t.is(health.admission('w', 10_000), 0.55);
+  t.true(health.recordFault(SERVICE, 'w', 10_000));
+  t.is(health.admission('w', 19_999), 0);
+  t.is(health.admission('w', 30_000), 1);
+});
+
+test('a slow worker is ejected, but not all of a service', (t) => {
+  const health = new WorkerHealth();
+  const record = (id: string, latencyMs: number): boolean => {
+    let isEjected = false;
+    for (let index = 0; index < 20; index += 1) {
+      if (health.recordSuccess(SERVICE, id, latencyMs, 0)) isEjected = true;
+    }
+    return isEjected;
+  };
+  ['a', 'b', 'c', 'd'].forEach((id) => t.false(record(id, 100)));
+  t.true(record('e', 1000));
+  t.true(record('f', 1000));
+  t.false(record('g', 150));
+  t.is(health.admission('a', 0), 1);
+});
+
+test('a gap in cache events drops what was known before it', (t) => {
+  const index = new PrefixIndex();
+  index.applyEvents('w', [createEvent(1, 'a'), createEvent(2, 'b')], 0);
+  t.is(index.match('w', ['a', 'b'], 0), 2);
+  index.applyEvents('w', [createEvent(3, 'b', CacheEventKind.Evicted)], 2);
+  t.is(index.match('w', ['a', 'b'], 0), 1);
+  index.applyEvents('w', [createEvent(5, 'c')], 3);
+  t.is(index.match('w', ['a'], 0), 0);
+  t.is(index.match('w', ['c'], 0), 1);
+});
+
+test('events of a restarted worker replace those of its earlier run', (t) => {
+  const index = new PrefixIndex();
+  index.applyEvents('w', [createEvent(1, 'a'), createEvent(2, 'b')], 0);
+  index.applyEvents('w', [createEvent(1, 'c')], 0);
+  t.is(index.match('w', ['a'], 0), 0);
+  t.is(index.match('w', ['c'], 0), 1);
+});
+
+test('own completions are believed for a limited time and number', (t) => {
+  const index = new PrefixIndex();
+  index.addCompletion('w', ['a'], 0);
+  t.is(index.match('w', ['a'], 299_999), 1);
+  t.is(index.match('w', ['a'], 300_000), 0);
+  for (let count = 0; count < 2000; count += 1) index.addCompletion('w', [`p${count}`], 0);
+  t.is(index.match('w', ['a'], 0), 0);
+  t.is(index.match('w', ['p0'], 0), 1);
+  index.removeMissed('w', ['p0']);
+  t.is(index.match('w', ['p0'], 0), 0);
+});
+
+test('retries stay below the reserve plus a tenth of the requests', (t) => {
+  const budget = new RetryBudget();
+  let retries = 0;
+  for (let request = 0; request < 1000; request += 1) {
+    budget.addRequest();
+    while (budget.takeRetry()) retries += 1;
+  }
+  t.true(retries >= 149 && retries <= 150);
+});
