Add administration API for records, history and status, first version

A write whose reply was lost is repeated under the same expected revision and write id, so that at most one attempt is applied and the outcome is known.

--- /dev/null
+++ b/packages/admin-api/src/faults.ts
@@ -0,0 +1,34 @@
+/** Faults of the administration API. */
+import { type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
+
+export const createFault = (
+  code: FaultCode,
+  step: string,
+  message: string,
+  extra: Partial<Fault> = {},
+): Fault => ({ code, outcome: Outcome.NotRun, step, message, ...extra });
+
+/** The key-value service could not be read, or refused before anything was written. */
+export const toUnavailable = (fault: Fault, step: string): Fault =>
+  createFault(FaultCode.Unavailable, step, `key-value service: ${fault.message}`, {
+    ...(fault.peer === undefined ? {} : { peer: fault.peer }),
+    retryAfterMs: fault.retryAfterMs ?? 1000,
+  });
+
+/** A write was sent and nothing proves whether it was applied. */
+export const toUnknown = (fault: Fault, step: string): Fault => ({
+  ...fault,
+  step,
+  outcome: Outcome.OutcomeUnknown,
+});
+
+export const createConflict = (expected: number, current: number): Fault =>
+  createFault(
+    FaultCode.Conflict,
+    'write-record',
+    `the record has revision ${current}, expected was ${expected}`,
+    { details: { expectedRevision: String(expected), currentRevision: String(current) } },
+  );
+
+export const createNotFound = (kind: string, name: string): Fault =>
+  createFault(FaultCode.NotFound, 'read-record', `there is no record ${kind}/${name}`);
--- /dev/null
+++ b/packages/admin-api/src/fleet-status.ts
@@ -0,0 +1,71 @@
+/** Held and active revisions of all entry VMs, as known from gossip. */
+import type { EntryVmIo, Membership } from '@jujubelanding/interfaces';
+import type { Member } from '@jujubelanding/types';
+
+export type EntryVmStatus = Pick<
+  Member,
+  'entryVmId' | 'availabilityZone' | 'state' | 'heldRevision' | 'activeRevision'
+>;
+
+export interface FleetStatus {
+  /** Highest revision known to be accepted. */
+  acceptedRevision: number;
+  inForceEverywhere: boolean;
+  /** Time since which this is so, ISO 8601. */
+  since: string;
+  entryVms: EntryVmStatus[];
+}
+
+export interface FleetStatusOptions {
+  io: Pick<EntryVmIo, 'timer'>;
+  membership: Pick<Membership, 'members' | 'onChange'>;
+  /** Highest revision written by this VM, which gossip may not show yet. */
+  writtenRevision: () => number;
+}
+
+const toStatus = (member: Member): EntryVmStatus => ({
+  entryVmId: member.entryVmId,
+  availabilityZone: member.availabilityZone,
+  state: member.state,
+  heldRevision: member.heldRevision,
+  activeRevision: member.activeRevision,
+});
+
+export class FleetStatusController {
+  private isInForce: boolean | undefined;
+
+  private acceptedRevision = 0;
+
+  private since = 0;
+
+  constructor(private readonly options: FleetStatusOptions) {
+    options.membership.onChange(() => this.update());
+  }
+
+  read(): FleetStatus {
+    this.update();
+    return {
+      acceptedRevision: this.acceptedRevision,
+      inForceEverywhere: this.isInForce ?? false,
+      since: new Date(this.since).toISOString(),
+      entryVms: this.options.membership
+        .members()
+        .map(toStatus)
+        .toSorted((a, b) => (a.entryVmId < b.entryVmId ? -1 : 1)),
+    };
+  }
+
+  private update(): void {
+    const members = this.options.membership.members();
+    const accepted = members.reduce(
+      (highest, { heldRevision, activeRevision }) =>
+        Math.max(highest, heldRevision, activeRevision),
+      Math.max(this.acceptedRevision, this.options.writtenRevision()),
+    );
+    const isInForce = members.every(({ activeRevision }) => activeRevision >= accepted);
+    const isSame = isInForce === this.isInForce && accepted === this.acceptedRevision;
+    this.acceptedRevision = accepted;
+    this.isInForce = isInForce;
+    if (!isSame) this.since = this.options.io.timer.wallClock();
+  }
+}
--- /dev/null
+++ b/packages/admin-api/src/record-writer.ts
@@ -0,0 +1,103 @@
+/** Writes of records by compare-and-swap, with lost replies resolved by the write id. */
+import { type Fault, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import { type KeyValueEntry, type Write, WriteStatus } from '@jujubelanding/platform';
+import { encodeStored, parseStored, recordKey, type StoredValue } from '@jujubelanding/records';
+import { err, ok } from 'neverthrow';
+import { createConflict, createFault, toUnavailable, toUnknown } from './faults.js';
+import type { HistoryStore, Revision } from './history.js';
+
+/** Repetitions of a write whose reply was lost. */
+const RESOLVE_ATTEMPTS = 4;
+const RESOLVE_DELAY_MS = 100;
+
+const writeIdOf = (entry: KeyValueEntry | undefined): string | undefined =>
+  entry === undefined
+    ? undefined
+    : parseStored(entry.value)
+        .map(({ writeId }) => writeId)
+        .unwrapOr(undefined);
+
+const toRevision = ({ value, modRevision }: KeyValueEntry): Revision | undefined =>
+  parseStored(value)
+    .map((stored) => ({ revision: modRevision, stored }))
+    .unwrapOr(undefined);
+
+export class RecordWriter {
+  constructor(
+    private readonly io: Pick<EntryVmIo, 'timer' | 'store'>,
+    private readonly history: HistoryStore,
+  ) {}
+
+  /** Reads the stored entry of a record, tombstones included. */
+  async read(kind: string, name: string): Reply<KeyValueEntry | undefined> {
+    const entry = await this.io.store.get(recordKey(kind, name));
+    return entry.mapErr((fault) => toUnavailable(fault, 'read-record'));
+  }
+
+  /**
+   * Replaces the entry that was read and resolves with the new revision. The record's own write
+   * decides; the history is written before.
+   */
+  async replace(current: KeyValueEntry | undefined, stored: StoredValue): Reply<number> {
+    const replaced = current === undefined ? undefined : toRevision(current);
+    if (replaced !== undefined) {
+      const appended = await this.history.append(stored.kind, stored.name, replaced);
+      if (appended.isErr()) return err(appended.error);
+    }
+    const write: Write = {
+      key: recordKey(stored.kind, stored.name),
+      value: encodeStored(stored),
+      expectedRevision: current?.modRevision ?? 0,
+    };
+    const written = await this.io.store.write(write);
+    if (written.isErr()) {
+      if (written.error.outcome === Outcome.OutcomeUnknown) {
+        return this.resolve(write, stored, written.error);
+      }
+      return err(this.toRefusal(written.error));
+    }
+    if (written.value.status === WriteStatus.Written) return ok(written.value.revision);
+    return err(createConflict(write.expectedRevision, written.value.current?.modRevision ?? 0));
+  }
+
+  /** Returns the revision that an earlier attempt of the same write got, where it was applied. */
+  async findApplied(
+    current: KeyValueEntry | undefined,
+    { kind, name, writeId }: Pick<StoredValue, 'kind' | 'name' | 'writeId'>,
+  ): Reply<number | undefined> {
+    if (current === undefined) return ok(undefined);
+    if (writeIdOf(current) === writeId) return ok(current.modRevision);
+    // Whoever replaced this write's value has put it into the history first.
+    const history = await this.history.read(kind, name);
+    return history.map(
+      (revisions) => revisions.find(({ stored }) => stored.writeId === writeId)?.revision,
+    );
+  }
+
+  /**
+   * Repeats a write whose reply was lost. An unchanged key would not prove that the first attempt is
+   * not still under way; the repetition under the same expected revision decides, since at most one of
+   * them can be applied.
+   */
+  private async resolve(write: Write, stored: StoredValue, first: Fault): Reply<number> {
+    for (let attempt = 1; attempt <= RESOLVE_ATTEMPTS; attempt += 1) {
+      await this.io.timer.sleep(RESOLVE_DELAY_MS * attempt);
+      const repeated = await this.io.store.write(write);
+      if (repeated.isErr()) continue;
+      if (repeated.value.status === WriteStatus.Written) return ok(repeated.value.revision);
+      const { current } = repeated.value;
+      const applied = await this.findApplied(current, stored);
+      if (applied.isErr()) continue;
+      if (applied.value !== undefined) return ok(applied.value);
+      return err(createConflict(write.expectedRevision, current?.modRevision ?? 0));
+    }
+    return err(toUnknown(first, 'write-record'));
+  }
+
+  private toRefusal(fault: Fault): Fault {
+    return fault.code === FaultCode.TooLarge
+      ? createFault(FaultCode.TooLarge, 'write-record', fault.message)
+      : toUnavailable(fault, 'write-record');
+  }
+}
--- /dev/null
+++ b/packages/admin-api/src/records-controller.ts
@@ -0,0 +1,172 @@
+import { FaultCode, type Reply } from '@jujubelanding/errors';
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { KeyValueEntry } from '@jujubelanding/platform';
+import {
+  isTombstone,
+  type OperatorRecord,
+  parseStored,
+  type StoredRecord,
+  type StoredValue,
+  RECORDS_PREFIX,
+} from '@jujubelanding/records';
+import type { RecordKind } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import { createConflict, createFault, createNotFound, toUnavailable } from './faults.js';
+import { HistoryStore, type Revision } from './history.js';
+import { RecordWriter } from './record-writer.js';
+
+const PAGE_SIZE = 500;
+
+export interface RecordsOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'createLog'>;
+}
+
+/** What an operator states about a write. */
+export interface WriteRequest {
+  /** 0 for a record that must not exist. */
+  expectedRevision: number;
+  author: string;
+  /** The same id in repetitions of one write; a new one where absent. */
+  writeId?: string | undefined;
+}
+
+export interface RevisedRecord extends StoredRecord {
+  revision: number;
+}
+
+/** A stored record that does not match its schema. */
+export interface DamagedRecord {
+  name: string;
+  revision: number;
+}
+
+export interface RecordListing {
+  records: RevisedRecord[];
+  invalid: DamagedRecord[];
+}
+
+/** Reads and writes operator records in the key-value service. */
+export class RecordsController {
+  private readonly log: Log;
+
+  private readonly history: HistoryStore;
+
+  private readonly writer: RecordWriter;
+
+  private highestWritten = 0;
+
+  constructor(private readonly options: RecordsOptions) {
+    this.log = options.io.createLog('admin-api');
+    this.history = new HistoryStore(options.io.store);
+    this.writer = new RecordWriter(options.io, this.history);
+  }
+
+  /** Highest revision that this VM has written. */
+  writtenRevision(): number {
+    return this.highestWritten;
+  }
+
+  async put(record: OperatorRecord, request: WriteRequest): Reply<RevisedRecord> {
+    const stored = { ...record, ...this.createOrigin(request) };
+    const written = await this.write(stored, request.expectedRevision);
+    return written.map((revision) => ({ ...stored, revision }));
+  }
+
+  async remove(kind: RecordKind, name: string, request: WriteRequest): Reply<number> {
+    return this.write(
+      { kind, name, deleted: true, ...this.createOrigin(request) },
+      request.expectedRevision,
+    );
+  }
+
+  async get(kind: RecordKind, name: string): Reply<RevisedRecord> {
+    const entry = await this.writer.read(kind, name);
+    if (entry.isErr()) return err(entry.error);
+    if (entry.value === undefined) return err(createNotFound(kind, name));
+    const stored = parseStored(entry.value.value);
+    if (stored.isErr()) {
+      const fields = stored.error.map(({ field }) => field).join(', ');
+      const message = `the stored record does not match its schema: ${fields}`;
+      return err(createFault(FaultCode.Corrupt, 'read-record', message));
+    }
+    if (isTombstone(stored.value)) return err(createNotFound(kind, name));
+    return ok({ ...stored.value, revision: entry.value.modRevision });
+  }
+
+  async list(kind: RecordKind): Reply<RecordListing> {
+    const listing: RecordListing = { records: [], invalid: [] };
+    const prefix = `${RECORDS_PREFIX}${kind}/`;
+    for (let isLast = false, after: string | undefined; !isLast;) {
+      const page = await this.options.io.store.list(prefix, PAGE_SIZE, after);
+      if (page.isErr()) return err(toUnavailable(page.error, 'list-records'));
+      const { entries } = page.value;
+      entries.forEach((entry) => this.addToListing(listing, entry, prefix));
+      after = entries.at(-1)?.key;
+      isLast = entries.length < PAGE_SIZE;
+    }
+    return ok(listing);
+  }
+
+  /** Revisions of a record, the current one first. */
+  async listHistory(kind: RecordKind, name: string): Reply<Revision[]> {
+    const entry = await this.writer.read(kind, name);
+    if (entry.isErr()) return err(entry.error);
+    if (entry.value === undefined) return err(createNotFound(kind, name));
+    const { value, modRevision } = entry.value;
+    const earlier = await this.history.read(kind, name);
+    if (earlier.isErr()) return err(toUnavailable(earlier.error, 'read-history'));
+    const current = parseStored(value).map((stored) => ({ revision: modRevision, stored }));
+    return ok([
+      ...(current.isOk() ? [current.value] : []),
+      // A revision whose replacement was not decided yet is already listed as an earlier one.
+      ...earlier.value.filter(({ revision }) => revision < modRevision),
+    ]);
+  }
+
+  private createOrigin({ author, writeId }: WriteRequest) {
+    const { random, timer } = this.options.io;
+    return { writeId: writeId ?? random.createId(), author, time: timer.wallClock() };
+  }
+
+  private async write(stored: StoredValue, expectedRevision: number): Reply<number> {
+    const revision = await this.decideWrite(stored, expectedRevision);
+    const { kind, name, writeId, author } = stored;
+    this.log.write('record-write', {
+      kind,
+      name,
+      writeId,
+      author,
+      deleted: isTombstone(stored),
+      expectedRevision,
+      ...(revision.isOk()
+        ? { revision: revision.value }
+        : { code: revision.error.code, outcome: revision.error.outcome }),
+    });
+    if (revision.isOk()) this.highestWritten = Math.max(this.highestWritten, revision.value);
+    return revision;
+  }
+
+  private async decideWrite(stored: StoredValue, expectedRevision: number): Reply<number> {
+    const current = await this.writer.read(stored.kind, stored.name);
+    if (current.isErr()) return err(current.error);
+    const entry = current.value;
+    const applied = await this.writer.findApplied(entry, stored);
+    if (applied.isErr()) return err(toUnavailable(applied.error, 'read-history'));
+    if (applied.value !== undefined) return ok(applied.value);
+    const isAbsent =
+      entry === undefined || parseStored(entry.value).map(isTombstone).unwrapOr(false);
+    if (isTombstone(stored) && isAbsent) return err(createNotFound(stored.kind, stored.name));
+    const currentRevision = entry?.modRevision ?? 0;
+    const isExpected = expectedRevision === currentRevision || (isAbsent && expectedRevision === 0);
+    if (!isExpected) return err(createConflict(expectedRevision, currentRevision));
+    return this.writer.replace(entry, stored);
+  }
+
+  private addToListing(listing: RecordListing, entry: KeyValueEntry, prefix: string): void {
+    const stored = parseStored(entry.value);
+    const revision = entry.modRevision;
+    if (stored.isErr()) listing.invalid.push({ name: entry.key.slice(prefix.length), revision });
+    else if (!isTombstone(stored.value)) listing.records.push({ ...stored.value, revision });
+  }
+}
