--- /dev/null
+++ b/packages/entry-vm/src/entry-vm.ts
@@ -0,0 +1,142 @@
+/** Start and planned stop of an entry VM. */
+import type { EntryVmIo, EntryVmSettings } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Subscription } from '@jujubelanding/timer';
+import { MemberState } from '@jujubelanding/types';
+import { createApp, createParts, type Parts } from './parts.js';
+
+export type App = ReturnType<typeof createApp>;
+
+export enum Phase {
+  Created = 'created',
+  Running = 'running',
+  /** Out of entry-point answers, still serving callers that keep an earlier one. */
+  Leaving = 'leaving',
+  /** Refuses new requests as `not-run` and finishes those in progress. */
+  Draining = 'draining',
+  Stopped = 'stopped',
+}
+
+export interface EntryVm {
+  readonly parts: Parts;
+  readonly app: App;
+  start(): void;
+  /**
+   * Stops without cutting off a request. `closeConnections` stops accepting connections and
+   * resolves when those in progress have ended.
+   */
+  stop(closeConnections: () => Promise<void>): Promise<void>;
+  /** True while requests are served. */
+  isReady(): boolean;
+  /** True while connections are accepted. */
+  isListening(): boolean;
+  phase(): Phase;
+}
+
+/** Phases in which requests are served. */
+const SERVING_PHASES = new Set([Phase.Running, Phase.Leaving]);
+
+const LISTENING_PHASES = new Set([Phase.Running, Phase.Leaving, Phase.Draining]);
+
+const LOAD_INTERVAL_MS = 1000;
+
+class WiredEntryVm implements EntryVm {
+  readonly parts: Parts;
+
+  readonly app: App;
+
+  private current = Phase.Created;
+
+  private readonly log: Log;
+
+  private loadSubscription: Subscription | undefined;
+
+  constructor(
+    private readonly settings: EntryVmSettings,
+    private readonly io: EntryVmIo,
+  ) {
+    this.log = io.createLog('entry-vm');
+    this.parts = createParts(settings, io);
+    this.app = createApp(settings, io, this.parts, () => this.isReady());
+  }
+
+  start(): void {
+    this.listStarted().forEach((part) => part.start());
+    this.loadSubscription = this.io.timer.every(LOAD_INTERVAL_MS, () => this.publishLoad());
+    this.enter(Phase.Running);
+  }
+
+  async stop(closeConnections: () => Promise<void>): Promise<void> {
+    if (this.current !== Phase.Running) return;
+    this.enter(Phase.Leaving);
+    this.parts.membership.updateSelf({ state: MemberState.Leaving });
+    // Batch streams are cancelled and run again elsewhere; only callers' requests are waited for.
+    this.parts.executor.stop();
+    this.parts.placement.stop();
+    // Revokes the lease, so that others take over the shards while callers are still served.
+    await this.parts.shards.stop();
+    await this.io.timer.sleep(this.settings.entryPointLifetimeMs);
+    this.enter(Phase.Draining);
+    await closeConnections();
+    await this.parts.dispatcher.drain();
+    this.enter(Phase.Stopped);
+    this.loadSubscription?.cancel();
+    this.listStarted()
+      .toReversed()
+      .forEach((part) => {
+        void part.stop();
+      });
+  }
+
+  isReady(): boolean {
+    return SERVING_PHASES.has(this.current) && this.parts.configuration.isReady();
+  }
+
+  isListening(): boolean {
+    return LISTENING_PHASES.has(this.current);
+  }
+
+  phase(): Phase {
+    return this.current;
+  }
+
+  /** Parts in the order of their start; each uses only earlier ones while it starts. */
+  private listStarted(): { start(): void; stop(): unknown }[] {
+    const { parts } = this;
+    return [
+      parts.directory,
+      parts.membership,
+      parts.shards,
+      parts.configuration,
+      parts.owned,
+      parts.loads,
+      parts.router,
+      parts.limits,
+      parts.overload,
+      parts.claims,
+      parts.dispatcher,
+      parts.segments,
+      parts.jobOwner,
+      parts.executor,
+      parts.placement,
+    ];
+  }
+
+  private publishLoad(): void {
+    const onlineLoad = this.parts.dispatcher.inFlight();
+    if (onlineLoad !== this.parts.membership.self().onlineLoad) {
+      this.parts.membership.updateSelf({ onlineLoad });
+    }
+    this.io.metrics.gauge('online.in_flight', onlineLoad);
+    this.io.metrics.gauge('configuration.active', this.parts.configuration.activeRevision());
+  }
+
+  private enter(phase: Phase): void {
+    this.current = phase;
+    this.log.write('phase', { phase });
+  }
+}
+
+/** Creates an entry VM over the given I/O. */
+export const createEntryVm = (settings: EntryVmSettings, io: EntryVmIo): EntryVm =>
+  new WiredEntryVm(settings, io);
--- /dev/null
+++ b/packages/entry-vm/src/parts.ts
@@ -0,0 +1,108 @@
+/** The one place where the parts of an entry VM are constructed and connected. */
+import { createAdminApi } from '@jujubelanding/admin-api';
+import { CapacityPolicyName, createCapacityPolicy } from '@jujubelanding/batch-capacity';
+import { BatchExecutor } from '@jujubelanding/batch-execution';
+import { BatchJobService, createReferenceReader, JobOwner } from '@jujubelanding/batch-jobs';
+import { createCallerApi } from '@jujubelanding/caller-api';
+import { ClaimsController } from '@jujubelanding/claims';
+import { ConfigurationController } from '@jujubelanding/configuration';
+import { DirectoryController } from '@jujubelanding/directory';
+import { EntryPointsController } from '@jujubelanding/entry-points';
+import type { EntryVmIo, EntryVmSettings } from '@jujubelanding/interfaces';
+import { OverloadGate, TeamLimitsController } from '@jujubelanding/limits';
+import { MembershipController } from '@jujubelanding/membership';
+import { OnlineDispatchController } from '@jujubelanding/online';
+import { PlacementController } from '@jujubelanding/placement';
+import { Router } from '@jujubelanding/routing';
+import { ReplicatedSegmentStore } from '@jujubelanding/segments';
+import { ShardsController } from '@jujubelanding/shards';
+import { OwnedWorkersController, WorkerLoadsController } from '@jujubelanding/worker-load';
+
+/** State of the fleet as this VM knows it. */
+const createState = (settings: EntryVmSettings, io: EntryVmIo) => {
+  const directory = new DirectoryController({ io });
+  const membership = new MembershipController({ io, settings, directory });
+  const shards = new ShardsController({ io, settings, membership });
+  const configuration = new ConfigurationController({
+    io,
+    settings,
+    membership,
+    shards,
+    directory,
+  });
+  const entryPoints = new EntryPointsController({ io, settings, membership });
+  return { directory, membership, shards, configuration, entryPoints };
+};
+
+type State = ReturnType<typeof createState>;
+
+/** The path of online requests. */
+const createOnline = (settings: EntryVmSettings, io: EntryVmIo, state: State) => {
+  const { entryVmId, availabilityZone, maxOnlineInFlight, claimRetentionMs } = settings;
+  const { directory, shards } = state;
+  // The router reads counts and gets cache events from their source, so one link is set later.
+  const link: { router?: Router } = {};
+  const owned = new OwnedWorkersController({
+    io,
+    entryVmId,
+    ...state,
+    onCacheEvents: (workerId, events, askedAfter) =>
+      link.router?.applyCacheEvents(workerId, events, askedAfter),
+  });
+  const loads = new WorkerLoadsController({ io, entryVmId, ...state, owned });
+  const router = new Router({
+    io,
+    availabilityZone,
+    directory,
+    loads,
+    readReportedOnline: (workerId) => loads.reportedOnline(workerId),
+  });
+  link.router = router;
+  const limits = new TeamLimitsController({ io, entryVmId, ...state });
+  const overload = new OverloadGate({ io, maxOnlineInFlight, directory, loads });
+  const claims = new ClaimsController({ io, entryVmId, retentionMs: claimRetentionMs, shards });
+  const dispatcher = new OnlineDispatchController({ io, ...state, router, loads });
+  return { owned, loads, router, limits, overload, claims, dispatcher };
+};
+
+type Online = ReturnType<typeof createOnline>;
+
+/** The path of batch jobs. */
+const createBatch = (settings: EntryVmSettings, io: EntryVmIo, state: State, online: Online) => {
+  const segments = new ReplicatedSegmentStore({
+    io,
+    settings,
+    membership: state.membership,
+    listReferences: createReferenceReader(io.store, settings.entryVmId),
+  });
+  const jobOwner = new JobOwner({ io, settings, ...state, segments });
+  const batchJobs = new BatchJobService({ io, ...state, segments, owner: jobOwner });
+  const executor = new BatchExecutor({
+    io,
+    ...state,
+    workers: online.owned,
+    segments,
+    policy: createCapacityPolicy(CapacityPolicyName.Adaptive),
+    owner: jobOwner,
+  });
+  const placement = new PlacementController({ io, ...state, loads: online.loads });
+  return { segments, jobOwner, batchJobs, executor, placement };
+};
+
+/** Constructs all parts of an entry VM; none is started. */
+export const createParts = (settings: EntryVmSettings, io: EntryVmIo) => {
+  const state = createState(settings, io);
+  const online = createOnline(settings, io, state);
+  const batch = createBatch(settings, io, state, online);
+  return { ...state, ...online, ...batch };
+};
+
+export type Parts = ReturnType<typeof createParts>;
+
+/** Creates the HTTP application of an entry VM. */
+export const createApp = (
+  settings: EntryVmSettings,
+  io: EntryVmIo,
+  parts: Parts,
+  isReady: () => boolean,
+) => createCallerApi({ io, ...parts, isReady, admin: createAdminApi({ io, settings, ...parts }) });
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -99,7 +99,7 @@
         ...['--fleet-key', FLEET_KEY, '--operator-token', OPERATOR_TOKEN],
         ...['--data-folder', path.join(this.dataFolder, id)],
         ...['--entry-point-lifetime', ENTRY_POINT_LIFETIME],
-        ...['--log-selection', this.options.logSelection ?? '-*'],
+        ...['--log-selection', this.options.logSelection ?? 'jujubelanding:none'],
       ],
       this.options.entryVmEnvironment?.(index),
     );
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -29,6 +29,6 @@
   external: ['unix-dgram', 'msgpackr-extract'],
   banner: {
     // CommonJS dependencies inside an ESM bundle call require().
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
   },
 });
