Test team limits and the overload gate

The owner now counts requests that run on from an earlier, larger grant; four VMs held 41 requests of 40 before. Waiting requests are admitted only up to the free capacity; before, all 20 waiting ones passed when two slots became free.

--- a/packages/limits/src/grant-division.ts
+++ b/packages/limits/src/grant-division.ts
@@ -69,7 +69,8 @@
       demandPerSecond: asked.demandPerSecond,
       inFlight: asked.inFlight,
       requestsPerSecond,
-      concurrency,
+      // Requests admitted under an earlier, larger grant still run.
+      concurrency: Math.max(concurrency, asked.inFlight),
       expiresAt: now + GRANT_VALID_MS,
     });
     const burst = (bounds.burst * requestsPerSecond) / Math.max(1e-9, bounds.requestsPerSecond);
--- /dev/null
+++ b/packages/limits/src/overload-gate.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import type { Directory, WorkerLoads } from '@jujubelanding/interfaces';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { createRandom } from '@jujubelanding/random';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { OverloadGate } from './index.js';
+
+const setUp = (maxOnlineInFlight = 100, maxWaiting = 5) => {
+  const timer = new VirtualTimer();
+  const load = { online: 0 };
+  const gate = new OverloadGate({
+    io: { timer, random: createRandom(1), createLog: () => silentLog, metrics: silentMetrics },
+    maxOnlineInFlight,
+    directory: { workersOf: () => [{ id: 'w1' }, { id: 'w2' }] } as unknown as Directory,
+    loads: {
+      get: (workerId) => ({ workerId, slots: 4, batch: 0, ageMs: 0, online: load.online }),
+    } as WorkerLoads,
+    bounds: { maxWaiting },
+  });
+  gate.start();
+  const admit = () => gate.admit('advisor', new AbortController().signal);
+  return { timer, load, gate, admit };
+};
+
+test('a full VM lets requests wait, in order, until one ends', async (t) => {
+  const { timer, admit } = setUp(1);
+  const first = await admit();
+  const order: number[] = [];
+  const waiting = [1, 2].map((number) =>
+    admit().then((result) => {
+      order.push(number);
+      return result;
+    }),
+  );
+  await timer.advance(100);
+  t.deepEqual(order, []);
+  first.map((permit) => permit.release());
+  await timer.settle();
+  t.deepEqual(order, [1]);
+  (await waiting[0]!).map((permit) => permit.release());
+  t.true((await waiting[1]!).isOk());
+});
+
+test('full workers cause a refusal with a retry time after a bounded wait', async (t) => {
+  const { timer, load, admit } = setUp();
+  load.online = 5;
+  const refused = admit();
+  await timer.advance(1051);
+  const fault = (await refused).match(
+    () => undefined,
+    (error) => error,
+  );
+  t.like(fault, { code: FaultCode.Overloaded, outcome: Outcome.NotRun });
+  t.true(fault!.retryAfterMs! >= 500);
+});
+
+test('the queue is bounded, and a caller that goes away leaves it', async (t) => {
+  const { load, gate, admit } = setUp(100, 2);
+  load.online = 5;
+  const leaving = new AbortController();
+  const left = gate.admit('advisor', leaving.signal);
+  const kept = admit();
+  t.true((await admit()).isErr());
+  leaving.abort();
+  t.true((await left).isErr());
+  const next = admit();
+  gate.stop();
+  t.true((await kept).isErr());
+  t.true((await next).isErr());
+});
+
+test('load that falls through other VMs admits no more than the free capacity', async (t) => {
+  const { timer, load, admit } = setUp(100, 20);
+  load.online = 5;
+  const results: boolean[] = [];
+  const waiting = Array.from({ length: 20 }, admit);
+  const note = (result: Awaited<ReturnType<typeof admit>>) => results.push(result.isOk());
+  waiting.forEach((result) => result.then(note));
+  await timer.advance(20);
+  // With 8 slots and the default bound of 1.25 the workers are full at 10 requests.
+  load.online = 4;
+  await timer.advance(50);
+  t.deepEqual(results, [true, true]);
+});
--- a/packages/limits/src/overload-gate.ts
+++ b/packages/limits/src/overload-gate.ts
@@ -75,11 +75,12 @@
     return this.wait(service, signal);
   }
 
-  private decide(service: string): OverloadVerdict {
+  /** Decides with requests that were admitted but are not part of the load yet. */
+  private decide(service: string, admitted = 0): OverloadVerdict {
     const loads = this.options.directory
       .workersOf(service)
       .map((worker) => this.options.loads.get(worker.id));
-    const state = { inFlight: this.running, waiting: this.waiting.length, loads };
+    const state = { inFlight: this.running, waiting: this.waiting.length, loads, admitted };
     return decideOverload(state, this.bounds);
   }
 
@@ -123,16 +124,20 @@
 
   private recheck(): void {
     const now = this.options.io.timer.now();
+    const admitted = new Map<string, number>();
     const blocked = new Set<string>();
     for (const entry of [...this.waiting]) {
+      const { service } = entry;
+      const count = admitted.get(service) ?? 0;
       if (now >= entry.giveUpAt) {
         this.remove(entry);
-        entry.refuse(this.createFault(entry.service));
-      } else if (!blocked.has(entry.service)) {
-        if (this.decide(entry.service) === OverloadVerdict.Admit) {
-          this.remove(entry);
-          entry.admit();
-        } else blocked.add(entry.service);
+        entry.refuse(this.createFault(service));
+      } else if (blocked.has(service) || this.decide(service, count) !== OverloadVerdict.Admit) {
+        blocked.add(service);
+      } else {
+        this.remove(entry);
+        entry.admit();
+        admitted.set(service, count + 1);
       }
     }
   }
--- a/packages/limits/src/overload.ts
+++ b/packages/limits/src/overload.ts
@@ -28,12 +28,14 @@
   waiting: number;
   /** Estimated load of all candidates for the request. */
   loads: readonly WorkerLoad[];
+  /** Requests admitted just now, which the loads do not contain yet. */
+  admitted?: number;
 }
 
 /** Decides about one request. Without candidates routing gives the more exact answer. */
 export const decideOverload = (state: OverloadState, bounds: OverloadBounds): OverloadVerdict => {
   const slots = state.loads.reduce((sum, load) => sum + load.slots, 0);
-  const online = state.loads.reduce((sum, load) => sum + load.online, 0);
+  const online = state.loads.reduce((sum, load) => sum + load.online, state.admitted ?? 0);
   const isFull = slots > 0 && online >= slots * bounds.maxUtilization;
   if (!isFull && state.inFlight < bounds.maxOnlineInFlight) return OverloadVerdict.Admit;
   return state.waiting < bounds.maxWaiting ? OverloadVerdict.Wait : OverloadVerdict.Refuse;
--- /dev/null
+++ b/packages/limits/src/team-limits.test.ts
@@ -0,0 +1,94 @@
+import test from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import { LimitGroup, TEAM } from './fixtures/limit-group.js';
+import { GrantDivision } from './index.js';
+
+const sum = (values: readonly number[]): number =>
+  values.reduce((total, value) => total + value, 0);
+
+test('the rate over all VMs stays at the limit, and each VM gets its part by demand', async (t) => {
+  const group = new LimitGroup(4);
+  await group.run([120, 60, 60, 0], 5000);
+  const admitted = await group.run([120, 60, 60, 0], 20_000);
+  const limit = TEAM.requestsPerSecond * 20;
+  t.true(sum(admitted) <= limit + TEAM.burst, `${admitted}`);
+  t.true(sum(admitted) >= 0.9 * limit, `${admitted}`);
+  t.true(admitted[0]! > 1.7 * admitted[1]! && admitted[0]! < 2.3 * admitted[1]!, `${admitted}`);
+});
+
+test('a single VM in use gets nearly the whole limit, also after demand moves', async (t) => {
+  const group = new LimitGroup(8);
+  await group.run([100], 5000);
+  t.true(sum(await group.run([100], 10_000)) >= 0.9 * TEAM.requestsPerSecond * 10);
+  await group.run([0, 100], 5000);
+  const moved = await group.run([0, 100], 10_000);
+  t.true(moved[1]! >= 0.9 * TEAM.requestsPerSecond * 10, `${moved}`);
+});
+
+test('concurrency over all VMs stays at the limit', async (t) => {
+  const group = new LimitGroup(4);
+  await group.run([19, 19, 19, 19], 6000, 100_000);
+  const admitted = await group.run([19, 19, 19, 19], 20_000, 100_000);
+  t.is(sum(admitted), 0);
+  const held = group.controllers.map((controller) => controller.inFlight('team'));
+  t.true(sum(held) <= TEAM.concurrency, `${held}`);
+  t.true(sum(held) >= 0.7 * TEAM.concurrency, `${held}`);
+});
+
+test('without the owner each VM uses an equal part', async (t) => {
+  const group = new LimitGroup(4);
+  group.owner = undefined;
+  await group.run([100, 100, 100, 100], 3000);
+  const admitted = await group.run([100, 100, 100, 100], 10_000);
+  for (const count of admitted) {
+    t.true(Math.abs(count - (TEAM.requestsPerSecond * 10) / 4) <= 5, `${admitted}`);
+  }
+});
+
+test('an owner that is lost is noticed when the grant ends', async (t) => {
+  const group = new LimitGroup(4);
+  await group.run([0, 300], 5000);
+  group.owner = 'vm-gone';
+  await group.run([0, 300], 2500);
+  const admitted = await group.run([0, 300], 10_000);
+  t.true(Math.abs(admitted[1]! - (TEAM.requestsPerSecond * 10) / 4) <= 5, `${admitted}`);
+});
+
+test('calls do not grow with requests', async (t) => {
+  const group = new LimitGroup(2);
+  await group.run([0, 1000], 10_000);
+  t.true(group.calls <= 45, `${group.calls}`);
+  group.calls = 0;
+  await group.run([0, 10], 10_000);
+  t.true(group.calls <= 12, `${group.calls}`);
+});
+
+test('a refusal is not-run and tells when to retry; an unknown team is refused', (t) => {
+  const group = new LimitGroup(1);
+  group.owner = undefined;
+  const results = Array.from({ length: 20 }, () => group.controllers[0]!.admit('team'));
+  const faults = results.flatMap((result) => (result.isErr() ? [result.error] : []));
+  t.is(faults.length, 20 - TEAM.burst);
+  t.like(faults[0], { code: FaultCode.RateLimited, outcome: Outcome.NotRun, retryAfterMs: 13 });
+  const unknown = group.controllers[0]!.admit('other');
+  t.true(unknown.isErr() && unknown.error.code === FaultCode.Unauthorized);
+});
+
+test('grants in force never add up to more than the limits', (t) => {
+  const division = new GrantDivision();
+  const inForce = new Map<string, { until: number; rate: number; slots: number }>();
+  for (let step = 0; step < 500; step += 1) {
+    const entryVmId = `vm${(step * 7) % 5}`;
+    const now = step * 130;
+    const asked = { entryVmId, demandPerSecond: (step * 37) % 200, inFlight: (step * 13) % 30 };
+    const grant = division.grant(asked, TEAM, now);
+    inForce.set(entryVmId, {
+      until: now + grant.validMs,
+      rate: grant.requestsPerSecond,
+      slots: grant.concurrency,
+    });
+    const valid = [...inForce.values()].filter(({ until }) => until > now);
+    t.true(sum(valid.map(({ rate }) => rate)) <= TEAM.requestsPerSecond + 1e-6);
+    t.true(sum(valid.map(({ slots }) => slots)) <= TEAM.concurrency);
+  }
+});
--- a/packages/limits/src/team-limits.ts
+++ b/packages/limits/src/team-limits.ts
@@ -83,6 +83,11 @@
     return ok(this.createPermit(holder));
   }
 
+  /** Requests of a team in progress on this VM. */
+  inFlight(team: string): number {
+    return this.held.get(team)?.holder.inFlight ?? 0;
+  }
+
   private createPermit(holder: GrantHolder): Permit {
     let isHeld = true;
     return {
