--- a/packages/admin-api/src/admin-api.ts
+++ b/packages/admin-api/src/admin-api.ts
@@ -13,13 +13,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createFault } from './faults.js';
 import { FleetStatusController } from './fleet-status.js';
-import type { Revision } from './history.js';
+import { MAX_RECORD_BYTES, type Revision } from './history.js';
 import { readKind, readRecordWrite, readWantedVersion, readWriteRequest } from './input.js';
 import { isOperator } from './operator-token.js';
 import { RecordsController, type RevisedRecord } from './records-controller.js';
 
-/** A record and its history stay well below the largest value of the key-value service. */
-const MAX_BODY_BYTES = 256 * 1024;
 const MS_PER_SECOND = 1000;
 
 export interface AdminApiOptions {
@@ -91,10 +89,10 @@
 
 const addWriteRoutes = (app: Hono, records: RecordsController): void => {
   const onError = (context: Context): Response => {
-    const message = `the body exceeds ${MAX_BODY_BYTES} bytes`;
+    const message = `the body exceeds ${MAX_RECORD_BYTES} bytes`;
     return respondFault(context, createFault(FaultCode.TooLarge, 'check-input', message));
   };
-  const limit = bodyLimit({ maxSize: MAX_BODY_BYTES, onError });
+  const limit = bodyLimit({ maxSize: MAX_RECORD_BYTES, onError });
   app.put('/v1/records/:kind/:name', limit, async (context) => {
     const input = await readRecordWrite(context.req);
     if (input.isErr()) return respondFault(context, input.error);
--- a/packages/admin-api/src/history.ts
+++ b/packages/admin-api/src/history.ts
@@ -1,14 +1,17 @@
 /** Earlier revisions of a record, kept in one bounded list. */
-
+import { FaultCode, type Reply } from '@jujubelanding/errors';
 import { type KeyValueEntry, type KeyValueStore, WriteStatus } from '@jujubelanding/platform';
 import { historyKey, type StoredValue } from '@jujubelanding/records';
 import { err, ok } from 'neverthrow';
-import { FaultCode, type Reply } from '@jujubelanding/errors';
 import { createFault, toUnavailable } from './faults.js';
 
 export const MAX_HISTORY = 20;
 /** Well below the largest value of the key-value service. */
-const MAX_HISTORY_BYTES = 512 * 1024;
+const MAX_HISTORY_BYTES = 768 * 1024;
+/** Largest record that is accepted. */
+export const MAX_RECORD_BYTES = 64 * 1024;
+/** Revisions that fit in any case. */
+export const MIN_HISTORY = 8;
 const APPEND_ATTEMPTS = 5;
 
 export interface Revision {
--- a/packages/admin-api/src/record-writer.ts
+++ b/packages/admin-api/src/record-writer.ts
@@ -5,7 +5,7 @@
 import { encodeStored, parseStored, recordKey, type StoredValue } from '@jujubelanding/records';
 import { err, ok } from 'neverthrow';
 import { createConflict, createFault, toUnavailable, toUnknown } from './faults.js';
-import type { HistoryStore, Revision } from './history.js';
+import { type HistoryStore, MIN_HISTORY, type Revision } from './history.js';
 
 /** Repetitions of a write whose reply was lost. */
 const RESOLVE_ATTEMPTS = 4;
@@ -23,6 +23,21 @@
     .map((stored) => ({ revision: modRevision, stored }))
     .unwrapOr(undefined);
 
+export enum AttemptStatus {
+  Applied = 'applied',
+  NotApplied = 'not-applied',
+  /** The history no longer reaches back to the time of the attempt. */
+  Unknown = 'unknown',
+}
+
+export type Attempt =
+  | { status: AttemptStatus.Applied; revision: number }
+  | { status: AttemptStatus.NotApplied | AttemptStatus.Unknown };
+
+/** True when the history contains everything that replaced the expected revision. */
+const reachesBackTo = (history: readonly Revision[], expectedRevision: number): boolean =>
+  history.length < MIN_HISTORY || history.some(({ revision }) => revision <= expectedRevision);
+
 export class RecordWriter {
   constructor(
     private readonly io: Pick<EntryVmIo, 'timer' | 'store'>,
@@ -61,18 +76,26 @@
     return err(createConflict(write.expectedRevision, written.value.current?.modRevision ?? 0));
   }
 
-  /** Returns the revision that an earlier attempt of the same write got, where it was applied. */
-  async findApplied(
+  /** Looks for an earlier attempt of the same write. */
+  async findAttempt(
     current: KeyValueEntry | undefined,
     { kind, name, writeId }: Pick<StoredValue, 'kind' | 'name' | 'writeId'>,
-  ): Reply<number | undefined> {
-    if (current === undefined) return ok(undefined);
-    if (writeIdOf(current) === writeId) return ok(current.modRevision);
-    // Whoever replaced this write's value has put it into the history first.
+    expectedRevision: number,
+  ): Reply<Attempt> {
+    if (current !== undefined && writeIdOf(current) === writeId) {
+      return ok({ status: AttemptStatus.Applied, revision: current.modRevision });
+    }
     const history = await this.history.read(kind, name);
-    return history.map(
-      (revisions) => revisions.find(({ stored }) => stored.writeId === writeId)?.revision,
-    );
+    return history.map((revisions) => {
+      // Whoever replaced this write's value has put it into the history first.
+      const applied = revisions.find(({ stored }) => stored.writeId === writeId);
+      if (applied !== undefined) {
+        return { status: AttemptStatus.Applied, revision: applied.revision };
+      }
+      return reachesBackTo(revisions, expectedRevision)
+        ? { status: AttemptStatus.NotApplied }
+        : { status: AttemptStatus.Unknown };
+    });
   }
 
   /**
@@ -87,9 +110,10 @@
       if (repeated.isErr()) continue;
       if (repeated.value.status === WriteStatus.Written) return ok(repeated.value.revision);
       const { current } = repeated.value;
-      const applied = await this.findApplied(current, stored);
-      if (applied.isErr()) continue;
-      if (applied.value !== undefined) return ok(applied.value);
+      const found = await this.findAttempt(current, stored, write.expectedRevision);
+      if (found.isErr()) continue;
+      if (found.value.status === AttemptStatus.Applied) return ok(found.value.revision);
+      if (found.value.status === AttemptStatus.Unknown) break;
       return err(createConflict(write.expectedRevision, current?.modRevision ?? 0));
     }
     return err(toUnknown(first, 'write-record'));
--- a/packages/admin-api/src/records-controller.ts
+++ b/packages/admin-api/src/records-controller.ts
@@ -14,7 +14,7 @@
 import { err, ok } from 'neverthrow';
 import { createConflict, createFault, createNotFound, toUnavailable } from './faults.js';
 import { HistoryStore, type Revision } from './history.js';
-import { RecordWriter } from './record-writer.js';
+import { AttemptStatus, RecordWriter } from './record-writer.js';
 
 const PAGE_SIZE = 500;
 
@@ -151,18 +151,28 @@
     const current = await this.writer.read(stored.kind, stored.name);
     if (current.isErr()) return err(current.error);
     const entry = current.value;
-    const applied = await this.writer.findApplied(entry, stored);
-    if (applied.isErr()) return err(toUnavailable(applied.error, 'read-history'));
-    if (applied.value !== undefined) return ok(applied.value);
     const isAbsent =
       entry === undefined || parseStored(entry.value).map(isTombstone).unwrapOr(false);
-    if (isTombstone(stored) && isAbsent) return err(createNotFound(stored.kind, stored.name));
     const currentRevision = entry?.modRevision ?? 0;
     const isExpected = expectedRevision === currentRevision || (isAbsent && expectedRevision === 0);
-    if (!isExpected) return err(createConflict(expectedRevision, currentRevision));
+    if (!isExpected) return this.explainMismatch(entry, stored, expectedRevision);
+    if (isTombstone(stored) && isAbsent) return err(createNotFound(stored.kind, stored.name));
     return this.writer.replace(entry, stored);
   }
 
+  /** The expected revision was replaced: by an earlier attempt of this write, or by another one. */
+  private async explainMismatch(
+    entry: KeyValueEntry | undefined,
+    stored: StoredValue,
+    expectedRevision: number,
+  ): Reply<number> {
+    const found = await this.writer.findAttempt(entry, stored, expectedRevision);
+    if (found.isErr()) return err(toUnavailable(found.error, 'read-history'));
+    return found.value.status === AttemptStatus.Applied
+      ? ok(found.value.revision)
+      : err(createConflict(expectedRevision, entry?.modRevision ?? 0));
+  }
+
   private addToListing(listing: RecordListing, entry: KeyValueEntry, prefix: string): void {
     const stored = parseStored(entry.value);
     const revision = entry.modRevision;
