--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -2,6 +2,8 @@
 import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import { ClaimStatus, type ClaimRequest } from '@jujubelanding/peer-protocol';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
 import { err, ok, type Result } from 'neverthrow';
 import { ClaimVerdict, judgeClaim, selectNew } from './claim-group.js';
 import type { ClaimEntry } from './claim-log.js';
@@ -10,6 +12,15 @@
 /** Claims written at once at most; bounds the growth of a page by one write to about 60 KiB. */
 const MAX_GROUP = 500;
 
+/** Pause after a failed read or write, so that a service that recovers isn't met by all at once. */
+const FAILURE_PAUSE_MS = { least: 200, spread: 300 };
+
+export interface ClaimOwnerOptions extends ClaimStorageOptions {
+  timer: Timer;
+  random: Random;
+  log: Log;
+}
+
 export type ClaimAnswer = Result<{ status: ClaimStatus }, Fault>;
 
 interface Pending {
@@ -27,7 +38,7 @@
 
   private isWriting = false;
 
-  constructor(private readonly options: ClaimStorageOptions & { log: Log }) {
+  constructor(private readonly options: ClaimOwnerOptions) {
     this.storage = new ClaimStorage(options);
   }
 
@@ -66,7 +77,10 @@
   private async runLoad(): Reply<void> {
     const expired = await this.storage.load();
     if (expired.isErr()) {
-      this.loading = undefined;
+      // Until the pause is over, further calls get the same fault.
+      void this.pause().then(() => {
+        this.loading = undefined;
+      });
       return err(expired.error);
     }
     void this.removeExpired(expired.value);
@@ -86,11 +100,21 @@
   private async writeGroups(): Promise<void> {
     if (this.isWriting) return;
     this.isWriting = true;
-    while (this.pending.length > 0) await this.writeGroup(this.pending.splice(0, MAX_GROUP));
+    while (this.pending.length > 0) {
+      const isWritten = await this.writeGroup(this.pending.splice(0, MAX_GROUP));
+      if (!isWritten) await this.pause();
+    }
     this.isWriting = false;
   }
 
-  private async writeGroup(group: Pending[]): Promise<void> {
+  private pause(): Promise<void> {
+    const { timer, random } = this.options;
+    const { least, spread } = FAILURE_PAUSE_MS;
+    return timer.sleep(least + random.below(spread));
+  }
+
+  /** Writes a group and answers it; false when the write failed. */
+  private async writeGroup(group: Pending[]): Promise<boolean> {
     const asked = group.map(({ claim }) => claim);
     const written = await this.storage.append(() => selectNew(asked, this.storage.claims));
     this.options.log.write('claims', {
@@ -104,6 +128,7 @@
       if (this.storage.claims.has(claim.claimId)) resolve(this.answer(claim));
       else resolve(err(written.isErr() ? written.error : this.createLostFault()));
     }
+    return written.isOk();
   }
 
   private answer(claim: ClaimEntry): ClaimAnswer {
--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -116,6 +116,9 @@
   const refused = await group.finish(group.claim('vm2', 'k'), 3100);
   t.is(codeOf(refused), FaultCode.Unavailable);
   t.is(outcomeOf(refused), Outcome.NotRun);
+  const before = group.reads;
+  await group.finish(Promise.all(Array.from({ length: 50 }, () => group.claim('vm3', 'k'))), 3100);
+  t.true(group.reads - before <= 15, 'retries are paced');
   group.service.faults.reachability = Reachability.Up;
   t.is(codeOf(await group.finish(group.claim('vm2', 'k'))), 'claimed');
 });
--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -146,6 +146,8 @@
       wallClock: () => timer.wallClock(),
       createId: () => random.createId(),
       isValid: () => this.options.shards.fenceOf(shard) === fence,
+      timer,
+      random,
       log: this.log,
     });
     this.owners.set(shard, owner);
