--- a/packages/worker-load/src/owned-workers.ts
+++ b/packages/worker-load/src/owned-workers.ts
@@ -171,13 +171,16 @@
 
   private sendTotals(entryVmId: string, workerIds: readonly string[]): void {
     const member = this.options.membership.find(entryVmId);
-    if (member === undefined || workerIds.length === 0) return;
-    this.options.io.network.send(member.peerAddress, {
-      kind: DatagramKind.WorkerTotals,
-      from: this.options.entryVmId,
-      totals: workerIds.slice(0, MAX_TOTALS_PER_DATAGRAM).map((id) => this.total(id)),
-      includedSequence: this.ledger.highestSequence(entryVmId),
-    });
+    if (member === undefined) return;
+    for (let start = 0; start < workerIds.length; start += MAX_TOTALS_PER_DATAGRAM) {
+      const part = workerIds.slice(start, start + MAX_TOTALS_PER_DATAGRAM);
+      this.options.io.network.send(member.peerAddress, {
+        kind: DatagramKind.WorkerTotals,
+        from: this.options.entryVmId,
+        totals: part.map((id) => this.total(id)),
+        includedSequence: this.ledger.highestSequence(entryVmId),
+      });
+    }
   }
 
   private runInterval(): void {
--- a/packages/worker-load/src/worker-load.test.ts
+++ b/packages/worker-load/src/worker-load.test.ts
@@ -154,6 +154,16 @@
   t.is(last?.to, 'vm2');
 });
 
+test('an owner of many workers sends the totals of all of them', async (t) => {
+  const workerIds = Array.from({ length: 40 }, (_, index) => `w${index}`);
+  const group = new VmGroup(['vm1', 'vm2'], workerIds);
+  workerIds.forEach((id) => group.setOwner(id, 'vm1'));
+  group.vms.get('vm1')!.loads.begin('w39');
+  group.vms.get('vm2')!.loads.begin('w0');
+  await group.timer.advance(510);
+  t.like(group.vms.get('vm2')!.loads.get('w39'), { online: 1, ageMs: 9 });
+});
+
 test('cache events are asked from the start after a failed poll', async (t) => {
   const group = new VmGroup(['vm1'], ['w1']);
   const cacheEvents = [{ sequence: 9, kind: 'stored' as never, prefixHash: 'a' }];
