--- /dev/null
+++ b/packages/replay/src/generate/days.ts
@@ -0,0 +1,130 @@
+/** Ordinary days: questions and orders by day, batch jobs in the evening. */
+import { createRandom, type Random } from '@jujubelanding/random';
+import { RecordKind } from '@jujubelanding/types';
+import { EventKind, INITIAL_REVISION } from '../trace/events.js';
+import { ExpectationKind, RequestOutcome } from '../trace/expectations.js';
+import { GLASS_TRADERS, SVEPPASMIDJAN } from './deployments.js';
+import { TraceWriter } from './trace-writer.js';
+
+const DAY_MS = 30_000;
+
+interface Day {
+  questions: number;
+  orders: number;
+  subjects: string[];
+}
+
+const chooseVia = (random: Random, writer: TraceWriter): string =>
+  `entry-${random.below(writer.header.entryVms.count)}`;
+
+const addQuestions = (writer: TraceWriter, random: Random, { questions, subjects }: Day): void => {
+  for (let index = 0; index < questions; index += 1) {
+    writer.answerChat({
+      id: `question-${index}`,
+      at: random.below(DAY_MS),
+      via: chooseVia(random, writer),
+      prompt: `${random.pick(subjects)}, customer ${index}`,
+      stream: index % 4 !== 0,
+    });
+  }
+};
+
+const addOrders = (writer: TraceWriter, random: Random, { orders }: Day): void => {
+  for (let index = 0; index < orders; index += 1) {
+    const id = `order-${index}`;
+    const at = random.below(DAY_MS);
+    writer.order({ id, at, via: chooseVia(random, writer), key: id });
+    writer.expectOutcome(id, { outcome: RequestOutcome.Succeeded, status: 200 });
+    if (index % 5 === 0) {
+      // A caller that repeats its order through another entry VM is told that it has been claimed.
+      const again = `${id}-again`;
+      writer.order({ id: again, at: at + 1500, via: chooseVia(random, writer), key: id });
+      writer.expectOutcome(again, { status: 409 });
+    }
+    writer.expect({ expect: ExpectationKind.Executions, key: id, atMost: 1 });
+  }
+};
+
+const addRecordWrite = (writer: TraceWriter, at: number): void => {
+  writer.add({
+    kind: EventKind.WriteRecord,
+    id: 'new-version',
+    at,
+    via: 'entry-1',
+    recordKind: RecordKind.Version,
+    name: 'v2',
+    schemaVersion: 1,
+    spec: { weight: 'weight-2' },
+    expectedRevision: INITIAL_REVISION,
+  });
+  writer.expectOutcome('new-version', { outcome: RequestOutcome.Succeeded });
+  writer.expect({
+    expect: ExpectationKind.ConfigurationInForce,
+    event: 'new-version',
+    limitMs: 4000,
+  });
+};
+
+const addDay = (writer: TraceWriter, day: Day): void => {
+  const random = createRandom(writer.header.seed);
+  addQuestions(writer, random, day);
+  addOrders(writer, random, day);
+  addRecordWrite(writer, DAY_MS / 2);
+  writer.expectFirstToken();
+  writer.expectAlways();
+};
+
+export const createGlassTradersDay = (): TraceWriter => {
+  const writer = new TraceWriter(GLASS_TRADERS, {
+    name: 'glass-traders-day',
+    description: 'Ordinary day: questions and stock orders by day, two jobs in the evening',
+    seed: 101,
+    durationMs: 60_000,
+  });
+  addDay(writer, {
+    questions: 60,
+    orders: 25,
+    subjects: ['Which glass fits a shower door', 'Is float glass in stock', 'Cut a table top'],
+  });
+  writer.completeJob({
+    id: 'offers',
+    at: DAY_MS,
+    via: 'entry-2',
+    prompt: 'Write an offer for a window',
+    items: 400,
+    failing: [17, 230],
+  });
+  writer.completeJob({
+    id: 'stock-review',
+    at: DAY_MS + 1000,
+    via: 'entry-5',
+    prompt: 'Review the stock of one pane',
+    items: 250,
+  });
+  return writer;
+};
+
+export const createSveppasmidjanDay = (): TraceWriter => {
+  const writer = new TraceWriter(SVEPPASMIDJAN, {
+    name: 'sveppasmidjan-day',
+    description: 'Ordinary day: a few questions and orders by day, three large jobs in the evening',
+    seed: 102,
+    durationMs: 60_000,
+  });
+  addDay(writer, {
+    questions: 40,
+    orders: 20,
+    subjects: ['Which mushrooms grow on straw', 'How moist is the substrate', 'When to harvest'],
+  });
+  [600, 500, 400].forEach((items, index) => {
+    writer.completeJob({
+      id: `harvest-plan-${index}`,
+      at: DAY_MS + index * 700,
+      via: `entry-${index * 2}`,
+      prompt: 'Plan the harvest of one bed',
+      items,
+      failing: index === 1 ? [3] : [],
+    });
+  });
+  return writer;
+};
--- /dev/null
+++ b/packages/replay/src/generate/main.ts
@@ -0,0 +1,25 @@
+/** Writes the recorded traces that have `source: generator` into the folder of traces. */
+import { writeFile } from 'node:fs/promises';
+import { createGlassTradersDay, createSveppasmidjanDay } from './days.js';
+import { createBurstOverBatch, createLeavingWorker, createPlannedStop } from './load.js';
+import { createRacingOperators } from './operators.js';
+import { createDiskTrouble, createKeyValueOutage, createZoneLoss } from './outages.js';
+
+const WRITERS = [
+  createGlassTradersDay,
+  createSveppasmidjanDay,
+  createBurstOverBatch,
+  createPlannedStop,
+  createLeavingWorker,
+  createZoneLoss,
+  createKeyValueOutage,
+  createDiskTrouble,
+  createRacingOperators,
+];
+
+for (const create of WRITERS) {
+  const writer = create();
+  const file = new URL(`../../traces/${writer.header.name}.ndjson`, import.meta.url);
+  await writeFile(file, writer.format());
+  console.log(`trace=${writer.header.name}`);
+}
--- /dev/null
+++ b/packages/replay/src/generate/operators.ts
@@ -0,0 +1,75 @@
+/** Operators who write the same records and cancel the same jobs at the same time. */
+import { JobStatus, RecordKind } from '@jujubelanding/types';
+import { EventKind, INITIAL_REVISION } from '../trace/events.js';
+import { ExpectationKind, RequestOutcome } from '../trace/expectations.js';
+import { SVEPPASMIDJAN } from './deployments.js';
+import { TraceWriter } from './trace-writer.js';
+
+const ROUNDS = 5;
+
+const RACERS = ['a', 'b', 'c'];
+
+const addRace = (writer: TraceWriter, round: number): void => {
+  const events = RACERS.map((racer) => `write-${round}-${racer}`);
+  events.forEach((id, index) =>
+    writer.add({
+      kind: EventKind.WriteRecord,
+      id,
+      at: 2000 + round * 5000 + index * 0.25,
+      via: `entry-${(round + index * 3) % 8}`,
+      recordKind: RecordKind.Version,
+      name: `canary-${round}`,
+      schemaVersion: 1,
+      spec: { weight: `weight-${id}` },
+      expectedRevision: INITIAL_REVISION,
+    }),
+  );
+  writer.expect({ expect: ExpectationKind.OneWinner, events });
+};
+
+const addCancelledJob = (writer: TraceWriter, index: number): void => {
+  const id = `job-${index}`;
+  const at = index * 6000;
+  writer.submit({
+    id,
+    at,
+    via: `entry-${index}`,
+    prompt: 'Plan the harvest',
+    items: 1500,
+    maxTokens: 30,
+  });
+  writer.expectOutcome(id, { outcome: RequestOutcome.Succeeded });
+  ['a', 'b'].forEach((operator, position) => {
+    const cancel = `cancel-${index}-${operator}`;
+    const via = `entry-${(index + 2 + position) % 8}`;
+    writer.add({ kind: EventKind.Cancel, id: cancel, at: at + 4000, via, job: id });
+    writer.expectOutcome(cancel, { outcome: RequestOutcome.Succeeded });
+    writer.expect({ expect: ExpectationKind.CancelBound, event: cancel, limitMs: 2000 });
+  });
+  writer.expect({
+    expect: ExpectationKind.JobEnd,
+    event: id,
+    status: JobStatus.Cancelled,
+    duplicates: 0,
+  });
+};
+
+export const createRacingOperators = (): TraceWriter => {
+  const writer = new TraceWriter(SVEPPASMIDJAN, {
+    name: 'racing-operators',
+    description: 'Operators race for records and cancel running jobs through several entry VMs',
+    seed: 109,
+    durationMs: 40_000,
+  });
+  for (let round = 0; round < ROUNDS; round += 1) addRace(writer, round);
+  for (let index = 0; index < 3; index += 1) addCancelledJob(writer, index);
+  writer.completeJob({
+    id: 'kept',
+    at: 1000,
+    via: 'entry-6',
+    prompt: 'Plan the harvest of one bed',
+    items: 300,
+  });
+  writer.expectAlways();
+  return writer;
+};
--- a/packages/replay/src/world.ts
+++ b/packages/replay/src/world.ts
@@ -1,6 +1,10 @@
 /** The fleet of a trace, with what callers and the observer saw. */
-import { Fleet, OPERATOR_TOKEN, type FleetNode } from '@jujubelanding/simulation';
-import type { Log } from '@jujubelanding/log';
+import {
+  Fleet,
+  OPERATOR_TOKEN,
+  type FleetNode,
+  type FleetOptions,
+} from '@jujubelanding/simulation';
 import type { ModelEngine, PlainService } from '@jujubelanding/stand-ins';
 import { ServiceKind, type ItemResult } from '@jujubelanding/types';
 import { Caller, ReplyKind, type CallerReply, type CallerRequest } from './caller.js';
@@ -33,9 +37,7 @@
   availabilityZone: string;
 }
 
-export interface WorldOptions {
-  createLog?: (entryVmId: string) => (part: string) => Log;
-}
+export type WorldOptions = Pick<FleetOptions, 'createLog' | 'prepare'>;
 
 export class World {
   readonly fleet: Fleet;
