--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -51,6 +51,8 @@
 
   private running = 0;
 
+  private isStopped = false;
+
   private readonly drained: (() => void)[] = [];
 
   constructor(private readonly options: OnlineDispatchOptions) {
@@ -58,11 +60,12 @@
   }
 
   start(): void {
-    this.options.router.start();
+    this.isStopped = false;
   }
 
+  /** Refuses further requests; those in progress go on. */
   stop(): void {
-    this.options.router.stop();
+    this.isStopped = true;
   }
 
   inFlight(): number {
@@ -84,7 +87,10 @@
   ): Reply<StreamEnd> {
     const { generation } = request;
     const model = this.options.configuration.get(RecordKind.Model, generation.model);
-    if (model === undefined) return err(this.createUnknownModel(generation.model));
+    if (model === undefined) {
+      const message = `model ${generation.model} is not known`;
+      return err(this.createRefusal(FaultCode.NotFound, message));
+    }
     const prefixes = computePrefixHashes(generation.messages);
     const delivered: string[] = [];
     const run = (worker: Worker, number: number, attemptSignal: AbortSignal) =>
@@ -159,6 +165,9 @@
   }
 
   private async track<T>(run: () => Reply<T>): Reply<T> {
+    if (this.isStopped) {
+      return err(this.createRefusal(FaultCode.Unavailable, 'this entry VM has stopped'));
+    }
     this.running += 1;
     this.options.io.metrics.gauge('online.in_flight', this.running);
     try {
@@ -169,12 +178,7 @@
     }
   }
 
-  private createUnknownModel(model: string): Fault {
-    return {
-      code: FaultCode.NotFound,
-      outcome: Outcome.NotRun,
-      step: 'dispatch',
-      message: `model ${model} is not known`,
-    };
+  private createRefusal(code: FaultCode, message: string): Fault {
+    return { code, outcome: Outcome.NotRun, step: 'dispatch', message };
   }
 }
