--- a/packages/cli/src/client/records.ts
+++ b/packages/cli/src/client/records.ts
@@ -42,17 +42,26 @@
   expectedRevision: number;
 }
 
+/** Header that names who writes; the entry VM records it in the history. */
+const createAuthorHeader = (author: string | undefined): Record<string, string> =>
+  author === undefined ? {} : { 'x-operator': author };
+
 /** Writes a record; all attempts carry one write id, so that it is applied once. */
 export const writeRecord = (
   client: Client,
   { kind, name, ...content }: RecordWrite,
+  author?: string,
 ): Promise<Result<StoredRecord, Fault>> =>
   client.send(
     {
       method: 'PUT',
       path: createRecordPath(kind, name),
       repetition: Repetition.Once,
-      headers: { 'content-type': 'application/json', 'x-write-id': client.createId() },
+      headers: {
+        'content-type': 'application/json',
+        'x-write-id': client.createId(),
+        ...createAuthorHeader(author),
+      },
       createBody: () => JSON.stringify(content),
     },
     RECORD,
@@ -66,13 +75,14 @@
   kind: RecordKind,
   name: string,
   expectedRevision: number,
+  author?: string,
 ): Promise<Result<number, Fault>> => {
   const deletion = await client.send(
     {
       method: 'DELETE',
       path: `${createRecordPath(kind, name)}?expectedRevision=${expectedRevision}`,
       repetition: Repetition.Once,
-      headers: { 'x-write-id': client.createId() },
+      headers: { 'x-write-id': client.createId(), ...createAuthorHeader(author) },
     },
     DELETION,
   );
@@ -87,6 +97,7 @@
 
 /** Tells whether all live entry VMs have a revision in force. */
 export const isInForce = ({ entryVms }: FleetStatus, revision: number): boolean =>
+  entryVms.length > 0 &&
   entryVms.every(
     ({ state, activeRevision }) => state === MemberState.Dead || activeRevision >= revision,
   );
--- a/packages/cli/src/client/shapes.ts
+++ b/packages/cli/src/client/shapes.ts
@@ -15,10 +15,18 @@
 
 export type StoredRecord = z.infer<typeof RECORD>;
 
-export const RECORD_LIST = z.object({ records: z.array(RECORD) });
+export const RECORD_LIST = z.object({
+  records: z.array(RECORD),
+  /** Stored records that do not match their schema. */
+  invalid: z.array(z.object({ name: z.string(), revision: z.number() })).default([]),
+});
 
 const REVISION = z.looseObject({
   revision: z.number(),
+  author: z.string().optional(),
+  /** Epoch milliseconds. */
+  time: z.number().optional(),
+  /** Absent, like the spec, when the revision is a deletion. */
   schemaVersion: z.number().optional(),
   spec: SPEC.optional(),
 });
@@ -35,9 +43,13 @@
   activeRevision: z.number(),
 });
 
-export const FLEET_STATUS = z.object({
+export const FLEET_STATUS = z.looseObject({
   acceptedRevision: z.number(),
   inForceEverywhere: z.boolean(),
+  /** Time since which this is so, ISO 8601. */
+  since: z.string().optional(),
+  /** Records that an entry VM cannot use. */
+  invalidRecords: z.array(z.unknown()).default([]),
   entryVms: z.array(ENTRY_VM_STATUS),
 });
 
--- a/packages/cli/src/command-line/values.ts
+++ b/packages/cli/src/command-line/values.ts
@@ -36,6 +36,16 @@
     );
 };
 
+const AUTHOR = /^[\x21-\x7e]{1,100}$/;
+
+/** Reads the name of the operator who writes. */
+export const readAuthor = ({ values }: Arguments): Result<string | undefined, string> => {
+  const text = values[Flag.Operator];
+  if (text === undefined || AUTHOR.test(text)) return ok(text);
+  const allowed = '1 to 100 printable ASCII characters without spaces';
+  return err(`--${Flag.Operator}: ${JSON.stringify(text)} is not allowed; allowed: ${allowed}`);
+};
+
 const KINDS = Object.values(RecordKind);
 
 export const readKind = (text: string | undefined): Result<RecordKind, string> => {
--- a/packages/cli/src/commands/apply/index.ts
+++ b/packages/cli/src/commands/apply/index.ts
@@ -11,7 +11,7 @@
   DEFAULT_TIMEOUT_MS,
 } from '../../command-line/command.js';
 import { Flag } from '../../command-line/flags.js';
-import { readInteger } from '../../command-line/values.js';
+import { readAuthor, readInteger } from '../../command-line/values.js';
 import { ExitCode } from '../../exit-code.js';
 import { readText } from '../../input/files.js';
 import { type FileRecord, parseRecords } from '../../input/records.js';
@@ -50,6 +50,7 @@
 const writeChanges = async (
   client: Client,
   changes: readonly PlannedChange[],
+  author: string | undefined,
 ): Promise<{ applied: AppliedChange[]; fault?: Fault }> => {
   const applied: AppliedChange[] = [];
   for (const { action, write } of changes) {
@@ -58,7 +59,7 @@
       applied.push({ action, kind, name, revision: expectedRevision });
       continue;
     }
-    const written = await writeRecord(client, write);
+    const written = await writeRecord(client, write, author);
     if (written.isErr()) return { applied, fault: written.error };
     applied.push({ action, kind, name, revision: written.value.revision });
   }
@@ -79,7 +80,7 @@
   output: Output,
   changes: readonly PlannedChange[],
 ): Promise<ExitCode> => {
-  const { applied, fault } = await writeChanges(client, changes);
+  const { applied, fault } = await writeChanges(client, changes, args.values[Flag.Operator]);
   if (applied.length > 0 || output.format === Format.Json) showApplied(output, applied);
   if (fault !== undefined) {
     const { kind, name } = changes[applied.length]!.write;
@@ -105,12 +106,14 @@
 export const apply: Command = {
   description: 'Writes the records of a file; "-" reads standard input.',
   positional: ['FILE'],
-  flags: [Flag.ExpectedRevision, Flag.DryRun, Flag.Wait],
+  flags: [Flag.ExpectedRevision, Flag.DryRun, Flag.Operator, Flag.Wait],
   credential: Credential.Operator,
   defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
   run: async (args, client, output) => {
     const expected = readInteger(args, Flag.ExpectedRevision);
+    const author = readAuthor(args);
     if (expected.isErr()) return reportUsage(output, [expected.error]);
+    if (author.isErr()) return reportUsage(output, [author.error]);
     const records = await readInput(args);
     if (records.isErr()) return reportUsage(output, records.error);
     if (expected.value !== undefined && records.value.length > 1) {
--- a/packages/cli/src/commands/delete/index.ts
+++ b/packages/cli/src/commands/delete/index.ts
@@ -3,14 +3,14 @@
 import { readRecord, removeRecord, waitUntilInForce } from '../../client/records.js';
 import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
 import { Flag } from '../../command-line/flags.js';
-import { readInteger, readKind } from '../../command-line/values.js';
+import { readAuthor, readInteger, readKind } from '../../command-line/values.js';
 import { ExitCode } from '../../exit-code.js';
 import { reportFault, reportUsage, writeAnswer, writeNote } from '../../output/output.js';
 
 export const deleteRecord: Command = {
   description: 'Deletes a record.',
   positional: ['KIND', 'NAME'],
-  flags: [Flag.ExpectedRevision, Flag.Wait],
+  flags: [Flag.ExpectedRevision, Flag.Operator, Flag.Wait],
   credential: Credential.Operator,
   defaultTimeoutMs: DEFAULT_TIMEOUT_MS,
   run: async (args, client, output) => {
@@ -19,12 +19,14 @@
     const expected = readInteger(args, Flag.ExpectedRevision);
     if (kind.isErr()) return reportUsage(output, [kind.error]);
     if (expected.isErr()) return reportUsage(output, [expected.error]);
+    const author = readAuthor(args);
+    if (author.isErr()) return reportUsage(output, [author.error]);
     const current =
       expected.value === undefined
         ? (await readRecord(client, kind.value, name)).map((record) => record.revision)
         : ok(expected.value);
     if (current.isErr()) return reportFault(output, current.error);
-    const deletion = await removeRecord(client, kind.value, name, current.value);
+    const deletion = await removeRecord(client, kind.value, name, current.value, author.value);
     if (deletion.isErr()) return reportFault(output, deletion.error);
     const revision = deletion.value;
     writeAnswer(
--- a/packages/cli/src/commands/history/index.ts
+++ b/packages/cli/src/commands/history/index.ts
@@ -22,9 +22,11 @@
     if (answer.isErr()) return reportFault(output, answer.error);
     writeAnswer(output, answer.value, () =>
       formatTable(
-        ['REVISION', 'SCHEMA', 'SPEC'],
-        answer.value.revisions.map(({ revision, schemaVersion, spec }) => [
+        ['REVISION', 'TIME', 'AUTHOR', 'SCHEMA', 'SPEC'],
+        answer.value.revisions.map(({ revision, time, author, schemaVersion, spec }) => [
           revision,
+          time === undefined ? undefined : new Date(time).toISOString(),
+          author,
           schemaVersion,
           spec === undefined ? 'deleted' : JSON.stringify(spec),
         ]),
--- a/packages/cli/src/commands/list/index.ts
+++ b/packages/cli/src/commands/list/index.ts
@@ -5,7 +5,7 @@
 import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
 import { readKind } from '../../command-line/values.js';
 import { ExitCode } from '../../exit-code.js';
-import { reportFault, reportUsage, writeAnswer } from '../../output/output.js';
+import { reportFault, reportUsage, writeAnswer, writeNote } from '../../output/output.js';
 import { formatTable } from '../../output/table.js';
 
 export const list: Command = {
@@ -33,6 +33,9 @@
         ]),
       ),
     );
+    for (const { name, revision } of answer.value.invalid) {
+      writeNote(output, `${kind.value} ${name}, revision ${revision}: does not match its schema`);
+    }
     return ExitCode.Ok;
   },
 };
--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -2,7 +2,7 @@
 import { readStatus } from '../../client/records.js';
 import { type Command, Credential, DEFAULT_TIMEOUT_MS } from '../../command-line/command.js';
 import { ExitCode } from '../../exit-code.js';
-import { reportFault, writeAnswer } from '../../output/output.js';
+import { reportFault, writeAnswer, writeNote } from '../../output/output.js';
 import { formatTable } from '../../output/table.js';
 
 export const status: Command = {
@@ -14,11 +14,12 @@
   run: async (_, client, output) => {
     const answer = await readStatus(client);
     if (answer.isErr()) return reportFault(output, answer.error);
-    const { acceptedRevision, inForceEverywhere, entryVms } = answer.value;
+    const { acceptedRevision, inForceEverywhere, since, entryVms, invalidRecords } = answer.value;
+    const duration = since === undefined ? '' : ` since ${since}`;
     writeAnswer(output, answer.value, () =>
       [
         `accepted revision ${acceptedRevision}, `,
-        `${inForceEverywhere ? 'in force everywhere' : 'not in force everywhere'}\n\n`,
+        `${inForceEverywhere ? 'in force everywhere' : 'not in force everywhere'}${duration}\n\n`,
         formatTable(
           ['ENTRY VM', 'ZONE', 'STATE', 'HELD', 'ACTIVE'],
           entryVms.map((vm) => [
@@ -31,6 +32,9 @@
         ),
       ].join(''),
     );
+    for (const record of invalidRecords) {
+      writeNote(output, `not usable: ${JSON.stringify(record)}`);
+    }
     return ExitCode.Ok;
   },
 };
--- a/packages/cli/src/output/table.ts
+++ b/packages/cli/src/output/table.ts
@@ -23,6 +23,11 @@
 
 const EMPTY_CELL = '-';
 
+const chooseAlignment = (cells: readonly Cell[]): 'left' | 'right' => {
+  const filled = cells.filter((cell) => cell !== undefined);
+  return filled.length > 0 && filled.every((cell) => typeof cell === 'number') ? 'right' : 'left';
+};
+
 /** Formats rows under column names, without borders so that lines can be searched and cut. */
 export const formatTable = (
   columns: readonly string[],
@@ -32,9 +37,7 @@
     head: [...columns],
     chars: NO_BORDERS,
     style: { head: [], border: [], 'padding-left': 0, 'padding-right': 0 },
-    colAligns: columns.map((_, index) =>
-      rows.length > 0 && rows.every((row) => typeof row[index] === 'number') ? 'right' : 'left',
-    ),
+    colAligns: columns.map((_, index) => chooseAlignment(rows.map((row) => row[index]))),
   });
   table.push(...rows.map((row) => row.map((cell) => cell ?? EMPTY_CELL)));
   const lines = table.toString().split('\n');
--- a/packages/cli/src/run.test.ts
+++ b/packages/cli/src/run.test.ts
@@ -96,6 +96,8 @@
     Response.json({
       acceptedRevision: 12,
       inForceEverywhere: false,
+      since: '2026-01-01T00:00:00.000Z',
+      invalidRecords: [{ kind: 'team', name: 'a', revision: 4 }],
       entryVms: [
         {
           entryVmId: 'vm-1',
@@ -127,10 +129,37 @@
     ['entry-points'],
     [...LIST, '--json'],
   ]) {
-    t.snapshot((await runTool(argv, [first])).stdout, argv.join(' '));
+    t.snapshot(await runTool(argv, [first]), argv.join(' '));
   }
 });
 
+test('a deletion names revision, operator and write id, and stays in the history', async (t) => {
+  const records = new TestRecords();
+  const first = await startEntryVm(t, records);
+  records.put({ kind: RecordKind.Version, name: 'v1', schemaVersion: 1, spec: { weight: 'w1' } });
+  let author: string | undefined;
+  first.route('DELETE', '/admin/v1/records/:kind/:name', ({ req }) => {
+    author = req.header('x-operator');
+    return Response.json({ revision: 12 });
+  });
+  first.route('GET', '/admin/v1/records/:kind/:name/history', () =>
+    Response.json({
+      revisions: [
+        { revision: 12, deleted: true, author, time: Date.UTC(2026, 0, 1) },
+        { revision: 11, author: 'b', time: 0, schemaVersion: 1, spec: { weight: 'w1' } },
+      ],
+    }),
+  );
+  first.misbehave('DELETE', Misbehaviour.LoseReply);
+  const deletion = await runTool(['delete', 'version', 'v1', '--operator', 'a'], [first]);
+  t.snapshot(deletion);
+  const sent = first.requests.filter(({ line }) => line.startsWith('DELETE'));
+  t.is(sent.length, 2);
+  t.deepEqual(sent[0], sent[1]);
+  t.is(sent[0]!.line, 'DELETE /admin/v1/records/version/v1?expectedRevision=11');
+  t.snapshot((await runTool(['history', 'version', 'v1'], [first])).stdout);
+});
+
 test('help, version and wrong usage need no entry VM and name what is allowed', async (t) => {
   const version = await runTool(['--version'], []);
   t.deepEqual([version.code, version.stdout], [ExitCode.Ok, '0.0.0\n']);
