End unreadable streams at once and let outgoing calls end on stop

A token that cannot be read made the client wait for the engine to finish; now the connection is closed. Tokens behind an abort in the same chunk are no longer delivered, since the caller may already resume elsewhere. An error other than a refused input is no longer reported as not-run.

--- a/packages/peer-transport/src/peer-caller.ts
+++ b/packages/peer-transport/src/peer-caller.ts
@@ -27,6 +27,12 @@
 /** Time for the transfer of one segment. */
 const SEGMENT_TIMEOUT_MS = 30_000;
 
+/** Longer than the default timeout of calls. */
+const CLOSE_TIMEOUT_MS = 2000;
+
+/** Addresses with a prepared client; all are prepared anew beyond this number. */
+const MAX_CLIENTS = 4096;
+
 const LIMITS = { connections: 32, connectTimeoutMs: 1000 };
 
 /** Carries the timeout from the call to the request that tRPC makes of it. */
@@ -65,8 +71,8 @@
         mutate: (input: unknown, options: { context: object }) => Promise<CallAnswer>;
       };
       const answer = await procedure.mutate(input, { context: { timeoutMs } });
-      if ('value' in answer) return ok(answer.value as PeerCalls[M]['output']);
-      return err({ ...answer.fault, peer: peer.entryVmId });
+      if ('fault' in answer) return err({ ...answer.fault, peer: peer.entryVmId });
+      return ok(answer.value as PeerCalls[M]['output']);
     } catch (thrown) {
       return err(this.toFault(peer, method, thrown));
     }
@@ -82,8 +88,13 @@
     return answer.map(({ body }) => new Uint8Array(body));
   }
 
-  close(): Promise<void> {
-    return this.pools.close();
+  /** Waits a while for calls in progress, then closes all connections. */
+  async close(): Promise<void> {
+    const timeout = new Promise<void>((resolve) => {
+      this.options.timer.after(CLOSE_TIMEOUT_MS, resolve);
+    });
+    await Promise.race([this.pools.drain(), timeout]);
+    await this.pools.close();
   }
 
   private async transfer(
@@ -122,6 +133,7 @@
         }),
       ],
     });
+    if (this.clients.size >= MAX_CLIENTS) this.clients.clear();
     this.clients.set(key, client);
     return client;
   }
--- a/packages/peer-transport/src/peer-server.ts
+++ b/packages/peer-transport/src/peer-server.ts
@@ -16,8 +16,8 @@
 export const CALL_PATH = '/peer/calls';
 export const SEGMENT_PATH = '/peer/segments';
 
-/** Largest segment that is accepted. */
-const MAX_SEGMENT_BYTES = 128 * 1024 * 1024;
+/** Largest segment or input that is accepted. */
+const MAX_BODY_BYTES = 128 * 1024 * 1024;
 
 /** Requests still in progress after this time are cut off when the server closes. */
 const CLOSE_TIMEOUT_MS = 5000;
@@ -107,14 +107,8 @@
     const runCall = createRunCall(createPeerRouter(this.options.handlers));
     app.use('/peer/*', async (context, next) => {
       this.countExchange(context.env, context.req.path);
-      if (this.isAuthorized(context)) return next();
-      this.options.counters.countDrop(DropReason.BadToken);
-      return sendFault(context, {
-        code: FaultCode.Unauthorized,
-        outcome: Outcome.NotRun,
-        step: 'authenticate',
-        message: 'the bearer token is wrong',
-      });
+      const refusal = this.checkRequest(context);
+      return refusal === undefined ? next() : sendFault(context, refusal);
     });
     app.post(`${CALL_PATH}/:method`, async (context) => {
       const input = parseJson(await context.req.text());
@@ -133,14 +127,6 @@
       if (handlers.segments === undefined) {
         return sendFault(context, createMissingHandlerFault('putSegment'));
       }
-      if (Number(context.req.header('content-length') ?? 0) > MAX_SEGMENT_BYTES) {
-        return sendFault(context, {
-          code: FaultCode.TooLarge,
-          outcome: Outcome.NotRun,
-          step: 'putSegment',
-          message: 'the segment exceeds the limit',
-        });
-      }
       const content = new Uint8Array(await context.req.arrayBuffer());
       const stored = await handlers.segments.put(context.req.param('id'), content);
       return stored.isOk() ? context.json({}) : sendFault(context, stored.error);
@@ -156,8 +142,20 @@
     });
   }
 
-  private isAuthorized(context: Context): boolean {
-    return isSameSecret(this.token, context.req.header('authorization') ?? '');
+  private checkRequest(context: Context): Fault | undefined {
+    const refuse = (code: FaultCode, step: string, message: string): Fault => ({
+      code,
+      outcome: Outcome.NotRun,
+      step,
+      message,
+    });
+    if (!isSameSecret(this.token, context.req.header('authorization') ?? '')) {
+      this.options.counters.countDrop(DropReason.BadToken);
+      return refuse(FaultCode.Unauthorized, 'authenticate', 'the bearer token is wrong');
+    }
+    const size = Number(context.req.header('content-length') ?? 0);
+    if (size <= MAX_BODY_BYTES) return undefined;
+    return refuse(FaultCode.TooLarge, 'readRequest', `${size} bytes exceed the limit`);
   }
 
   private track(socket: Socket): void {
--- a/packages/peer-transport/src/router.ts
+++ b/packages/peer-transport/src/router.ts
@@ -1,9 +1,9 @@
 /** tRPC router with one procedure for each method between entry VMs. */
-import { describeThrown, FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import { PeerMethod } from '@jujubelanding/peer-protocol';
-import { initTRPC } from '@trpc/server';
+import { initTRPC, TRPCError } from '@trpc/server';
 import { err, ok, type Result } from 'neverthrow';
-import type { Handlers } from './handlers.js';
+import { createThrownFault, type Handlers } from './handlers.js';
 import { INPUT_SCHEMAS } from './input-schemas.js';
 
 /** A handler's result as it is sent. */
@@ -56,8 +56,10 @@
       const procedure = caller[method] as (input: unknown) => Promise<CallAnswer>;
       return ok(await procedure(input));
     } catch (thrown) {
-      // Handlers do not throw, so the input was refused before any of them ran.
-      return createRefusal(FaultCode.InvalidInput, method, describeThrown(thrown));
+      // The input is checked before the handler runs; any other error may come from the handler.
+      const refused = thrown instanceof TRPCError && thrown.code === 'BAD_REQUEST';
+      if (!refused) return err(createThrownFault(method, thrown));
+      return createRefusal(FaultCode.InvalidInput, method, thrown.message);
     }
   };
 };
--- a/packages/platform-clients/src/backend-servers-client.test.ts
+++ b/packages/platform-clients/src/backend-servers-client.test.ts
@@ -6,6 +6,7 @@
 import { OrderKind, type Generation, type Token } from '@jujubelanding/types';
 import { getFault, getValue } from './fixtures/results.js';
 import {
+  AnswerEnd,
   awaitCall,
   awaitCondition,
   serveAnswer,
@@ -85,6 +86,38 @@
   t.is(stream.tokens.length, 0);
 });
 
+test('no token is delivered after the abort, even from the same chunk', async (t) => {
+  const events = [0, 1, 2].map((index) => {
+    const token = JSON.stringify({ requestId: 'r1', index, text: 'a' });
+    return `data: ${token}\n\n`;
+  });
+  const headers = { 'content-type': 'text/event-stream' };
+  const worker = await serveAnswer(t, 200, headers, events.join(''));
+  const abort = new AbortController();
+  const indexes: number[] = [];
+  const { client } = setUp(t);
+  const onToken = ({ index }: Token): void => {
+    indexes.push(index);
+    abort.abort();
+  };
+  const end = await client.generate(worker, createGeneration(), onToken, abort.signal);
+  t.is(getFault(end).code, FaultCode.Cancelled);
+  t.deepEqual(indexes, [0]);
+});
+
+test('an unreadable token ends the stream before the engine ends it', async (t) => {
+  const worker = await serveAnswer(t, 200, {}, 'data: {"requestId":1}\n\n', AnswerEnd.Open);
+  const stream = setUp(t).start(worker);
+  t.is(getFault(await stream.end).code, FaultCode.InvalidStream);
+});
+
+test('a connection that breaks after the end event leaves the answer complete', async (t) => {
+  const end = { requestId: 'r1', tokenCount: 0, finishReason: 'stop', cachedTokens: 0 };
+  const body = `event: end\ndata: ${JSON.stringify(end)}\n\n`;
+  const worker = await serveAnswer(t, 200, {}, body, AnswerEnd.Reset);
+  t.deepEqual(getValue(await setUp(t).start(worker).end) as object, end);
+});
+
 test('wrong ids and gaps reach the caller as they were sent', async (t) => {
   const { timer, engine, worker } = await serveEngine(t);
   const { start } = setUp(t);
--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -61,7 +61,7 @@
 /** Streams, cancellations and calls that callers are waiting for. */
 const createRequestCalls = (http: HttpPeer): Pick<BackendServers, 'generate' | 'call'> => ({
   generate: async (worker, generation, onToken, signal) => {
-    const tokens = new TokenStream(worker.id, onToken);
+    const tokens = new TokenStream(worker.id, onToken, signal);
     const target = createTarget('generate', worker);
     const reply = await http.exchange({
       ...target,
@@ -72,6 +72,9 @@
       signal,
       onChunk: (chunk) => tokens.feed(chunk),
     });
+    // What the stream itself says outweighs how its connection ended.
+    const end = tokens.getEnd();
+    if (end !== undefined) return end;
     return reply.andThen((answer) => expectSuccess(answer, target)).andThen(() => tokens.finish());
   },
   call: async (worker, request, signal) => {
--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -37,12 +37,18 @@
     };
   }
 
+  /** Closes all connections; requests in progress break. */
   async close(): Promise<void> {
     const entries = [...this.entries.values()];
     this.entries.clear();
     await Promise.all(entries.map(({ pool }) => pool.destroy()));
   }
 
+  /** Resolves once no request is in progress; accepts no new ones. */
+  async drain(): Promise<void> {
+    await Promise.all([...this.entries.values()].map(({ pool }) => pool.close()));
+  }
+
   private find(address: string): Entry {
     const known = this.entries.get(address);
     const entry = known ?? { pool: this.createPool(address), inFlight: 0 };
--- a/packages/platform-clients/src/exchange.ts
+++ b/packages/platform-clients/src/exchange.ts
@@ -28,8 +28,11 @@
   timeoutMs: number;
   timeoutKind?: TimeoutKind;
   signal?: AbortSignal;
-  /** Receives the body of an answer with status 200 piece by piece; others are read whole. */
-  onChunk?: (chunk: Buffer) => void;
+  /**
+   * Receives the body of an answer with status 200 piece by piece; others are read whole. Returning
+   * false ends the exchange.
+   */
+  onChunk?: (chunk: Buffer) => boolean;
 }
 
 export interface Answer {
@@ -92,7 +95,8 @@
     if (this.settled) return true;
     this.lastActivity = this.timer.now();
     if (this.request.onChunk !== undefined && this.answer?.status === HTTP_OK) {
-      this.request.onChunk(chunk);
+      const wantsMore = this.request.onChunk(chunk);
+      if (!wantsMore) this.giveUp(FaultCode.InvalidStream, 'the stream cannot be read');
       return true;
     }
     this.size += chunk.length;
--- a/packages/platform-clients/src/token-stream.ts
+++ b/packages/platform-clients/src/token-stream.ts
@@ -34,6 +34,9 @@
   }
 };
 
+/** Characters of one event; a longer one is not a token of an engine. */
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
+
 export class TokenStream {
   private readonly decoder = new StringDecoder('utf8');
 
@@ -44,12 +47,26 @@
   constructor(
     private readonly peer: string,
     private readonly onToken: (token: Token) => void,
+    private readonly signal: AbortSignal,
   ) {
-    this.parser = createParser({ onEvent: (event) => this.handle(event) });
+    this.parser = createParser({
+      onEvent: (event) => this.handle(event),
+      onError: ({ type }) => {
+        if (type === 'max-buffer-size-exceeded') this.end = this.createInvalid('event');
+      },
+      maxBufferSize: MAX_EVENT_CHARACTERS,
+    });
   }
 
-  feed(chunk: Buffer): void {
+  /** Reads a part of the stream; returns false when the rest cannot belong to the answer. */
+  feed(chunk: Buffer): boolean {
     this.parser.feed(this.decoder.write(chunk));
+    return this.end?.isErr() !== true;
+  }
+
+  /** Returns the end of the stream, where it has arrived or the stream cannot be read on. */
+  getEnd(): Result<StreamEnd, Fault> | undefined {
+    return this.end;
   }
 
   /** Returns the end of the stream once the connection carries no more. */
@@ -58,8 +75,9 @@
   }
 
   private handle({ event, data }: EventSourceMessage): void {
-    // Nothing after the end event, or after an unreadable one, belongs to the answer.
-    if (this.end !== undefined) return;
+    // Nothing after the end event, or after an unreadable one, belongs to the answer; the callback of
+    // an earlier token in the same chunk may have aborted the request.
+    if (this.end !== undefined || this.signal.aborted) return;
     const value = parseJson(data);
     if (event === 'end') {
       const end = endSchema.safeParse(value);
