Give no work from the VM list of before a pause

Ruled out: a list that could not be read; the soak does not fault it. The directory now takes a gap between its ticks as a pause and reads the list before it offers workers again. The soak's caller takes a body that ends early as a broken connection.

--- a/packages/directory/src/directory-controller.ts
+++ b/packages/directory/src/directory-controller.ts
@@ -4,11 +4,17 @@
 import type { VmListing } from '@jujubelanding/platform';
 import type { Subscription } from '@jujubelanding/timer';
 import type { PeerAddress, Worker } from '@jujubelanding/types';
-import { buildListing, EMPTY_LISTING, type Listing } from './listing.js';
+import { buildListing, EMPTY_LISTING, suspendListing, type Listing } from './listing.js';
 
 /** Leaving backend servers must get no new work within 2 s, so the list is read four times as often. */
 export const VM_LIST_INTERVAL_MS = 500;
 
+/**
+ * Without a tick for this long the process was paused, and a worker may have left in the meantime.
+ * With the interval before the pause it stays below the bound of 2 s.
+ */
+export const PAUSE_THRESHOLD_MS = 1200;
+
 export interface DirectoryOptions {
   io: Pick<EntryVmIo, 'timer' | 'vmList' | 'createLog' | 'metrics'>;
 }
@@ -23,6 +29,14 @@
 
   private tag: string | undefined;
 
+  /** Present from the end of a pause until a read that was started after it is done. */
+  private suspended: Listing | undefined;
+
+  /** Time at which the last pause was noticed. */
+  private resumedAt = Number.NEGATIVE_INFINITY;
+
+  private lastTickAt: number;
+
   private isReading = false;
 
   private failures = 0;
@@ -31,10 +45,13 @@
 
   constructor(private readonly options: DirectoryOptions) {
     this.log = options.io.createLog('directory');
+    this.lastTickAt = options.io.timer.now();
   }
 
   start(): void {
+    this.lastTickAt = this.options.io.timer.now();
     this.polling ??= this.options.io.timer.every(VM_LIST_INTERVAL_MS, () => {
+      this.detectPause();
       void this.refresh();
     });
     void this.refresh();
@@ -50,22 +67,27 @@
     // A slow list must not collect calls in progress.
     if (this.isReading) return;
     this.isReading = true;
+    const startedAt = this.options.io.timer.now();
     const result = await this.options.io.vmList.read(this.tag);
     this.isReading = false;
+    this.detectPause();
     if (result.isErr()) this.countFailure(result.error);
     else this.accept(result.value);
+    // An answer to a read from before the pause says nothing about the time since.
+    if (startedAt >= this.resumedAt) this.suspended = undefined;
+    else void this.refresh();
   }
 
   workersOf(service: string): Worker[] {
-    return this.listing.liveByService.get(service) ?? [];
+    return this.current().liveByService.get(service) ?? [];
   }
 
   find(workerId: string): Worker | undefined {
-    return this.listing.workersById.get(workerId);
+    return this.current().workersById.get(workerId);
   }
 
   all(): Worker[] {
-    return [...this.listing.workers];
+    return [...this.current().workers];
   }
 
   entryVms(): PeerAddress[] {
@@ -77,6 +99,24 @@
     return { cancel: () => this.handlers.delete(handler) };
   }
 
+  private current(): Listing {
+    // A request may run before the first tick after a pause.
+    this.detectPause();
+    return this.suspended ?? this.listing;
+  }
+
+  /** Suspends the listing when this process did not run for a while. */
+  private detectPause(): void {
+    const now = this.options.io.timer.now();
+    const silenceMs = now - this.lastTickAt;
+    this.lastTickAt = now;
+    if (silenceMs < PAUSE_THRESHOLD_MS || this.polling === undefined) return;
+    this.resumedAt = now;
+    this.suspended = suspendListing(this.listing);
+    this.log.write('paused', { silenceMs });
+    void this.refresh();
+  }
+
   private accept({ tag, vms }: VmListing): void {
     this.failures = 0;
     if (vms === undefined || tag === this.tag) return;
--- a/packages/directory/src/directory.test.ts
+++ b/packages/directory/src/directory.test.ts
@@ -2,10 +2,10 @@
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import type { VmList } from '@jujubelanding/platform';
-import { VirtualTimer } from '@jujubelanding/timer';
 import { type Vm, VmRole, VmState } from '@jujubelanding/types';
 import test from 'ava';
 import { err, ok } from 'neverthrow';
+import { SkippingTimer } from './fixtures/skipping-timer.js';
 import { DirectoryController } from './index.js';
 
 class FakeVmList implements VmList {
@@ -38,7 +38,7 @@
 });
 
 const setUp = (vms: Vm[]) => {
-  const timer = new VirtualTimer();
+  const timer = new SkippingTimer();
   const vmList = new FakeVmList();
   vmList.vms = vms;
   const io = { timer, vmList, createLog: () => silentLog, metrics: silentMetrics };
@@ -88,3 +88,27 @@
   await timer.advance(5000);
   t.is(vmList.tagsAsked.length, readsAtStop);
 });
+
+test('a process that was paused gives no work to workers before it has read the list again', async (t) => {
+  const { timer, vmList, directory } = setUp([createWorker('w1')]);
+  await timer.advance(600);
+  vmList.vms = [createWorker('w1', VmState.Leaving)];
+  vmList.version += 1;
+  timer.skip(6000);
+  t.deepEqual(directory.workersOf('glass-advisor'), []);
+  t.is(directory.find('w1')?.state, VmState.Leaving);
+  vmList.vms = [createWorker('w1')];
+  vmList.version += 1;
+  await timer.advance(500);
+  t.is(directory.workersOf('glass-advisor').length, 1);
+});
+
+test('after a pause during an outage of the list the last one is used again', async (t) => {
+  const { timer, vmList, directory } = setUp([createWorker('w1')]);
+  await timer.advance(600);
+  vmList.isDown = true;
+  timer.skip(6000);
+  t.deepEqual(directory.workersOf('glass-advisor'), []);
+  await timer.advance(1);
+  t.is(directory.workersOf('glass-advisor').length, 1);
+});
--- a/packages/directory/src/listing.ts
+++ b/packages/directory/src/listing.ts
@@ -40,3 +40,14 @@
 };
 
 export const EMPTY_LISTING = buildListing([]);
+
+/** Returns the listing with all workers as leaving: nothing is known about who takes new work. */
+export const suspendListing = ({ workers, entryVms }: Listing): Listing => {
+  const suspended = workers.map((worker) => ({ ...worker, state: VmState.Leaving }));
+  return {
+    workers: suspended,
+    workersById: new Map(suspended.map((worker) => [worker.id, worker])),
+    liveByService: new Map(),
+    entryVms,
+  };
+};
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -31,6 +31,8 @@
 /** Longer than every time-out of the system, so that only a lost VM breaks a request. */
 const CALLER_PATIENCE_MS = 120_000;
 
+const BROKEN_REPLY: CallerReply = { kind: ReplyKind.Broken, status: 0, body: '' };
+
 const readProblem = (contentType: string, body: string): Problem | undefined =>
   contentType.startsWith('application/problem+json') ? (JSON.parse(body) as Problem) : undefined;
 
@@ -53,15 +55,17 @@
 /** Runs an exchange over one connection, which breaks when the VM is lost. */
 const connect = (timer: Timer, node: FleetNode, request: CallerRequest): Promise<CallerReply> =>
   new Promise((resolve) => {
-    const breakConnection = (): void => resolve({ kind: ReplyKind.Broken, status: 0, body: '' });
+    const breakConnection = (): void => resolve(BROKEN_REPLY);
     const removeCrashHandler = node.host.onCrash(breakConnection);
     const patience = timer.after(CALLER_PATIENCE_MS, breakConnection);
     node.host.deliver(() => {
-      void exchange(node, request).then((reply) => {
+      const finish = (reply: CallerReply): void => {
         removeCrashHandler();
         patience.cancel();
         node.host.deliver(() => resolve(reply));
-      });
+      };
+      // A body that fails in mid-stream ends the connection before the response is whole.
+      void exchange(node, request).then(finish, () => finish(BROKEN_REPLY));
     });
   });
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the soak: runs seeds and prints violations with the command that repeats them. */
-import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
+import { fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
 import { createLog } from '@jujubelanding/log';
 import meow from 'meow';
 import { Mutation } from './mutation.js';
@@ -62,12 +63,13 @@
   console.log(`seed=${seed} steps=${steps} violations=${violations.length}`);
 };
 
-/** Runs one seed on a thread of its own. */
-const runOnThread = (options: RunOptions): Promise<RunResult> =>
+/** Runs one seed in a process of its own. */
+const runInProcess = (options: RunOptions): Promise<RunResult> =>
   new Promise((resolve, reject) => {
-    const worker = new Worker(new URL(import.meta.url), { workerData: options });
-    worker.once('message', resolve);
-    worker.once('error', reject);
+    const child = fork(fileURLToPath(import.meta.url), [], { execArgv: ['--import', 'tsx'] });
+    child.once('message', (result) => resolve(result as RunResult));
+    child.once('exit', (code) => reject(new Error(`seed ${options.seed} ended with code ${code}`)));
+    child.send(options);
   });
 
 const runAll = async (given: Arguments): Promise<number> => {
@@ -82,7 +84,7 @@
         ...(mutation === undefined ? {} : { mutation }),
       };
       next += 1;
-      const result = await runOnThread(options);
+      const result = await runInProcess(options);
       total += result.violations.length;
       report(result, mutation);
     }
@@ -103,15 +105,23 @@
   return result.violations.length;
 };
 
-if (isMainThread) {
+const runFromCommandLine = async (): Promise<void> => {
   const given = readArguments();
   const violations = given.seeds === 1 ? await runSingle(given) : await runAll(given);
   if (given.seeds > 1) {
     console.log(`seeds=${given.seeds} steps=${given.steps} violations=${violations}`);
   }
   process.exit(violations > 0 ? 1 : 0);
-}
+};
 
-if (parentPort !== null && workerData !== null) {
-  parentPort.postMessage(await runSeed(workerData as RunOptions));
-}
+/** Runs the one seed that the parent process sends. */
+const runForParent = (): void => {
+  process.once('message', (options) => {
+    void runSeed(options as RunOptions).then((result) => {
+      process.send!(result, () => process.exit(0));
+    });
+  });
+};
+
+if (process.send === undefined) await runFromCommandLine();
+else runForParent();
