--- /dev/null
+++ b/packages/bench/src/cases/design-load.ts
@@ -0,0 +1,97 @@
+/** The design load scaled down: one stand-in engine for each accelerator, one in a hundred. */
+import { CapacityPolicyName } from '@jujubelanding/batch-capacity';
+import { DEFAULT_ENGINE_SETTINGS } from '@jujubelanding/stand-ins';
+import type { Deployment } from '../deployments.js';
+import { createSteadyShape, type LoadShape } from '../online-load.js';
+import { mergeFigures } from '../report.js';
+import { computeSpread } from '../statistics.js';
+import { Bound, FIRST_TOKEN_P95_TARGET_MS, INTER_TOKEN_P95_TARGET_MS, judge } from '../targets.js';
+import type { BenchCase } from './bench-case.js';
+import { describeOnline } from './online-figures.js';
+import { runOnline } from './run-online.js';
+
+const SCALE = 0.01;
+const ACCELERATORS = 4800;
+const NODES = 410;
+const REQUESTS_PER_SECOND = 8300;
+const TOKENS_PER_SECOND = 1_800_000;
+
+/** At most this long, because a run holds 18,000 tokens/s. */
+const MAX_SECONDS = 60;
+
+/** Answers take 8 s, so that the load needs some time to become steady. */
+const WARM_UP_MS = 25_000;
+
+/**
+ * The stand-in's own answer lengths are spread evenly over 8 to 519 tokens; cut off at this many,
+ * the mean is the 217 tokens per request of the design load.
+ */
+const MAX_ANSWER_TOKENS = 300;
+
+const DEPLOYMENT: Deployment = {
+  name: 'design-load',
+  availabilityZones: ['zone-a', 'zone-b', 'zone-c', 'zone-d'],
+  workers: ACCELERATORS * SCALE,
+  entryVms: Math.round(NODES * SCALE),
+  remoteDelayMs: 1.5,
+  localDelayMs: 0.25,
+  engine: { ...DEFAULT_ENGINE_SETTINGS, models: ['base'] },
+};
+
+const VARIANTS: Record<string, CapacityPolicyName | undefined> = {
+  onlineOnly: undefined,
+  onlineAndBatch: CapacityPolicyName.Adaptive,
+};
+
+const SHAPE: LoadShape = {
+  // With one request per slot and second, utilization is the rate per slot.
+  ...createSteadyShape(
+    (REQUESTS_PER_SECOND * SCALE) / (DEPLOYMENT.workers * DEPLOYMENT.engine.slots),
+  ),
+  meanSlotMs: 1000,
+  answerTokens: { median: MAX_ANSWER_TOKENS, sigma: 0, least: 1, greatest: MAX_ANSWER_TOKENS },
+};
+
+export const designLoadCase: BenchCase = {
+  variants: Object.keys(VARIANTS),
+  run: async ({ variant, seed, seconds }) => {
+    const batchPolicy = VARIANTS[variant];
+    const measured = Math.min(seconds, MAX_SECONDS);
+    const { fleet, player } = await runOnline({
+      deployment: DEPLOYMENT,
+      seed,
+      seconds: measured,
+      warmUpMs: WARM_UP_MS,
+      shape: SHAPE,
+      ...(batchPolicy === undefined ? {} : { batchPolicy }),
+    });
+    const { record } = player;
+    const tokens = record.firstTokenMs.count + record.interTokenMs.count;
+    const idleMs = fleet.engines.reduce((sum, engine) => sum + engine.idleSlotMs, 0);
+    const slotMs = measured * 1000 * DEPLOYMENT.workers * DEPLOYMENT.engine.slots;
+    return {
+      ...describeOnline(record),
+      measuredSeconds: measured,
+      requestsPerSecond: record.requests / measured,
+      tokensPerSecond: tokens / measured,
+      utilization: 1 - idleMs / slotMs,
+      batchItemsPerSecond: fleet.ledger.totals.completedItems / measured,
+    };
+  },
+  summarize: (results) =>
+    [...results].map(([variant, runs]) => {
+      const spread = (key: string) => computeSpread(runs.map((run) => run[key]!));
+      const { AtMost } = Bound;
+      return {
+        case: 'design-load',
+        fields: {
+          workers: DEPLOYMENT.workers,
+          variant,
+          designTokensPerSecond: TOKENS_PER_SECOND * SCALE,
+          ...mergeFigures(runs),
+          ...judge('firstTokenP95Ms', spread('firstTokenP95Ms'), AtMost, FIRST_TOKEN_P95_TARGET_MS),
+          ...judge('interTokenP95Ms', spread('interTokenP95Ms'), AtMost, INTER_TOKEN_P95_TARGET_MS),
+        },
+      };
+    }),
+};
--- /dev/null
+++ b/packages/bench/src/cases/limits.ts
@@ -0,0 +1,147 @@
+/** Rates of teams over all entry VMs against their limits, under skewed and moving demand. */
+import { PeerMethod } from '@jujubelanding/peer-protocol';
+import { createRandom, type Random } from '@jujubelanding/random';
+import type { TeamRecord } from '@jujubelanding/types';
+import { BenchFleet } from '../bench-fleet.js';
+import { SVEPPASMIDJAN } from '../deployments.js';
+import { drawExponential } from '../distributions.js';
+import { mergeFigures, type Figures } from '../report.js';
+import { isWithin } from '../window.js';
+import type { BenchCase } from './bench-case.js';
+
+const WARM_UP_MS = 5000;
+
+/** Teams hold a permit for as long as a short request takes. */
+const HOLD_MS = 100;
+
+/** Share of a team's demand at its main entry VM, and the time after which that changes. */
+const MAIN_SHARE = 0.8;
+const MOVE_INTERVAL_MS = 7000;
+
+const DEPLOYMENT = { ...SVEPPASMIDJAN, workers: 0 };
+
+interface Demand {
+  teams: number;
+  limitPerSecond: number;
+  /** Demand of each team relative to its limit. */
+  load: number;
+  /** Entry VM of a request of a team. */
+  choose: (random: Random, team: number, now: number) => number;
+}
+
+const chooseAny = (random: Random): number => random.below(DEPLOYMENT.entryVms);
+
+const chooseSkewed = (random: Random, team: number): number =>
+  random.next() < MAIN_SHARE ? team % DEPLOYMENT.entryVms : chooseAny(random);
+
+const chooseMoving = (random: Random, team: number, now: number): number =>
+  chooseSkewed(random, team + Math.floor(now / MOVE_INTERVAL_MS));
+
+const VARIANTS: Record<string, Demand> = {
+  evenAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseAny },
+  skewedAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseSkewed },
+  movingAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseMoving },
+  movingBelow: { teams: 4, limitPerSecond: 40, load: 0.8, choose: chooseMoving },
+  // At the design size a team sends about one request per second.
+  smallTeams: { teams: 40, limitPerSecond: 2, load: 0.5, choose: chooseAny },
+};
+
+const createTeam = (limitPerSecond: number): TeamRecord => ({
+  keyHashes: [],
+  requestsPerSecond: limitPerSecond,
+  burst: limitPerSecond,
+  concurrency: 10 * limitPerSecond,
+  maxBodyBytes: 1_000_000,
+  maxJobItems: 1000,
+  batchWeight: 1,
+});
+
+const nameTeam = (team: number): string => `team-${team}`;
+
+/** Requests of one run; counts what the limits admit. */
+class LimitRun {
+  requests = 0;
+
+  admitted = 0;
+
+  private readonly random: Random;
+
+  private readonly fleet: BenchFleet;
+
+  private callsBefore = 0;
+
+  constructor(
+    private readonly demand: Demand,
+    seed: number,
+    private readonly window: { from: number; to: number },
+  ) {
+    this.random = createRandom(seed);
+    const { teams, limitPerSecond } = demand;
+    const records = Array.from({ length: teams }, (_, team) => [
+      nameTeam(team),
+      createTeam(limitPerSecond),
+    ]);
+    this.fleet = new BenchFleet({
+      deployment: DEPLOYMENT,
+      seed,
+      window,
+      teams: Object.fromEntries(records) as Record<string, TeamRecord>,
+    });
+  }
+
+  async run(): Promise<Figures> {
+    const { teams, limitPerSecond } = this.demand;
+    for (let team = 0; team < teams; team += 1) this.scheduleNext(team);
+    await this.fleet.runUntil(this.window.from);
+    this.callsBefore = this.countCalls();
+    await this.fleet.runUntil(this.window.to);
+    const seconds = (this.window.to - this.window.from) / 1000;
+    const calls = this.countCalls() - this.callsBefore;
+    return {
+      requests: this.requests,
+      admittedOverLimit: this.admitted / (teams * limitPerSecond * seconds),
+      admittedOverDemand: this.admitted / this.requests,
+      callsPerRequest: calls / this.requests,
+      callsPerSecondAndVm: calls / seconds / DEPLOYMENT.entryVms,
+    };
+  }
+
+  /** Calls over the network; a VM that owns the team's shard needs none. */
+  private countCalls(): number {
+    return this.fleet.medium.traffic.calls.get(PeerMethod.RequestGrant) ?? 0;
+  }
+
+  private scheduleNext(team: number): void {
+    const { limitPerSecond, load } = this.demand;
+    const meanGapMs = 1000 / (limitPerSecond * load);
+    this.fleet.timer.after(drawExponential(this.random, meanGapMs), () => {
+      this.send(team);
+      this.scheduleNext(team);
+    });
+  }
+
+  private send(team: number): void {
+    const { timer, nodes } = this.fleet;
+    const now = timer.now();
+    const node = nodes[this.demand.choose(this.random, team, now) % nodes.length]!;
+    const answer = node.limits.admit(nameTeam(team));
+    if (answer.isOk()) timer.after(HOLD_MS, () => answer.value.release());
+    if (!isWithin(this.window, now)) return;
+    this.requests += 1;
+    if (answer.isOk()) this.admitted += 1;
+  }
+}
+
+export const limitsCase: BenchCase = {
+  variants: Object.keys(VARIANTS),
+  run: ({ variant, seed, seconds }) => {
+    const window = { from: WARM_UP_MS, to: WARM_UP_MS + seconds * 1000 };
+    return new LimitRun(VARIANTS[variant]!, seed, window).run();
+  },
+  summarize: (results) =>
+    [...results].map(([variant, runs]) => {
+      const { teams, limitPerSecond, load } = VARIANTS[variant]!;
+      const demand = { variant, teams, limitPerSecond, demandOverLimit: load };
+      return { case: 'limits', fields: { ...demand, ...mergeFigures(runs) } };
+    }),
+};
--- /dev/null
+++ b/packages/bench/src/cases/online-figures.ts
@@ -0,0 +1,18 @@
+import type { OnlineRecord } from '../online-player.js';
+import type { Figures } from '../report.js';
+
+/** What callers saw. */
+export const describeOnline = ({
+  requests,
+  failed,
+  firstTokenMs,
+  interTokenMs,
+}: OnlineRecord): Figures => ({
+  requests,
+  failed,
+  firstTokenP50Ms: firstTokenMs.percentile(50),
+  firstTokenP95Ms: firstTokenMs.percentile(95),
+  firstTokenP99Ms: firstTokenMs.percentile(99),
+  interTokenP95Ms: interTokenMs.percentile(95),
+  interTokenP99Ms: interTokenMs.percentile(99),
+});
--- /dev/null
+++ b/packages/bench/src/cases/routing.ts
@@ -0,0 +1,78 @@
+/** The project's chooser against baselines, on load with shared prompt prefixes. */
+import {
+  createLeastReportedChooser,
+  createLoadAwareChooser,
+  createRandomChooser,
+  type Chooser,
+} from '@jujubelanding/routing';
+import type { BenchFleet } from '../bench-fleet.js';
+import type { Deployment } from '../deployments.js';
+import { SHARED_PREFIX_SHAPE } from '../online-load.js';
+import { mergeFigures } from '../report.js';
+import { isWithin, type Window } from '../window.js';
+import type { BenchCase } from './bench-case.js';
+import { describeOnline } from './online-figures.js';
+import { runOnline } from './run-online.js';
+
+const SAMPLE_INTERVAL_MS = 50;
+
+const CHOOSERS: Record<string, () => Chooser> = {
+  jujubelanding: () => createLoadAwareChooser(),
+  leastReported: () => createLeastReportedChooser(),
+  random: () => createRandomChooser(),
+};
+
+/** Samples the greatest load relative to the mean while there is at least one request per worker. */
+class ImbalanceMeter {
+  private sum = 0;
+
+  private count = 0;
+
+  observe(fleet: BenchFleet, window: Window): void {
+    fleet.timer.every(SAMPLE_INTERVAL_MS, () => {
+      if (!isWithin(window, fleet.timer.now())) return;
+      const loads = fleet.engines.map((engine) => engine.onlineHeld);
+      const mean = loads.reduce((total, load) => total + load, 0) / loads.length;
+      if (mean < 1) return;
+      this.sum += Math.max(...loads) / mean;
+      this.count += 1;
+    });
+  }
+
+  get mean(): number {
+    return this.sum / this.count;
+  }
+}
+
+/** Creates the case for a deployment; `imbalance` is the greatest load over the mean load. */
+export const createRoutingCase = (deployment: Deployment): BenchCase => ({
+  variants: Object.keys(CHOOSERS),
+  run: async ({ variant, seed, seconds }) => {
+    const imbalance = new ImbalanceMeter();
+    const { fleet, player } = await runOnline({
+      deployment,
+      seed,
+      seconds,
+      shape: SHARED_PREFIX_SHAPE,
+      createChooser: CHOOSERS[variant]!,
+      prepare: (prepared, window) => imbalance.observe(prepared, window),
+    });
+    const sum = (pick: 'promptTokens' | 'cachedTokens'): number =>
+      fleet.engines.reduce((total, engine) => total + engine[pick], 0);
+    return {
+      ...describeOnline(player.record),
+      cacheHitShare: sum('cachedTokens') / sum('promptTokens'),
+      imbalance: imbalance.mean,
+    };
+  },
+  summarize: (results) =>
+    [...results].map(([chooser, runs]) => ({
+      case: 'routing',
+      fields: {
+        deployment: deployment.name,
+        workers: deployment.workers,
+        chooser,
+        ...mergeFigures(runs),
+      },
+    })),
+});
--- a/packages/bench/src/online-load.ts
+++ b/packages/bench/src/online-load.ts
@@ -14,7 +14,7 @@
 const PROMPT_CHARACTERS: LogNormal = { median: 600, sigma: 0.7, least: 80, greatest: 6000 };
 const ANSWER_TOKENS: LogNormal = { median: 55, sigma: 0.7, least: 4, greatest: 300 };
 
-/** Mean slot time of an answer of this distribution on an engine of 8 slots; sets the rate. */
+/** Mean slot time of an answer of this length on an engine of 8 slots. */
 const MEAN_SLOT_MS = 2500;
 
 /** Share of the load that arrives at the entry VMs, by rank; callers are not spread evenly. */
@@ -54,6 +54,9 @@
   prefixGroups: number;
   /** Characters of the prompt prefix that requests of a group share. */
   prefixCharacters: number;
+  answerTokens: LogNormal;
+  /** Mean slot time of an answer; sets the rate for a utilization. */
+  meanSlotMs: number;
 }
 
 export interface LoadOptions {
@@ -85,17 +88,21 @@
   drawPhases: drawChangingPhases,
   prefixGroups: 12,
   prefixCharacters: 1024,
+  answerTokens: ANSWER_TOKENS,
+  meanSlotMs: MEAN_SLOT_MS,
 };
 
-/** A constant rate. */
-export const createSteadyShape = (
-  utilization: number,
-  prefixGroups: number,
-  prefixCharacters: number,
-): LoadShape => ({
+/** As many prefixes as fill the caches of about two workers, each a third of a second of prefill. */
+export const SHARED_PREFIX_SHAPE: LoadShape = {
+  ...CHANGING_SHAPE,
+  prefixGroups: 60,
+  prefixCharacters: 6000,
+};
+
+/** A constant rate that keeps a share of the slots busy. */
+export const createSteadyShape = (utilization: number): LoadShape => ({
+  ...CHANGING_SHAPE,
   drawPhases: () => [{ durationMs: 1000, utilization }],
-  prefixGroups,
-  prefixCharacters,
 });
 
 class LoadBuilder {
@@ -130,7 +137,7 @@
   private addPhase({ durationMs, utilization, burst }: Phase): void {
     const start = this.now;
     if (burst !== undefined) this.addBurst(burst.slotShare, burst.spreadMs);
-    const meanGapMs = MEAN_SLOT_MS / (utilization * this.options.slots);
+    const meanGapMs = this.options.shape.meanSlotMs / (utilization * this.options.slots);
     const drawGap = (): number => drawExponential(this.random, meanGapMs);
     for (let at = start + drawGap(); at < start + durationMs; at += drawGap()) {
       this.addArrival(at);
@@ -158,7 +165,7 @@
         { role: 'system', content: random.pick(this.prefixes) },
         { role: 'user', content: `${index} ${createText(random, characters)}` },
       ],
-      maxTokens: Math.round(drawLogNormal(random, ANSWER_TOKENS)),
+      maxTokens: Math.round(drawLogNormal(random, this.options.shape.answerTokens)),
     });
   }
 
