--- a/packages/cli/src/client/client.ts
+++ b/packages/cli/src/client/client.ts
@@ -44,7 +44,7 @@
 const MAX_REPETITIONS = 7;
 const FIRST_PAUSE_MS = 100;
 
-// Another entry VM would refuse these as well.
+// Another entry VM would refuse these as well. A rate limit is shared by all.
 const FINAL_CODES = new Set([
   FaultCode.InvalidInput,
   FaultCode.Unauthorized,
@@ -56,6 +56,10 @@
   FaultCode.TooLarge,
 ]);
 
+/** Tells whether the same request may be answered otherwise later. */
+export const isPassing = ({ code, outcome }: Fault): boolean =>
+  code === FaultCode.RateLimited || (outcome !== Outcome.Failed && !FINAL_CODES.has(code));
+
 const describeInvalidAnswer = (peer: string, message: string): Fault => ({
   code: FaultCode.InvalidStream,
   outcome: Outcome.OutcomeUnknown,
--- a/packages/cli/src/commands/jobs-submit/index.test.ts
+++ b/packages/cli/src/commands/jobs-submit/index.test.ts
@@ -55,6 +55,16 @@
   t.snapshot(ended.stdout);
 });
 
+test('waiting ends when the job is no longer known, instead of lasting for ever', async (t) => {
+  const { entryVm, state } = await startEntryVm(t);
+  const timer = new SelfAdvancingTimer();
+  timer.after(1500, () => {
+    state.job.id = 'job-2';
+  });
+  const { code } = await runTool([...SUBMIT, '--wait'], [entryVm], { input: FILE, timer });
+  t.is(code, ExitCode.NotFound);
+});
+
 test('the progress bar is drawn only on a terminal', async (t) => {
   const { entryVm, state } = await startEntryVm(t);
   const terminal = Object.assign(new PassThrough(), { isTTY: true });
--- a/packages/cli/src/commands/jobs-submit/wait.ts
+++ b/packages/cli/src/commands/jobs-submit/wait.ts
@@ -1,7 +1,6 @@
 /** Waiting for the end of a batch job. */
-import { Outcome } from '@jujubelanding/errors';
 import { JobStatus } from '@jujubelanding/types';
-import type { Client } from '../../client/client.js';
+import { type Client, isPassing } from '../../client/client.js';
 import { readJob } from '../../client/jobs.js';
 import type { BatchJob } from '../../client/shapes.js';
 import { ExitCode } from '../../exit-code.js';
@@ -29,7 +28,7 @@
       const answer = await readJob(client, job.id);
       if (answer.isOk()) job = answer.value;
       // Entry VMs that cannot be reached for a while do not end the job.
-      else if (answer.error.outcome === Outcome.Failed) return reportFault(output, answer.error);
+      else if (!isPassing(answer.error)) return reportFault(output, answer.error);
     }
     progress.update(job.completedItems);
   } finally {
