--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,4 +3,5 @@
 export * from './prefix-index.js';
 export * from './retry-budget.js';
 export * from './router.js';
+export * from './subset.js';
 export * from './worker-health.js';
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createLoadAwareChooser, type Candidate, type Chooser } from './chooser.js';
 import { PrefixIndex } from './prefix-index.js';
+import { selectSubset } from './subset.js';
 import { WorkerHealth } from './worker-health.js';
 
 /** Time for which a worker that refused a model is not asked for it again. */
@@ -50,9 +51,13 @@
 
   private readonly subscriptions: Subscription[] = [];
 
+  /** Makes VMs choose different subsets of a large fleet. */
+  private readonly subsetKey: string;
+
   constructor(private readonly options: RouterOptions) {
     this.chooser = options.chooser ?? createLoadAwareChooser();
     this.log = options.io.createLog('routing');
+    this.subsetKey = options.io.random.createId();
   }
 
   start(): void {
@@ -67,11 +72,13 @@
   route(request: RouteRequest): Result<Worker, Fault> {
     const now = this.options.io.timer.now();
     const workers = this.options.directory.workersOf(request.service);
-    const candidates = this.selectWorkers(workers, request, now).map((worker) =>
+    const { availabilityZone } = this.options;
+    const selected = this.selectWorkers(workers, request, now);
+    const candidates = selectSubset(selected, availabilityZone, this.subsetKey).map((worker) =>
       this.describe(worker, request, now),
     );
     const choice = this.chooser(candidates, {
-      availabilityZone: this.options.availabilityZone,
+      availabilityZone,
       random: this.options.io.random,
     });
     const chosen = workers.find((worker) => worker.id === choice?.workerId);
--- /dev/null
+++ b/packages/routing/src/subset.ts
@@ -0,0 +1,34 @@
+/** Bounded choice of the workers that one entry VM uses. */
+import { rankNodes } from '@jujubelanding/random';
+import type { Worker } from '@jujubelanding/types';
+
+/**
+ * Workers of the own zone that a VM uses per service. Notices go to the owners of all workers in
+ * use, so that without a bound their traffic would grow with the fleet. Fleets with up to 6 workers
+ * per service and zone are not affected.
+ */
+export const MAX_LOCAL_WORKERS = 6;
+
+/** Workers of other zones that a VM compares; used only on spillover. */
+export const MAX_REMOTE_WORKERS = 12;
+
+const limit = (workers: readonly Worker[], maximum: number, vmKey: string): readonly Worker[] => {
+  if (workers.length <= maximum) return workers;
+  const ids = workers.map(({ id }) => id);
+  const chosen = new Set(rankNodes(vmKey, ids).slice(0, maximum));
+  return workers.filter(({ id }) => chosen.has(id));
+};
+
+/**
+ * Selects by rendezvous hashing: VMs differ in their choice, and a worker that comes or goes changes
+ * at most one place of it.
+ */
+export const selectSubset = (
+  workers: readonly Worker[],
+  availabilityZone: string,
+  vmKey: string,
+): Worker[] => {
+  const local = workers.filter((worker) => worker.availabilityZone === availabilityZone);
+  const remote = workers.filter((worker) => worker.availabilityZone !== availabilityZone);
+  return [...limit(local, MAX_LOCAL_WORKERS, vmKey), ...limit(remote, MAX_REMOTE_WORKERS, vmKey)];
+};
