--- a/packages/stand-ins/src/group-stream.ts
+++ b/packages/stand-ins/src/group-stream.ts
@@ -85,13 +85,14 @@
     }
     const now = timer.now();
     this.lastArrival = Math.max(this.lastArrival, now + link.drawLatency());
-    const receive = (): void => {
-      if (this.settled) return;
-      this.lastActivity = timer.now();
-      deliver();
-    };
-    if (this.lastArrival <= now) receive();
-    else timer.after(this.lastArrival - now, receive);
+    if (this.lastArrival <= now) this.receive(deliver);
+    else timer.after(this.lastArrival - now, () => this.receive(deliver));
+  }
+
+  private receive(deliver: () => void): void {
+    if (this.settled) return;
+    this.lastActivity = this.options.timer.now();
+    deliver();
   }
 
   private watchIdleTime(delayMs: number): void {
--- a/packages/stand-ins/src/http/programs.ts
+++ b/packages/stand-ins/src/http/programs.ts
@@ -53,6 +53,14 @@
   })
   .partial();
 
+const flagsSchema = z.object({
+  port: z.number().int().min(0).max(65_535),
+  seed: z.number().int(),
+  lagMs: duration,
+  bytesPerSecond: z.number().positive(),
+  latencyMs: duration,
+});
+
 type Creator = (flags: StandInFlags, timer: Timer, random: Random) => Result<App, string>;
 
 /** Loads weights through the program of the weight store. */
@@ -127,6 +135,9 @@
   random: Random,
 ): Result<App, string> => {
   const create = CREATORS[name];
-  if (create !== undefined) return create(flags, timer, random);
-  return err(`unknown stand-in ${name}; known: ${STAND_IN_NAMES.join(', ')}`);
+  if (create === undefined) {
+    return err(`unknown stand-in "${name}"; known: ${STAND_IN_NAMES.join(', ')}`);
+  }
+  const checked = flagsSchema.safeParse(flags);
+  return checked.success ? create(flags, timer, random) : err(z.prettifyError(checked.error));
 };
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,10 +1,12 @@
 /** Starts one stand-in as a program. */
 import meow from 'meow';
+import { describeThrown } from '@jujubelanding/errors';
 import { createRandom } from '@jujubelanding/random';
 import { SystemTimer } from '@jujubelanding/timer';
 import { createStandIn, STAND_IN_NAMES, type StandInFlags } from './http/programs.js';
 import { listen } from './http/server.js';
 
+const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
 const cli = meow(
@@ -24,6 +26,7 @@
   `,
   {
     importMeta: import.meta,
+    description: 'Emulates one part of the platform, with faults that can be switched on and off',
     flags: {
       port: { type: 'number', default: 0 },
       seed: { type: 'number', default: 1 },
@@ -54,4 +57,9 @@
   process.once('SIGINT', stop);
 };
 
-await run();
+try {
+  await run();
+} catch (thrown) {
+  process.stderr.write(`${describeThrown(thrown)}\n`);
+  process.exitCode = EXIT_FAILURE;
+}
