--- /dev/null
+++ b/packages/bench/src/seeds.ts
@@ -0,0 +1,8 @@
+import { createRandom, hashText, type Random } from '@jujubelanding/random';
+
+/**
+ * Creates the random numbers of one part of a run. Generators that are seeded with neighbouring
+ * numbers start with similar numbers, so that the seed is hashed first.
+ */
+export const createPart = (seed: number, part: string): Random =>
+  createRandom(hashText(`${part}|${seed}`));
