Keep a former owner from competing for shards that it hands over

The time since which a shard is without owner was kept while this VM owned it, so that the rank delay had passed at the moment of a handover and the former owner tried at once; in the join test the new VM then held 4 shards after 60 s. Attempts at shards whose key stays are also paced, since in a long partition every VM would list the keys once a second.

--- /dev/null
+++ b/packages/shards/src/attempt-pace.ts
@@ -0,0 +1,38 @@
+/** Pace of attempts at shards whose ownership key still exists. */
+import type { Random } from '@jujubelanding/random';
+
+/** Ownership keys of a dead VM disappear within the time of a lease. */
+const SHORTEST_INTERVAL_MS = 1000;
+/**
+ * In a long partition each side sees the shards of the other side without owner. With shorter intervals
+ * all VMs of a large fleet together would use a good part of the key-value service's read rate.
+ */
+const LONGEST_INTERVAL_MS = 15_000;
+/** Share of the time waited so far after which the next attempt is made. */
+const GROWTH = 0.2;
+
+export class AttemptPace {
+  private wanted = new Set<number>();
+
+  private wantedSince = 0;
+
+  private nextAt = 0;
+
+  constructor(private readonly random: Random) {}
+
+  /** True when an attempt is due; at once when a shard is wanted that was not before. */
+  isDue(shards: readonly number[], now: number): boolean {
+    if (shards.length === 0) return false;
+    return now >= this.nextAt || shards.some((shard) => !this.wanted.has(shard));
+  }
+
+  recordAttempt(shards: readonly number[], now: number): void {
+    if (shards.some((shard) => !this.wanted.has(shard))) this.wantedSince = now;
+    this.wanted = new Set(shards);
+    const interval = Math.min(
+      Math.max((now - this.wantedSince) * GROWTH, SHORTEST_INTERVAL_MS),
+      LONGEST_INTERVAL_MS,
+    );
+    this.nextAt = now + interval * (0.75 + this.random.next() / 2);
+  }
+}
--- a/packages/shards/src/plan.ts
+++ b/packages/shards/src/plan.ts
@@ -41,6 +41,8 @@
   plan(input: PlanInput, now: number): Plan {
     const ranks = this.ranking.of(input.members);
     const owned = new Set(input.owned);
+    // A shard that is handed over has been without owner only since then.
+    owned.forEach((shard) => this.unownedSince.delete(shard));
     return {
       acquire: SHARDS.filter(
         (shard) => !owned.has(shard) && this.shouldAcquire(shard, input, ranks[shard]!, now),
--- a/packages/shards/src/shards-controller.ts
+++ b/packages/shards/src/shards-controller.ts
@@ -8,6 +8,7 @@
 import type { Log } from '@jujubelanding/log';
 import type { Subscription } from '@jujubelanding/timer';
 import type { ShardClaim } from '@jujubelanding/types';
+import { AttemptPace } from './attempt-pace.js';
 import { Backoff } from './backoff.js';
 import type { Lease } from './lease.js';
 import { LeaseKeeper } from './lease-keeper.js';
@@ -20,8 +21,6 @@
 export const START_DELAY_MS = 2000;
 /** Interval at which ownership keys are compared with what this VM believes to own. */
 const AUDIT_INTERVAL_MS = 30_000;
-/** Time between two attempts at shards whose ownership key still exists. */
-const RETRY_MS = 1000;
 /** Acquisitions in progress at a time. */
 const PARALLEL_ACQUISITIONS = 8;
 /** A lease without shards is given back after this time. */
@@ -49,6 +48,8 @@
 
   private readonly backoff: Backoff;
 
+  private readonly pace: AttemptPace;
+
   private readonly handlers = new Set<() => void>();
 
   private readonly subscriptions: Subscription[] = [];
@@ -68,8 +69,6 @@
 
   private nextAuditAt = 0;
 
-  private nextAttemptAt = 0;
-
   private lastUsedAt = 0;
 
   constructor(private readonly options: ShardsOptions) {
@@ -78,6 +77,7 @@
     this.ownership = new OwnershipStore(io.store, () => io.random.createId());
     this.keeper = new LeaseKeeper(io, this.log);
     this.backoff = new Backoff(io.random);
+    this.pace = new AttemptPace(io.random);
   }
 
   start(): void {
@@ -172,13 +172,13 @@
 
   private hasWork(plan: Plan, now: number): boolean {
     if (this.releasing.size > 0) return true;
-    if (plan.acquire.length > 0 && now >= this.nextAttemptAt) return true;
+    if (this.pace.isDue(plan.acquire, now)) return true;
     return this.keeper.current() !== undefined && now >= this.nextAuditAt;
   }
 
   /** Carries out a plan; false after a fault, so that the next pass waits. */
   private async executePlan(plan: Plan, input: PlanInput): Promise<boolean> {
-    this.nextAttemptAt = this.now() + RETRY_MS * (0.75 + this.options.io.random.next() / 2);
+    this.pace.recordAttempt(plan.acquire, this.now());
     if (!(await this.removeReleased())) return false;
     if (plan.acquire.length === 0 && (await this.isIdle())) return true;
     const lease = await this.keeper.obtain();
--- a/packages/shards/src/shards.test.ts
+++ b/packages/shards/src/shards.test.ts
@@ -88,6 +88,12 @@
   });
   await fleet.timer.advance(60_000);
   t.true(fleet.get('vm-new').shards.owned().length >= 8);
+  // A former owner that competes for what it hands over would raise the fencing numbers further.
+  const fences = fleet
+    .get('vm-new')
+    .shards.owned()
+    .map(({ fence }) => fence);
+  t.true(fences.every((fence) => fence === 2));
   t.true(lowest >= SHARD_COUNT - 24, `lowest number of owned shards: ${lowest}`);
   t.is(fleet.ownedCount(), SHARD_COUNT);
   t.deepEqual(fleet.violations, []);
