--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -1,7 +1,7 @@
 /** All members known to this VM, with suspicion and retention deadlines. */
 import { type Member, MemberState } from '@jujubelanding/types';
 import { nextEpoch } from './incarnation.js';
-import { mergeMember, refute } from './merge.js';
+import { isAccusation, mergeMember, refute } from './merge.js';
 import type { UpdateQueue } from './update-queue.js';
 
 /**
@@ -23,6 +23,8 @@
   /** Time of the last change of state. */
   stateSince: number;
   trustedFrom: number;
+  /** True while the VM itself speaks for another run than the held entry. */
+  isFormerRun: boolean;
 }
 
 export interface StateChange {
@@ -74,18 +76,27 @@
       .map(({ member }) => member);
   }
 
-  /** Entry of a member that has something to refute. */
+  /** Entry of a member that has something to refute: an accusation, or a former run of it. */
   findContested(entryVmId: string): Member | undefined {
-    const member = this.peers.get(entryVmId)?.member;
-    const isContested = member?.state === MemberState.Suspect || member?.state === MemberState.Dead;
-    return isContested ? member : undefined;
+    const peer = this.peers.get(entryVmId);
+    if (peer === undefined) return undefined;
+    return isAccusation(peer.member) || peer.isFormerRun ? peer.member : undefined;
+  }
+
+  /**
+   * Compares a VM's statement about itself with the held entry. After its clock was set back, a
+   * restarted VM begins with a lower incarnation than its former run and must learn of it.
+   */
+  noteRun({ entryVmId, bootId }: Member): void {
+    const peer = this.peers.get(entryVmId);
+    if (peer !== undefined) peer.isFormerRun = peer.member.bootId !== bootId;
   }
 
   /** True when accusations by the member count. */
   isTrusted(entryVmId: string, now: number): boolean {
     const peer = this.peers.get(entryVmId);
     if (peer === undefined) return true;
-    return this.findContested(entryVmId) === undefined && now >= peer.trustedFrom;
+    return !isAccusation(peer.member) && now >= peer.trustedFrom;
   }
 
   merge(update: Member, now: number): void {
@@ -103,7 +114,7 @@
   /** Marks a member that did not answer. */
   suspect(entryVmId: string, now: number): void {
     const member = this.peers.get(entryVmId)?.member;
-    if (member === undefined || this.findContested(entryVmId) !== undefined) return;
+    if (member === undefined || isAccusation(member)) return;
     this.put({ ...member, state: MemberState.Suspect }, now);
   }
 
@@ -180,6 +191,7 @@
       member,
       stateSince: isSameState ? held.stateSince : now,
       trustedFrom: isRevived ? now + TRUST_DELAY_MS : (held?.trustedFrom ?? now),
+      isFormerRun: false,
     });
     this.hasChanged = true;
     if (isEager) this.queue.add(member.entryVmId, now);
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -135,6 +135,17 @@
   t.is(cluster.get('vm-0').membership.find('vm-1')?.bootId, again.membership.self().bootId);
 });
 
+test('a VM restarted after its clock was set back replaces its former run', async (t) => {
+  const cluster = await startCluster(5, 11);
+  cluster.get('vm-1').process.isCrashed = true;
+  cluster.timer.wallClock = () => 0;
+  const again = cluster.add('vm-1');
+  await cluster.timer.advance(1500);
+  for (const { membership } of cluster.nodes.values()) {
+    t.is(membership.find('vm-1')?.bootId, again.membership.self().bootId);
+  }
+});
+
 test('a planned stop is known at once', async (t) => {
   const cluster = await startCluster(8, 9);
   cluster.get('vm-7').membership.updateSelf({ state: MemberState.Leaving });
--- a/packages/membership/src/swim.ts
+++ b/packages/membership/src/swim.ts
@@ -151,6 +151,7 @@
       const isOwnMatter =
         update.entryVmId === from || update.entryVmId === this.table.self.entryVmId;
       if (isTrusted || isOwnMatter || !isAccusation(update)) this.table.merge(update, now);
+      if (update.entryVmId === from) this.table.noteRun(update);
     }
   }
 
