--- a/packages/configuration/src/peer-sync.ts
+++ b/packages/configuration/src/peer-sync.ts
@@ -5,11 +5,15 @@
 import type { PeerAddress } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
 import { ApplyStatus, type Replica } from './replica.js';
-import { answersNeeded, type Electorate, isDecided, votersOf } from './start-vote.js';
+import { type Electorate, isDecided, votersOf } from './start-vote.js';
 
 const PUSH_TARGETS = 3;
 /** A push usually arrives before gossip shows the revision; the pull waits for it. */
 const PULL_DELAY_MS = 100;
+/** VMs that miss more records than this pull them; a start would otherwise push all records around. */
+const MAX_PUSHED_RECORDS = 200;
+/** Asked first; their answers bring most records, so that the others need to send only newer ones. */
+const VOTE_FIRST_CALLS = 3;
 const VOTE_PARALLEL_CALLS = 16;
 
 export interface PeerSyncOptions {
@@ -54,6 +58,7 @@
   /** Pushes new records to a few random members that are not known to hold them. */
   push(delta: ConfigurationDelta): void {
     const { io, membership } = this.options;
+    if (delta.records.length > MAX_PUSHED_RECORDS) return;
     const self = membership.self().entryVmId;
     const behind = membership
       .members()
@@ -66,6 +71,8 @@
   /** Pulls from a member with a higher held revision, where gossip shows one. */
   async pullIfBehind(): Promise<void> {
     const { io, membership, replica } = this.options;
+    // Before that, all records are read from the key-value service or from a majority.
+    if (!this.options.canAnswer()) return;
     if (this.isPulling || this.findAhead().length === 0) return;
     this.isPulling = true;
     await io.timer.sleep(PULL_DELAY_MS * (0.5 + io.random.next()));
@@ -93,12 +100,9 @@
       answers += 1;
       this.options.accept(pulled.value);
     };
-    // The first answer brings most records, so that the others need to send only newer ones.
-    while (answers === 0 && answersNeeded(electorate) > 0 && voters.length > 0) {
-      await ask(voters.pop()!);
-    }
     while (voters.length > 0) {
-      await Promise.all(voters.splice(0, VOTE_PARALLEL_CALLS).map(ask));
+      const calls = answers === 0 ? VOTE_FIRST_CALLS : VOTE_PARALLEL_CALLS;
+      await Promise.all(voters.splice(0, calls).map(ask));
     }
     return isDecided(electorate, answers);
   }
