--- a/packages/batch-execution/src/batch-executor.test.ts
+++ b/packages/batch-execution/src/batch-executor.test.ts
@@ -53,14 +53,15 @@
   t.is(countExecutions(fleet), 49 + 3);
 });
 
-test('a burst stops batch streams within 100 ms and their tokens are not generated again', async (t) => {
+test('a burst stops batch streams at once and their tokens are not generated again', async (t) => {
   const fleet = createExecutionFleet();
   const items = createLongItems(40);
   const jobId = await submit(fleet, items);
   await fleet.timer.advance(3000);
   t.true(countStreams(fleet) >= 28);
   fleet.workers.setOnline('worker-0', 16);
-  await fleet.timer.advance(100);
+  // Streams are cancelled by the notice itself, not by the next periodic check.
+  await fleet.timer.advance(1);
   t.is(fleet.executor.countRunning('worker-0'), 0);
   t.is(fleet.workers.batch.get('worker-0'), 0);
   fleet.workers.setOnline('worker-0', 0);
--- a/packages/batch-jobs/src/job-owner.test.ts
+++ b/packages/batch-jobs/src/job-owner.test.ts
@@ -105,6 +105,25 @@
   t.is((await readJob(fleet, job.id)).fence, 2);
 });
 
+test('of two owners that commit different results at the same time one wins', async (t) => {
+  const { fleet, job, first, second } = await setUp(3);
+  const [grant] = await requestChunks(fleet, 0);
+  fleet.shards.move('vm-1', ['vm-0']);
+  await fleet.timer.advance(2000);
+  const completions = [
+    await createCompletion(fleet.vms[2]!, grant!, 'paused owner'),
+    await createCompletion(fleet.vms[2]!, grant!, 'new owner'),
+  ];
+  // The stale owner's write is delayed, so that it is based on a record that has changed.
+  first.client.faults.latency.floorMs = 500;
+  const answers = [first.owner.completeChunk(completions[0]!)];
+  await fleet.timer.advance(100);
+  answers.push(second.owner.completeChunk(completions[1]!));
+  const replies = await runFor(fleet.timer, Promise.all(answers));
+  t.true(replies.every((reply) => getValue(reply).status === CompletionStatus.Committed));
+  t.deepEqual(await readTexts(fleet, job.id), Array(3).fill('new owner'));
+});
+
 test('an owner that noticed the end of its lease writes nothing', async (t) => {
   const { fleet, first } = await setUp(3);
   const [grant] = await requestChunks(fleet, 0);
@@ -191,14 +210,15 @@
   const completions = await Promise.all(
     grants.map((grant) => createCompletion(fleet.vms[2]!, grant)),
   );
-  const answers = completions
-    .slice(0, 4)
-    .map((completion) => first.owner.completeChunk(completion));
-  await fleet.timer.advance(900);
+  const answers = [first.owner.completeChunk(completions[0]!)];
+  await fleet.timer.advance(100);
+  t.is(first.store.writes.length, 1);
+  answers.push(...completions.slice(1, 4).map((one) => first.owner.completeChunk(one)));
+  await fleet.timer.advance(800);
   t.is(first.store.writes.length, 1);
   await fleet.timer.advance(200);
   await Promise.all(answers);
-  t.true(first.store.writes.length <= 2);
+  t.is(first.store.writes.length, 2);
   const last = first.owner.completeChunk(completions[4]!);
   t.is(getValue(await runFor(fleet.timer, last, 20)).status, CompletionStatus.Committed);
 });
--- a/packages/batch-jobs/src/job-owner.ts
+++ b/packages/batch-jobs/src/job-owner.ts
@@ -26,6 +26,7 @@
 import { err, ok } from 'neverthrow';
 import { CopyRepair, type OrderCopy } from './copy-repair.js';
 import { refuse } from './faults.js';
+import { createGrant } from './grant.js';
 import { JobRecords } from './job-records.js';
 import { updateJob } from './job-writer.js';
 import { removeExpired } from './retention.js';
@@ -168,6 +169,11 @@
     return this.refresh(jobs, jobId);
   }
 
+  /** Open jobs of all owned shards. */
+  openJobs(): OpenJob[] {
+    return this.listLoaded().flatMap((jobs) => [...jobs.open.values()]);
+  }
+
   /**
    * Reads a changed record. Until that succeeds the job does not run: the change of a known job is
    * most likely its cancellation.
@@ -204,21 +210,7 @@
     const deadline = timer.now() + GRANT_TIMEOUT_MS;
     job.grants.set(chunk.index, { grantId, executorId, deadline });
     this.log.write('chunk-granted', { job: record.id, chunk: chunk.index, executorId, grantId });
-    return {
-      jobId: record.id,
-      shard,
-      fence: this.shardJobs.get(shard)!.fence,
-      grantId,
-      chunk: chunk.index,
-      firstItem: chunk.firstItem,
-      itemCount: chunk.itemCount,
-      model: record.model,
-      ...(record.adapter === undefined ? {} : { adapter: record.adapter }),
-      input: chunk.input,
-      dueAt: record.dueAt,
-      maxAttempts: record.maxAttempts,
-      timeoutMs: GRANT_TIMEOUT_MS,
-    };
+    return createGrant(record, chunk, { grantId, shard, fence: this.shardJobs.get(shard)!.fence });
   }
 
   private extend(
