--- a/packages/soak/src/actions/online.ts
+++ b/packages/soak/src/actions/online.ts
@@ -1,5 +1,4 @@
 /** Online requests of callers. */
-import { computeChecksum } from '@jujubelanding/random';
 import { Outcome } from '@jujubelanding/errors';
 import type { FleetNode } from '@jujubelanding/simulation';
 import { ReplyKind, type CallerReply } from '../caller.js';
@@ -51,13 +50,11 @@
   known.set(prompt, answer.text);
 };
 
-const checkOutcome = (
-  world: World,
-  node: FleetNode,
-  requestId: string,
-  reply: CallerReply,
-): void => {
-  if (reply.outcome === Outcome.NotRun && (world.observer.executions.get(requestId) ?? 0) > 0) {
+const checkOutcome = (world: World, node: FleetNode, reply: CallerReply): void => {
+  const requestId = reply.requestId ?? '';
+  const isAnswered = reply.kind === ReplyKind.Answered;
+  if (isAnswered && requestId === '') throw new Error('an answer carries no request id');
+  if (reply.outcome === Outcome.NotRun && world.observer.executions.has(requestId)) {
     world.violations.report(Invariant.NotRun, requestId, `${reply.status} ${reply.body}`);
   }
   // A stopping VM that crashes is taken off the list first, so this is a stop that did not wait.
@@ -71,15 +68,11 @@
   const model = models[target % models.length]!;
   // Few different prompts, so that answers can be compared over many requests.
   const prompt = `fit question ${target % 17} for ${model}`;
-  const requestId = computeChecksum(`${world.fleet.timer.now()}${world.random.next()}`).slice(
-    0,
-    24,
-  );
   const stream = target % 2 === 0;
   const reply = await world.send(node, {
     method: 'POST',
     path: '/v1/chat/completions',
-    headers: { 'content-type': 'application/json', 'x-request-id': requestId },
+    headers: { 'content-type': 'application/json' },
     body: JSON.stringify({
       model,
       stream,
@@ -87,10 +80,10 @@
       messages: [{ role: 'user', content: prompt }],
     }),
   });
-  checkOutcome(world, node, requestId, reply);
+  checkOutcome(world, node, reply);
   if (reply.kind !== ReplyKind.Answered || reply.status !== 200) return;
   const answer = stream ? readEvents(reply.body) : readWhole(reply.body);
-  checkAnswer(world, requestId, prompt, answer);
+  checkAnswer(world, reply.requestId ?? '', prompt, answer);
 };
 
 export const chat = (world: World, { target }: Step): void => {
@@ -109,18 +102,16 @@
 const orders = new WeakMap<World, string[]>();
 
 const sendOrder = async (world: World, node: FleetNode, order: string): Promise<void> => {
-  const requestId = computeChecksum(`${order}${world.random.next()}`).slice(0, 24);
   const reply = await world.send(node, {
     method: 'POST',
     path: `/services/${PLAIN_SERVICE}/orders`,
     headers: {
       'content-type': 'text/plain',
       'idempotency-key': order,
-      'x-request-id': requestId,
     },
     body: tagOrder(order),
   });
-  checkOutcome(world, node, requestId, reply);
+  checkOutcome(world, node, reply);
 };
 
 export const order = (world: World, { target }: Step): void => {
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -19,6 +19,8 @@
   body: string;
   /** Outcome stated by problem details. */
   outcome?: Outcome;
+  /** Id that the system gave the request. */
+  requestId?: string;
 }
 
 export interface CallerRequest {
@@ -49,6 +51,7 @@
     status: response.status,
     body,
     ...(problem === undefined ? {} : { outcome: problem.outcome }),
+    requestId: response.headers.get('x-request-id') ?? '',
   };
 };
 
--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -15,8 +15,11 @@
 
 export const tagOrder = (order: string): string => `[order=${order}]`;
 
+/** Attempts after the first carry their number behind the request's id. */
+const removeAttempt = (requestId: string): string => requestId.split('.')[0]!;
+
 export class Observer {
-  /** Executions by request id. */
+  /** Executions by request id, over all attempts. */
   readonly executions = new Map<string, number>();
 
   /** Executions by order tag. */
@@ -73,13 +76,13 @@
     const started = start();
     if (started.isOk()) {
       this.checkDispatch(engine.workerId);
-      this.count(this.executions, generation.requestId);
+      this.count(this.executions, removeAttempt(generation.requestId));
     }
     return started;
   }
 
   private countServiceRun(request: ServiceRequest): void {
-    this.count(this.executions, request.requestId);
+    this.count(this.executions, removeAttempt(request.requestId));
     const order = ORDER_TAG.exec(Buffer.from(request.body).toString('utf8'));
     if (order === null) return;
     this.count(this.orders, order[1]!);
