--- a/packages/peer-transport/src/peer-network.test.ts
+++ b/packages/peer-transport/src/peer-network.test.ts
@@ -185,6 +185,17 @@
   );
 });
 
+test('unknown paths cannot make the counters grow', async (t) => {
+  const { b } = await setUp(t);
+  for (const path of ['x', 'y']) {
+    const response = await fetch(`http://${b.peer.peerAddress}/peer/calls/${path}`);
+    t.is(response.status, 401);
+    await response.text();
+  }
+  await awaitCondition(() => b.counters().traffic.other?.messagesIn === 2);
+  t.deepEqual(Object.keys(b.counters().traffic), ['other']);
+});
+
 test('a port in use is reported as a fault', async (t) => {
   const { a } = await setUp(t);
   const options = { address: a.peer.peerAddress, fleetKey: 'key', log: silentLog, timer: a.timer };
--- a/packages/peer-transport/src/peer-server.ts
+++ b/packages/peer-transport/src/peer-server.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { serve, type HttpBindings } from '@hono/node-server';
 import { FaultCode, getStatus, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { PeerMethod } from '@jujubelanding/peer-protocol';
 import type { Timer } from '@jujubelanding/timer';
 import { Hono, type Context } from 'hono';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
@@ -49,8 +50,14 @@
   }
 };
 
-const getTrafficName = (path: string): string =>
-  path.startsWith(SEGMENT_PATH) ? 'segment' : path.slice(CALL_PATH.length + 1);
+const METHODS = new Set<string>(Object.values(PeerMethod));
+
+/** Unknown paths share a name, so that no caller can make the counters grow. */
+const getTrafficName = (path: string): string => {
+  if (path.startsWith(SEGMENT_PATH)) return 'segment';
+  const method = path.slice(CALL_PATH.length + 1);
+  return METHODS.has(method) ? method : 'other';
+};
 
 export class PeerServer {
   private server: Server | undefined;
--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -22,10 +22,13 @@
   /** By address, least recently used first. */
   private readonly entries = new Map<string, Entry>();
 
+  private closed = false;
+
   constructor(private readonly limits: ConnectionLimits) {}
 
-  /** Takes a place on a connection, or undefined when all are in use. */
+  /** Takes a place on a connection; undefined when all are in use or after the close. */
   acquire(address: string): { pool: Pool; release: () => void } | undefined {
+    if (this.closed) return undefined;
     const entry = this.find(address);
     if (entry.inFlight >= this.limits.connections) return undefined;
     entry.inFlight += 1;
@@ -39,6 +42,7 @@
 
   /** Closes all connections; requests in progress break. */
   async close(): Promise<void> {
+    this.closed = true;
     const entries = [...this.entries.values()];
     this.entries.clear();
     await Promise.all(entries.map(({ pool }) => pool.destroy()));
--- a/packages/platform-clients/src/exchange.ts
+++ b/packages/platform-clients/src/exchange.ts
@@ -165,7 +165,7 @@
   }
   const place = pools.acquire(request.address);
   if (place === undefined) {
-    return refuse(request, FaultCode.Overloaded, `all connections to ${request.peer} are in use`);
+    return refuse(request, FaultCode.Overloaded, `no connection to ${request.peer} is free`);
   }
   const { method, path, headers, body } = request;
   const answer = await new Promise<Result<Answer, Fault>>((resolve) => {
--- /dev/null
+++ b/packages/platform-clients/src/fleet-clients.test.ts
@@ -0,0 +1,61 @@
+import test from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import { createRandom } from '@jujubelanding/random';
+import {
+  createVmListApp,
+  createWeightStoreApp,
+  listen,
+  VmListService,
+  WeightStoreService,
+} from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { VmRole, VmState, type Vm } from '@jujubelanding/types';
+import { getFault, getValue } from './fixtures/results.js';
+import { serveAnswer } from './fixtures/servers.js';
+import { createVmListClient, createWeightStoreClient } from './index.js';
+
+const VM: Vm = {
+  id: 'w1',
+  role: VmRole.BackendServer,
+  state: VmState.Leaving,
+  availabilityZone: 'zone-a',
+  address: '127.0.0.1:1',
+  service: 'advisor',
+};
+
+test('an unchanged VM list is answered by its tag alone', async (t) => {
+  const [timer, random] = [new VirtualTimer(), createRandom(1)];
+  const service = new VmListService({ timer, random });
+  const listener = await listen(createVmListApp(service, timer, random), 0);
+  t.teardown(() => listener.close());
+  const client = createVmListClient({ address: listener.address, timer });
+  t.teardown(() => client.close());
+  const before = getValue(await client.read());
+  t.deepEqual(getValue(await client.read(before.tag)), { tag: before.tag });
+  service.set(VM);
+  const after = getValue(await client.read(before.tag));
+  t.deepEqual(after.vms, [VM]);
+  t.not(after.tag, before.tag);
+});
+
+test('a VM list with an unknown state is not taken over in part', async (t) => {
+  const body = JSON.stringify({ vms: [VM, { ...VM, id: 'w2', state: 'gone' }] });
+  const { address } = await serveAnswer(t, 200, { etag: 'a' }, body);
+  const client = createVmListClient({ address, timer: new VirtualTimer() });
+  t.teardown(() => client.close());
+  t.like(getFault(await client.read()), { code: FaultCode.Upstream, step: 'readVmList' });
+});
+
+test('weights and the rate limit are read; an unknown weight is NotFound', async (t) => {
+  const [timer, random] = [new VirtualTimer(), createRandom(1)];
+  const service = new WeightStoreService({ timer, random, bytesPerSecond: 5000 });
+  service.set({ name: 'base/v1', bytes: 70 });
+  const listener = await listen(createWeightStoreApp(service, timer, random), 0);
+  t.teardown(() => listener.close());
+  const client = createWeightStoreClient({ address: listener.address, timer });
+  t.teardown(() => client.close());
+  t.deepEqual(getValue(await client.describe('base/v1')), { name: 'base/v1', bytes: 70 });
+  t.deepEqual(getValue(await client.readRateLimit()), { bytesPerSecond: 5000 });
+  const unknown = getFault(await client.describe('other'));
+  t.deepEqual([unknown.code, unknown.outcome], [FaultCode.NotFound, Outcome.NotRun]);
+});
