Reduce the traffic of online notices and totals

Totals are sent again only when the load of other VMs changed by a tenth of the slots or before they expire, ends wait above 20 notices/s, and full notices take turns above 8 owners. Totals from before the kept own counts are now ignored; they gave an estimate that was too high after many quick requests.

--- a/packages/worker-load/src/notice-ledger.ts
+++ b/packages/worker-load/src/notice-ledger.ts
@@ -32,6 +32,11 @@
     return this.sums.get(workerId) ?? 0;
   }
 
+  /** Online requests of one entry VM on a worker. */
+  onlineOf(entryVmId: string, workerId: string): number {
+    return this.senders.get(entryVmId)?.counts.get(workerId)?.online ?? 0;
+  }
+
   /** Time at which the entry VM was last heard of. */
   heardAt(entryVmId: string): number | undefined {
     return this.senders.get(entryVmId)?.heardAt;
--- a/packages/worker-load/src/own-requests.ts
+++ b/packages/worker-load/src/own-requests.ts
@@ -24,6 +24,8 @@
   lastUsedAt: number;
   /** Own counts by notice sequence, oldest first; those before the last total are dropped. */
   steps: Step[];
+  /** Sequence of the last step dropped for lack of room. */
+  droppedSequence: number;
 }
 
 /** Estimate of a worker's load from the newest total. */
@@ -34,6 +36,13 @@
   ageMs: number;
 }
 
+const createEntry = (now: number): Entry => ({
+  own: 0,
+  lastUsedAt: now,
+  steps: [],
+  droppedSequence: 0,
+});
+
 /** State of `WorkerLoads`; all times are passed in. */
 export class OwnRequests {
   private readonly entries = new Map<string, Entry>();
@@ -51,11 +60,11 @@
 
   /** Counts one request more or less under the sequence of the notice that reports it. */
   change(workerId: string, difference: 1 | -1, sequence: number, now: number): void {
-    const entry = this.entries.get(workerId) ?? { own: 0, lastUsedAt: now, steps: [] };
+    const entry = this.entries.get(workerId) ?? createEntry(now);
     entry.own = Math.max(0, entry.own + difference);
     entry.lastUsedAt = now;
     entry.steps.push({ sequence, own: entry.own });
-    if (entry.steps.length > MAX_STEPS) entry.steps.shift();
+    if (entry.steps.length > MAX_STEPS) entry.droppedSequence = entry.steps.shift()!.sequence;
     this.entries.set(workerId, entry);
   }
 
@@ -67,6 +76,8 @@
       const isLate = included < before.includedSequence;
       if (isLate && now - before.receivedAt < TOTAL_LIFETIME_MS) return;
     }
+    // The own part of a total from before the kept steps is not known.
+    if (included < (this.entries.get(total.workerId)?.droppedSequence ?? 0)) return;
     this.totals.set(total.workerId, {
       ...total,
       receivedAt: now,
--- a/packages/worker-load/src/owned-workers.ts
+++ b/packages/worker-load/src/owned-workers.ts
@@ -13,6 +13,7 @@
 import type { Subscription } from '@jujubelanding/timer';
 import { MemberState, RecordKind, type CacheEvent, type LoadReport } from '@jujubelanding/types';
 import { NoticeLedger, SENDER_SILENCE_MS } from './notice-ledger.js';
+import { ToldTotals } from './told-totals.js';
 
 /** Interval of load polls, of full notices and of pushed totals. */
 export const NOTICE_INTERVAL_MS = 500;
@@ -23,6 +24,12 @@
 /** Keeps a datagram below 1,200 bytes. */
 const MAX_TOTALS_PER_DATAGRAM = 16;
 
+/**
+ * Workers that an entry VM does not use, but whose totals it gets. With up to 8 entry VMs that own
+ * some 2 of 17 workers each these are all; without a bound the traffic would grow with the fleet.
+ */
+const MAX_OFFERED_WORKERS = 4;
+
 /** Receives the cache events of a poll; `askedAfter` is the sequence number that was sent. */
 export type CacheEventHandler = (
   workerId: string,
@@ -45,9 +52,13 @@
   lastSequence: number;
 }
 
+/** An entry VM that sent notices recently. */
 interface Interest {
+  bootId: string;
   heardAt: number;
-  services: Set<string>;
+  /** Workers in its recent notices, with the time of the last one. */
+  used: Map<string, number>;
+  told: ToldTotals;
 }
 
 /** Counts online requests of owned workers and answers notices with totals. */
@@ -150,34 +161,43 @@
   private answer(notice: OnlineNotice): void {
     const now = this.options.io.timer.now();
     this.accept(notice);
-    const known = this.interests.get(notice.from);
-    const interest = known ?? { heardAt: now, services: new Set() };
-    interest.heardAt = now;
+    const interest = this.findInterest(notice, now);
     const workerIds = Object.keys(notice.inFlight);
-    for (const id of workerIds) {
-      const service = this.options.directory.find(id)?.service;
-      if (service !== undefined) interest.services.add(service);
-    }
-    this.interests.set(notice.from, interest);
-    // Full notices are answered by the pushed totals of the same interval, except for a first one,
-    // whose sender has no totals of this owner yet.
-    if (!notice.full || known === undefined) {
-      this.sendTotals(
-        notice.from,
-        workerIds.filter((id) => this.isOwned(id)),
-      );
+    workerIds.forEach((id) => interest.used.set(id, now));
+    const owned = workerIds.filter((id) => this.isOwned(id));
+    this.sendTotals(notice.from, interest, owned);
+  }
+
+  private findInterest({ from, bootId }: OnlineNotice, now: number): Interest {
+    const known = this.interests.get(from);
+    if (known?.bootId === bootId) {
+      known.heardAt = now;
+      return known;
     }
+    const interest = {
+      bootId,
+      heardAt: now,
+      used: new Map<string, number>(),
+      told: new ToldTotals(),
+    };
+    this.interests.set(from, interest);
+    return interest;
   }
 
-  private sendTotals(entryVmId: string, workerIds: readonly string[]): void {
+  /** Sends totals that the entry VM does not know well enough. */
+  private sendTotals(entryVmId: string, interest: Interest, workerIds: readonly string[]): void {
     const member = this.options.membership.find(entryVmId);
     if (member === undefined) return;
-    for (let start = 0; start < workerIds.length; start += MAX_TOTALS_PER_DATAGRAM) {
-      const part = workerIds.slice(start, start + MAX_TOTALS_PER_DATAGRAM);
+    const shared = workerIds.map((id) => ({
+      total: this.total(id),
+      own: this.ledger.onlineOf(entryVmId, id),
+    }));
+    const due = interest.told.selectDue(shared, this.options.io.timer.now());
+    for (let start = 0; start < due.length; start += MAX_TOTALS_PER_DATAGRAM) {
       this.options.io.network.send(member.peerAddress, {
         kind: DatagramKind.WorkerTotals,
         from: this.options.entryVmId,
-        totals: part.map((id) => this.total(id)),
+        totals: due.slice(start, start + MAX_TOTALS_PER_DATAGRAM),
         includedSequence: this.ledger.highestSequence(entryVmId),
       });
     }
@@ -186,25 +206,33 @@
   private runInterval(): void {
     const now = this.options.io.timer.now();
     this.announce(this.ledger.expire(now, (id) => this.isGone(id)));
-    const byService = this.groupOwned();
+    const owned = this.workerIds();
     for (const [entryVmId, interest] of this.interests) {
-      if (now - interest.heardAt >= SENDER_SILENCE_MS) {
-        this.interests.delete(entryVmId);
-        continue;
-      }
-      const workerIds = [...interest.services].flatMap((service) => byService.get(service) ?? []);
-      this.sendTotals(entryVmId, workerIds);
+      if (now - interest.heardAt < SENDER_SILENCE_MS) {
+        this.sendTotals(entryVmId, interest, this.selectTotals(entryVmId, interest, owned));
+      } else this.interests.delete(entryVmId);
     }
     this.pollAll();
   }
 
-  private groupOwned(): Map<string, string[]> {
-    const groups = new Map<string, string[]>();
-    for (const id of this.workerIds()) {
-      const service = this.options.directory.find(id)?.service ?? '';
-      groups.set(service, [...(groups.get(service) ?? []), id]);
+  /** Owned workers that an entry VM uses, and some others that it could use instead. */
+  private selectTotals(entryVmId: string, interest: Interest, owned: string[]): string[] {
+    const now = this.options.io.timer.now();
+    const { directory, membership } = this.options;
+    const services = new Set<string>();
+    for (const [id, mentionedAt] of interest.used) {
+      if (now - mentionedAt >= SENDER_SILENCE_MS) interest.used.delete(id);
+      services.add(directory.find(id)?.service ?? '');
     }
-    return groups;
+    const zone = membership.find(entryVmId)?.availabilityZone;
+    const others = owned
+      .map((id) => directory.find(id))
+      .filter((worker) => worker !== undefined)
+      .filter(({ id, service }) => services.has(service) && !interest.used.has(id));
+    const near = others.filter(({ availabilityZone }) => availabilityZone === zone);
+    const far = others.filter(({ availabilityZone }) => availabilityZone !== zone);
+    const offered = [...near, ...far].slice(0, MAX_OFFERED_WORKERS).map(({ id }) => id);
+    return [...owned.filter((id) => interest.used.has(id)), ...offered];
   }
 
   private isGone(entryVmId: string): boolean {
--- a/packages/worker-load/src/worker-loads.ts
+++ b/packages/worker-load/src/worker-loads.ts
@@ -14,6 +14,7 @@
 import type { Subscription } from '@jujubelanding/timer';
 import { RecordKind } from '@jujubelanding/types';
 import { SENDER_SILENCE_MS } from './notice-ledger.js';
+import { NoticeBudget } from './notice-budget.js';
 import { NOTICE_INTERVAL_MS, type OwnedWorkersController } from './owned-workers.js';
 import { OwnRequests } from './own-requests.js';
 
@@ -26,6 +27,19 @@
 /** Age of a load that rests on own counts alone. */
 export const UNKNOWN_AGE_MS = Number.MAX_SAFE_INTEGER;
 
+/** Full notices per interval; with more owners in use they take turns. */
+const FULL_NOTICES_PER_INTERVAL = 8;
+
+/** Every owner is reached within this number of intervals, twice before it expires the counts. */
+const MAX_TURNS = 3;
+
+/** Workers in use of one owner. */
+interface UsedGroup {
+  owner: ShardOwner;
+  shards: number[];
+  workerIds: string[];
+}
+
 export interface WorkerLoadsOptions {
   io: Pick<EntryVmIo, 'timer' | 'network'>;
   entryVmId: string;
@@ -46,6 +60,14 @@
   /** Owners that got the last full notice, by shard; tells when an owner changes. */
   private readonly informed = new Map<number, string>();
 
+  private readonly budget = new NoticeBudget();
+
+  /** Workers with an end that was not reported yet. */
+  private readonly unreported = new Set<string>();
+
+  /** Time of the last full notice by owner. */
+  private readonly fullSentAt = new Map<string, number>();
+
   private sequence = 0;
 
   constructor(private readonly options: WorkerLoadsOptions) {}
@@ -97,11 +119,19 @@
   }
 
   private change(workerId: string, difference: 1 | -1): void {
+    const now = this.options.io.timer.now();
     this.sequence += 1;
-    this.requests.change(workerId, difference, this.sequence, this.options.io.timer.now());
+    this.requests.change(workerId, difference, this.sequence, now);
+    this.unreported.add(workerId);
     const owner = this.options.shards.ownerOf(findShard(workerId));
-    const inFlight = { [workerId]: this.ownInFlight(workerId) };
-    this.deliver(owner, this.createNotice(inFlight, false));
+    const isOwn = owner?.entryVmId === this.options.entryVmId;
+    if (difference === 1 && !isOwn) this.budget.spend(now);
+    // An end may wait: until it is reported, less batch work runs than could.
+    if (difference === -1 && !isOwn && !this.budget.trySpend(now)) return;
+    const workerIds = [...this.unreported].filter(
+      (id) => this.options.shards.ownerOf(findShard(id))?.entryVmId === owner?.entryVmId,
+    );
+    this.deliver(owner, this.createNotice(this.takeCounts(workerIds), false));
   }
 
   private configuredSlots(workerId: string): number {
@@ -119,34 +149,39 @@
     }
   }
 
+  /** Reports to the owners that got no full notice for longest. */
   private sendFull(): void {
     const now = this.options.io.timer.now();
-    this.informed.clear();
-    const groups = this.groupUsed(now);
-    for (const { owner, shards, workerIds } of groups.values()) {
-      this.sequence += 1;
-      this.deliver(owner, this.createNotice(this.countAll(workerIds), true));
-      shards.forEach((shard) => this.informed.set(shard, owner.entryVmId));
-    }
+    const groups = [...this.groupUsed(now).values()];
+    const age = ({ owner }: UsedGroup): number => now - (this.fullSentAt.get(owner.entryVmId) ?? 0);
+    const count = Math.max(FULL_NOTICES_PER_INTERVAL, Math.ceil(groups.length / MAX_TURNS));
+    const chosen = groups.toSorted((a, b) => age(b) - age(a)).slice(0, count);
+    chosen.forEach((group) => this.sendGroup(group, now));
     this.requests.prune(now, TOTAL_MEMORY_MS);
+    for (const [owner, sentAt] of this.fullSentAt) {
+      if (now - sentAt > USE_MEMORY_MS) this.fullSentAt.delete(owner);
+    }
   }
 
   /** Sends a full notice at once to owners that took over a shard in use. */
   private informNewOwners(): void {
-    for (const { owner, shards, workerIds } of this.groupUsed(
-      this.options.io.timer.now(),
-    ).values()) {
-      if (shards.every((shard) => this.informed.get(shard) === owner.entryVmId)) continue;
-      this.sequence += 1;
-      this.deliver(owner, this.createNotice(this.countAll(workerIds), true));
-      shards.forEach((shard) => this.informed.set(shard, owner.entryVmId));
+    const now = this.options.io.timer.now();
+    for (const group of this.groupUsed(now).values()) {
+      const { entryVmId } = group.owner;
+      const isKnown = group.shards.every((shard) => this.informed.get(shard) === entryVmId);
+      if (!isKnown) this.sendGroup(group, now);
     }
   }
 
-  private groupUsed(
-    now: number,
-  ): Map<string, { owner: ShardOwner; shards: number[]; workerIds: string[] }> {
-    const groups = new Map<string, { owner: ShardOwner; shards: number[]; workerIds: string[] }>();
+  private sendGroup({ owner, shards, workerIds }: UsedGroup, now: number): void {
+    this.sequence += 1;
+    this.deliver(owner, this.createNotice(this.takeCounts(workerIds), true));
+    this.fullSentAt.set(owner.entryVmId, now);
+    shards.forEach((shard) => this.informed.set(shard, owner.entryVmId));
+  }
+
+  private groupUsed(now: number): Map<string, UsedGroup> {
+    const groups = new Map<string, UsedGroup>();
     for (const workerId of this.requests.usedWorkers(now, USE_MEMORY_MS)) {
       const shard = findShard(workerId);
       const owner = this.options.shards.ownerOf(shard);
@@ -159,7 +194,9 @@
     return groups;
   }
 
-  private countAll(workerIds: readonly string[]): Record<string, number> {
+  /** Counts that a notice is about to report. */
+  private takeCounts(workerIds: readonly string[]): Record<string, number> {
+    workerIds.forEach((id) => this.unreported.delete(id));
     const counts = workerIds.map((id) => [id, this.ownInFlight(id)] as const);
     return Object.fromEntries(counts);
   }
