--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -44,6 +44,12 @@
   return { ...rest, ...(mutation === undefined ? {} : { mutation: mutation as Mutation }) };
 };
 
+const describeReplies = (replies: Record<string, number>): string =>
+  Object.entries(replies)
+    .toSorted(([a], [b]) => a.localeCompare(b))
+    .map(([end, count]) => `${end}=${count}`)
+    .join(' ');
+
 const report = (result: RunResult, mutation: Mutation | undefined): void => {
   const { seed, steps, violations, trace } = result;
   for (const { invariant, timeMs, detail } of violations) {
@@ -58,7 +64,8 @@
   }
   console.log(
     `run seed=${seed} virtual_s=${Math.round(result.virtualMs / 1000)} ` +
-      `jobs=${result.acceptedJobs} results=${result.resultsRead} requests=${result.requests}`,
+      `submitted=${result.submittedJobs} accepted=${result.acceptedJobs} ` +
+      `results=${result.resultsRead} ${describeReplies(result.replies)}`,
   );
   console.log(`seed=${seed} steps=${steps} violations=${violations.length}`);
 };
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -27,8 +27,9 @@
   virtualMs: number;
   acceptedJobs: number;
   resultsRead: number;
-  /** Requests that callers and operators sent. */
-  requests: number;
+  submittedJobs: number;
+  /** Replies to callers and operators by how they ended. */
+  replies: Record<string, number>;
 }
 
 const TRACE_LENGTH = 20;
@@ -154,6 +155,7 @@
     virtualMs: world.fleet.timer.now(),
     acceptedJobs: world.jobs.accepted().length,
     resultsRead: world.jobs.jobs.reduce((sum, job) => sum + job.results.size, 0),
-    requests: world.requestCount,
+    submittedJobs: world.jobs.jobs.length,
+    replies: Object.fromEntries(world.replies),
   };
 };
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -4,7 +4,7 @@
 import type { Log } from '@jujubelanding/log';
 import type { ModelEngine, PlainService } from '@jujubelanding/stand-ins';
 import { FencingMode, ServiceKind } from '@jujubelanding/types';
-import { sendRequest, type CallerReply, type CallerRequest } from './caller.js';
+import { ReplyKind, sendRequest, type CallerReply, type CallerRequest } from './caller.js';
 import { ConfigurationCheck } from './configuration-check.js';
 import { JobBook } from './job-book.js';
 import { applyMutation, type Mutation } from './mutation.js';
@@ -134,7 +134,8 @@
   /** Entry VMs in the course of a planned stop. */
   readonly stopping = new Set<string>();
 
-  requestCount = 0;
+  /** Replies by how they ended. */
+  readonly replies = new Map<string, number>();
 
   /** Requests that are in progress. */
   readonly open = new Set<Promise<void>>();
@@ -180,19 +181,17 @@
 
   /** Sends a request as a member of the team. */
   send(node: FleetNode, request: CallerRequest): Promise<CallerReply> {
-    this.requestCount += 1;
     const headers = { authorization: `Bearer ${TEAM_KEY}`, ...request.headers };
-    return sendRequest(this.fleet.timer, node, { ...request, headers });
+    return this.exchange(node, { ...request, headers });
   }
 
   /** Sends an administration request. */
   administer(node: FleetNode, request: Omit<CallerRequest, 'headers'>): Promise<CallerReply> {
-    this.requestCount += 1;
     const headers = {
       authorization: `Bearer ${OPERATOR_TOKEN}`,
       'content-type': 'application/json',
     };
-    return sendRequest(this.fleet.timer, node, { ...request, headers });
+    return this.exchange(node, { ...request, headers });
   }
 
   /** Entry VMs that accept connections. */
@@ -218,6 +217,13 @@
     return AVAILABILITY_ZONES;
   }
 
+  private async exchange(node: FleetNode, request: CallerRequest): Promise<CallerReply> {
+    const reply = await sendRequest(this.fleet.timer, node, request);
+    const end = reply.outcome ?? (reply.kind === ReplyKind.Answered ? 'succeeded' : reply.kind);
+    this.replies.set(end, (this.replies.get(end) ?? 0) + 1);
+    return reply;
+  }
+
   private addEngine({ id, service, fencing }: WorkerPlan, index: number): void {
     const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
     const engine = this.fleet.addEngine(id, service, zone, {
