--- a/packages/soak/src/actions/faults.ts
+++ b/packages/soak/src/actions/faults.ts
@@ -130,7 +130,9 @@
     'truncateChance',
   ] as const;
   streamFaults[names[amount % names.length]!] = 0.3;
-  world.services[target % world.services.length]!.answerFaults.refusalChance = 0.3;
+  const service = world.services[target % world.services.length]!;
+  service.answerFaults.refusalChance = 0.3;
+  service.faults.lostReplyChance = 0.3;
 };
 
 export const restoreWorkers = (world: World): void => {
@@ -145,8 +147,9 @@
       truncateChance: 0,
     });
   }
-  world.services.forEach(({ answerFaults }) => {
+  world.services.forEach(({ answerFaults, faults }) => {
     answerFaults.refusalChance = 0;
+    faults.lostReplyChance = 0;
   });
 };
 
