Test retries on other workers and segments in use during a garbage pass

Trials with changed code showed that both rules, the wait of a new owner before it grants and the guard of an open job's committed chunks were not covered.

--- a/packages/batch-execution/src/batch-executor.test.ts
+++ b/packages/batch-execution/src/batch-executor.test.ts
@@ -132,6 +132,16 @@
   );
 });
 
+test('an item that failed on a worker is retried on another one', async (t) => {
+  const fleet = createExecutionFleet();
+  fleet.engines.get('worker-0')!.streamFaults.failChance = 1;
+  const jobId = await submit(fleet, createItems(200), { maxAttempts: 2 });
+  await fleet.timer.advance(20_000);
+  const results = await readResults(fleet, jobId);
+  t.is(results.length, 200);
+  t.true(results.every(({ status }) => status === ItemStatus.Succeeded));
+});
+
 test('a worker that stops answering without an end is left after the request timeout', async (t) => {
   const fleet = createExecutionFleet();
   const jobId = await submit(fleet, createLongItems(40));
--- a/packages/batch-jobs/src/job-owner.test.ts
+++ b/packages/batch-jobs/src/job-owner.test.ts
@@ -106,7 +106,7 @@
 });
 
 test('of two owners that commit different results at the same time one wins', async (t) => {
-  const { fleet, job, first, second } = await setUp(3);
+  const { fleet, job, first, second } = await setUp(300);
   const [grant] = await requestChunks(fleet, 0);
   fleet.shards.move('vm-1', ['vm-0']);
   await fleet.timer.advance(2000);
@@ -121,7 +121,8 @@
   answers.push(second.owner.completeChunk(completions[1]!));
   const replies = await runFor(fleet.timer, Promise.all(answers));
   t.true(replies.every((reply) => getValue(reply).status === CompletionStatus.Committed));
-  t.deepEqual(await readTexts(fleet, job.id), Array(3).fill('new owner'));
+  // The job is still open, so only the chunk's own result protects it.
+  t.deepEqual(await readTexts(fleet, job.id), Array(200).fill('new owner'));
 });
 
 test('an owner that noticed the end of its lease writes nothing', async (t) => {
@@ -198,6 +199,7 @@
   const [grant] = await requestChunks(fleet, 0);
   fleet.shards.move('vm-1');
   await fleet.timer.advance(500);
+  t.deepEqual(await requestChunks(fleet, OTHER_VM), []);
   t.deepEqual(getValue(await report(fleet, OTHER_VM, grant!)).verdicts, [ProgressVerdict.Continue]);
   await fleet.timer.advance(1500);
   t.deepEqual(await requestChunks(fleet, OTHER_VM), []);
--- a/packages/segments/src/replicated-segment-store.test.ts
+++ b/packages/segments/src/replicated-segment-store.test.ts
@@ -3,7 +3,12 @@
 import { ok } from 'neverthrow';
 import { refuse } from './faults.js';
 import { createSegmentFleet, getFault, getValue, runFor } from './fixtures/segment-fleet.js';
-import { GARBAGE_GRACE_MS, GARBAGE_INTERVAL_MS, SCRUB_INTERVAL_MS } from './index.js';
+import {
+  GARBAGE_GRACE_MS,
+  GARBAGE_INTERVAL_MS,
+  SCRUB_INTERVAL_MS,
+  type ListReferences,
+} from './index.js';
 
 const CONTENT = Buffer.from('one item\n');
 
@@ -112,6 +117,23 @@
   t.is(listHolders(fleet, reference.id).length, 2);
 });
 
+test('a segment written again while references are read is kept', async (t) => {
+  let passes = 0;
+  let writeAgain = async (): Promise<unknown> => undefined;
+  const listReferences: ListReferences = async (afterKey) => {
+    if (afterKey !== undefined) return ok({ segmentIds: [] });
+    passes += 1;
+    await writeAgain();
+    return ok({ segmentIds: [], nextKey: 'next' });
+  };
+  const fleet = createSegmentFleet({ zones: ['a', 'b'], listReferences });
+  writeAgain = () => fleet.stores.get('vm-0')!.write(CONTENT);
+  const reference = await writeOne(fleet);
+  await fleet.timer.advance(1.2 * GARBAGE_INTERVAL_MS);
+  t.true(passes > 0);
+  t.is(listHolders(fleet, reference.id).length, 2);
+});
+
 test('nothing is removed while the references cannot be read', async (t) => {
   const fleet = createSegmentFleet({
     zones: ['a', 'b'],
