Keep datagrams below 1,200 bytes without record structures in the encoding

The transport writes field names with every entry, so that six entries took up to 2.3 KB. Sizes are now measured in that form. Deaths are sent without shards, so that they fit beside large entries. An entry that did not fit was counted as sent; now only one that never fits is.

--- a/packages/membership/src/membership-controller.ts
+++ b/packages/membership/src/membership-controller.ts
@@ -123,7 +123,7 @@
     this.cached = undefined;
     states.forEach(({ entryVmId, from, to }) => {
       this.log.write('member-state', { entryVmId, from, to });
-      this.options.io.metrics.increment('member_state_changes', { to });
+      this.options.io.metrics.increment('membership.state_changes', { to });
     });
     this.handlers.forEach((handler) => handler());
   }
--- a/packages/membership/src/payload.ts
+++ b/packages/membership/src/payload.ts
@@ -1,6 +1,6 @@
 /** Choice of the member entries that a datagram carries. */
 import type { Random } from '@jujubelanding/random';
-import type { Member } from '@jujubelanding/types';
+import { type Member, MemberState } from '@jujubelanding/types';
 import { Packr } from 'msgpackr';
 import type { MemberTable } from './member-table.js';
 import type { UpdateQueue } from './update-queue.js';
@@ -12,27 +12,25 @@
 /** Sampled entries per datagram; more would exceed the traffic budget of 6 KB/s at 410 VMs. */
 const MAX_SAMPLED = 3;
 
-// Inline record structures: field names are written once per datagram, not once per entry.
-const packr = new Packr();
+// Without record structures, as the transport may encode them, which is the longer form.
+const packr = new Packr({ useRecords: false });
 
-interface EntrySize {
-  /** Bytes of the entry with its field names. */
-  first: number;
-  /** Bytes of the entry after another one. */
-  next: number;
-}
-
-const sizes = new WeakMap<Member, EntrySize>();
+const sizes = new WeakMap<Member, number>();
 
-const measureEntry = (member: Member): EntrySize => {
-  const known = sizes.get(member);
-  if (known !== undefined) return known;
-  const first = packr.pack([member]).length;
-  const size = { first, next: packr.pack([member, member]).length - first };
+/** Returns the encoded size of an entry. */
+const measureEntry = (member: Member): number => {
+  const size = sizes.get(member) ?? packr.pack(member).length;
   sizes.set(member, size);
   return size;
 };
 
+/** Leaves out what is of no use about a dead member, so that its death fits beside large entries. */
+const shorten = (member: Member): Member =>
+  member.state === MemberState.Dead ? { ...member, shards: [] } : member;
+
+const fitsBeside = (self: Member, member: Member | undefined): boolean =>
+  member !== undefined && measureEntry(self) + measureEntry(shorten(member)) <= MAX_UPDATE_BYTES;
+
 export interface PayloadSources {
   table: MemberTable;
   queue: UpdateQueue;
@@ -49,20 +47,28 @@
   now: number,
 ): Member[] => {
   const chosen = [table.self];
-  let bytes = measureEntry(table.self).first;
-  const add = (member: Member | undefined): void => {
-    if (member === undefined || chosen.includes(member) || chosen.length >= MAX_UPDATES) return;
-    const { next } = measureEntry(member);
-    if (bytes + next > MAX_UPDATE_BYTES) return;
-    bytes += next;
+  const ids = new Set([table.self.entryVmId]);
+  let bytes = measureEntry(table.self);
+  const add = (entry: Member | undefined): void => {
+    const member = entry && shorten(entry);
+    if (member === undefined || ids.has(member.entryVmId) || ids.size >= MAX_UPDATES) return;
+    const size = measureEntry(member);
+    if (bytes + size > MAX_UPDATE_BYTES) return;
+    bytes += size;
+    ids.add(member.entryVmId);
     chosen.push(member);
   };
-  if (receiver !== undefined) add(table.findContested(receiver));
-  const recent = queue.ordered().slice(0, MAX_UPDATES);
-  recent.forEach((id) => add(table.find(id)));
-  // Counted even when it did not fit, so that an entry of unusual size does not stay forever.
+  const contested = receiver === undefined ? undefined : table.findContested(receiver);
+  // The receiver knows its own shards, and must get the accusation in any case to refute it.
+  if (contested !== undefined) add({ ...contested, shards: [] });
   const memberCount = table.liveCount();
-  recent.forEach((id) => queue.countSend(id, memberCount));
+  for (const id of queue.ordered()) {
+    const member = table.find(id);
+    add(member);
+    // One that never fits beside the own entry is counted too, so that it does not stay forever.
+    if (ids.has(id) || !fitsBeside(table.self, member)) queue.countSend(id, memberCount);
+    if (ids.size >= MAX_UPDATES) break;
+  }
   random.sample(table.shareable(now), MAX_SAMPLED).forEach(add);
   return chosen;
 };
