--- a/packages/configuration/src/active-records.ts
+++ b/packages/configuration/src/active-records.ts
@@ -1,8 +1,15 @@
 /** Records in force, parsed and converted to the newest schema version. */
 import type { ActiveRecord } from '@jujubelanding/interfaces';
 import type { ReplicatedRecord } from '@jujubelanding/peer-protocol';
-import { type FieldFault, isTombstone, newestSpecOf, parseStored } from '@jujubelanding/records';
+import {
+  type FieldFault,
+  isTombstone,
+  newestSpecOf,
+  parseStored,
+  type StoredValue,
+} from '@jujubelanding/records';
 import { RecordKind } from '@jujubelanding/types';
+import { err, ok, type Result } from 'neverthrow';
 
 /** A stored record that cannot be put in force. */
 export interface InvalidRecord {
@@ -14,6 +21,18 @@
 
 type AnyRecord = ActiveRecord<RecordKind>;
 
+/** Checks that a record is stored under its own kind and name. */
+const checkPlace = (
+  stored: StoredValue,
+  kind: string,
+  name: string,
+): Result<StoredValue, FieldFault[]> => {
+  const isKnownKind = Object.values<string>(RecordKind).includes(kind);
+  if (isKnownKind && String(stored.kind) === kind && stored.name === name) return ok(stored);
+  const value = `${stored.kind}/${stored.name}`;
+  return err([{ field: 'name', value, allowed: `${kind}/${name}, as in the key` }]);
+};
+
 export class ActiveRecords {
   private readonly byKind = new Map<RecordKind, Map<string, AnyRecord>>(
     Object.values(RecordKind).map((kind) => [kind, new Map()]),
@@ -27,16 +46,14 @@
   apply({ kind, name, revision, value }: ReplicatedRecord): InvalidRecord | undefined {
     const key = `${kind}/${name}`;
     this.invalid.delete(key);
-    const parsed = parseStored(value);
-    const records = this.byKind.get(kind as RecordKind);
-    if (parsed.isErr() || records === undefined) {
-      const unknownKind = { field: 'kind', value: kind, allowed: Object.values(RecordKind).join() };
-      const faults = parsed.isErr() ? parsed.error : [unknownKind];
-      const invalid = { kind, name, revision, faults };
+    const parsed = parseStored(value).andThen((stored) => checkPlace(stored, kind, name));
+    if (parsed.isErr()) {
+      const invalid = { kind, name, revision, faults: parsed.error };
       this.invalid.set(key, invalid);
       return invalid;
     }
-    this.lists.delete(kind as RecordKind);
+    const records = this.byKind.get(parsed.value.kind)!;
+    this.lists.delete(parsed.value.kind);
     if (isTombstone(parsed.value)) records.delete(name);
     else records.set(name, { name, revision, spec: newestSpecOf(parsed.value) });
     return undefined;
--- a/packages/configuration/src/configuration-controller.ts
+++ b/packages/configuration/src/configuration-controller.ts
@@ -235,12 +235,12 @@
     }
     this.activatedRevision = revision;
     this.log.write('configuration-activated', { revision, cause, records: records.length });
-    this.options.io.metrics.gauge('configuration_active_revision', revision);
+    this.options.io.metrics.gauge('configuration.active', revision);
     this.handlers.forEach((handler) => handler());
   }
 
   private reportInvalid({ kind, name, revision, faults }: InvalidRecord): void {
-    this.options.io.metrics.increment('invalid_records', { kind });
+    this.options.io.metrics.increment('configuration.invalid_records', { kind });
     this.log.write('record-invalid', {
       kind,
       name,
--- a/packages/configuration/src/configuration.test.ts
+++ b/packages/configuration/src/configuration.test.ts
@@ -172,6 +172,15 @@
   t.deepEqual(configuration.invalidRecords(), []);
 });
 
+test('a record stored under the key of another one is not put in force', async (t) => {
+  const fleet = await startFleet(14);
+  const stored = { kind: 'version', name: 'v2', schemaVersion: 1, spec: { weight: 'other' } };
+  await fleet.write('v1', '', JSON.stringify({ ...stored, writeId: 'w', author: 'o', time: 0 }));
+  await fleet.timer.advance(4000);
+  t.is(weightOf(fleet, 'vm-3', 'v1'), 'first');
+  t.is(weightOf(fleet, 'vm-3', 'v2'), undefined);
+});
+
 test('a tombstone removes a record everywhere', async (t) => {
   const fleet = await startFleet(12);
   const tombstone = {
--- a/packages/shards/src/shards-controller.ts
+++ b/packages/shards/src/shards-controller.ts
@@ -264,13 +264,13 @@
     if (shards.length === 0) return;
     shards.forEach((shard) => this.held.delete(shard));
     this.log.write('shards-lost', { shards, reason });
-    this.options.io.metrics.increment('shards_lost', { reason }, shards.length);
+    this.options.io.metrics.increment('shards.lost', { reason }, shards.length);
     this.publish();
   }
 
   private publish(): void {
     this.options.membership.updateSelf({ shards: this.owned() });
-    this.options.io.metrics.gauge('shards_owned', this.held.size);
+    this.options.io.metrics.gauge('shards.owned', this.held.size);
     this.handlers.forEach((handler) => handler());
   }
 
