--- a/packages/replay/src/actions/faults.ts
+++ b/packages/replay/src/actions/faults.ts
@@ -103,7 +103,7 @@
 export const keyValueUp = (world: World): void => {
   Object.assign(world.fleet.keyValue.faults, {
     reachability: Reachability.Up,
-    latency: { floorMs: 0, meanExtraMs: 0 },
+    latency: world.header.keyValueLatency,
     lostReplyChance: 0,
     lostRequestChance: 0,
   });
--- a/packages/replay/src/generate/days.ts
+++ b/packages/replay/src/generate/days.ts
@@ -79,7 +79,7 @@
     name: 'glass-traders-day',
     description: 'Ordinary day: questions and stock orders by day, two jobs in the evening',
     seed: 101,
-    durationMs: 60_000,
+    durationMs: 50_000,
   });
   addDay(writer, {
     questions: 60,
@@ -109,7 +109,7 @@
     name: 'sveppasmidjan-day',
     description: 'Ordinary day: a few questions and orders by day, three large jobs in the evening',
     seed: 102,
-    durationMs: 60_000,
+    durationMs: 50_000,
   });
   addDay(writer, {
     questions: 40,
--- a/packages/replay/src/generate/deployments.ts
+++ b/packages/replay/src/generate/deployments.ts
@@ -128,6 +128,7 @@
   remoteDelayMs: deployment.remoteDelayMs,
   callerDelayMs: CALLER_DELAY_MS,
   vmListLagMs: VM_LIST_LAG_MS,
+  keyValueLatency: { floorMs: 1, meanExtraMs: 1 },
   entryVms: { count: deployment.entryVmCount, disks: 3 },
   entryPointLifetimeMs: 5000,
   services: [deployment.engine, deployment.plain],
--- a/packages/replay/src/generate/load.ts
+++ b/packages/replay/src/generate/load.ts
@@ -32,7 +32,7 @@
     name: 'burst-over-batch',
     description: 'Two online bursts arrive while a night job occupies the workers',
     seed: 103,
-    durationMs: 50_000,
+    durationMs: 35_000,
   });
   writer.completeJob({
     id: 'night-job',
@@ -54,7 +54,7 @@
     name: 'planned-stop',
     description: 'An entry VM is stopped with streams in progress, and started again later',
     seed: 104,
-    durationMs: 45_000,
+    durationMs: 42_000,
   });
   const via = 'entry-3';
   writer.completeJob({ id: 'job', at: 0, via, prompt: 'Plan the harvest of one bed', items: 800 });
@@ -101,7 +101,7 @@
     name: 'leaving-worker',
     description: 'Two workers leave during a job and questions; one returns, one crashes',
     seed: 105,
-    durationMs: 50_000,
+    durationMs: 40_000,
   });
   writer.completeJob({
     id: 'job',
--- a/packages/replay/src/generate/main.ts
+++ b/packages/replay/src/generate/main.ts
@@ -4,6 +4,7 @@
 import { createBurstOverBatch, createLeavingWorker, createPlannedStop } from './load.js';
 import { createRacingOperators } from './operators.js';
 import { createDiskTrouble, createKeyValueOutage, createZoneLoss } from './outages.js';
+import { createWorkerLoss } from './workers.js';
 
 const WRITERS = [
   createGlassTradersDay,
@@ -11,6 +12,7 @@
   createBurstOverBatch,
   createPlannedStop,
   createLeavingWorker,
+  createWorkerLoss,
   createZoneLoss,
   createKeyValueOutage,
   createDiskTrouble,
--- a/packages/replay/src/generate/operators.ts
+++ b/packages/replay/src/generate/operators.ts
@@ -9,22 +9,42 @@
 
 const RACERS = ['a', 'b', 'c'];
 
-const addRace = (writer: TraceWriter, round: number): void => {
-  const events = RACERS.map((racer) => `write-${round}-${racer}`);
-  events.forEach((id, index) =>
-    writer.add({
-      kind: EventKind.WriteRecord,
-      id,
-      at: 2000 + round * 5000 + index * 0.25,
-      via: `entry-${(round + index * 3) % 8}`,
-      recordKind: RecordKind.Version,
-      name: `canary-${round}`,
-      schemaVersion: 1,
-      spec: { weight: `weight-${id}` },
-      expectedRevision: INITIAL_REVISION,
-    }),
-  );
-  writer.expect({ expect: ExpectationKind.OneWinner, events });
+interface Write {
+  id: string;
+  at: number;
+  via: string;
+  name: string;
+  expectedRevision: string;
+}
+
+const addWrite = (writer: TraceWriter, write: Write): void =>
+  writer.add({
+    kind: EventKind.WriteRecord,
+    ...write,
+    recordKind: RecordKind.Version,
+    schemaVersion: 1,
+    spec: { weight: `weight-${write.id}` },
+  });
+
+/** Operators create a record at the same time, then replace it at the same time. */
+const addRaces = (writer: TraceWriter, round: number): void => {
+  const created = `created-${round}`;
+  const replaced = `replaced-${round}`;
+  const race = (step: string, name: string, at: number, expectedRevision: string): void => {
+    const events = RACERS.map((racer) => `${step}-${round}-${racer}`);
+    events.forEach((id, index) => {
+      const via = `entry-${(round + index * 3) % 8}`;
+      addWrite(writer, { id, at, via, name, expectedRevision });
+    });
+    writer.expect({ expect: ExpectationKind.OneWinner, events });
+  };
+  const at = 2000 + round * 5000;
+  const settled = `settled-${round}`;
+  race('create', created, at, INITIAL_REVISION);
+  const single = { id: settled, at, via: 'entry-7', expectedRevision: INITIAL_REVISION };
+  addWrite(writer, { ...single, name: replaced });
+  writer.expectOutcome(settled, { outcome: RequestOutcome.Succeeded });
+  race('replace', replaced, at + 2000, settled);
 };
 
 const addCancelledJob = (writer: TraceWriter, index: number): void => {
@@ -61,7 +81,7 @@
     seed: 109,
     durationMs: 40_000,
   });
-  for (let round = 0; round < ROUNDS; round += 1) addRace(writer, round);
+  for (let round = 0; round < ROUNDS; round += 1) addRaces(writer, round);
   for (let index = 0; index < 3; index += 1) addCancelledJob(writer, index);
   writer.completeJob({
     id: 'kept',
--- a/packages/replay/src/generate/outages.ts
+++ b/packages/replay/src/generate/outages.ts
@@ -26,7 +26,7 @@
     name: 'zone-loss',
     description: 'All machines of jhb-west are lost during a job, orders and questions',
     seed: 106,
-    durationMs: 90_000,
+    durationMs: 75_000,
   });
   const prompt = 'Write an offer for a window';
   writer.completeJob({ id: 'job', at: 0, via: 'entry-1', prompt, items: 700, failing: [99] });
@@ -108,7 +108,7 @@
     name: 'key-value-outage',
     description: 'Lost replies of the key-value service, then an outage, then slow answers',
     seed: 107,
-    durationMs: 100_000,
+    durationMs: 60_000,
   });
   const prompt = 'Review the stock of one pane';
   addOutageEvents(writer);
@@ -137,7 +137,7 @@
     description:
       'A full disk, a corrupt segment, a paused entry VM and a one-way link cut in a job',
     seed: 108,
-    durationMs: 90_000,
+    durationMs: 50_000,
   });
   const prompt = 'Plan the harvest of one bed';
   writer.completeJob({ id: 'first', at: 0, via: 'entry-4', prompt, items: 800 });
@@ -155,7 +155,7 @@
   writer.add({ kind: EventKind.ResumeEntryVm, id: 'resume', at: 16_000, entryVm: 'entry-7' });
   writer.add({ kind: EventKind.HealLink, id: 'heal', at: 20_000, from: 'entry-4', to: 'entry-3' });
   writer.add({ kind: EventKind.FreeDisk, id: 'free', at: 25_000, entryVm: 'entry-0' });
-  writer.add({ kind: EventKind.ReadResults, id: 'read', at: 60_000, via: 'entry-6', job: 'first' });
+  writer.add({ kind: EventKind.ReadResults, id: 'read', at: 45_000, via: 'entry-6', job: 'first' });
   writer.expectOutcome('read', { status: 200 });
   for (let index = 0; index < 20; index += 1) {
     const via = `entry-${index % 7}`;
--- a/packages/replay/src/trace/header.ts
+++ b/packages/replay/src/trace/header.ts
@@ -45,6 +45,8 @@
   remoteDelayMs: duration,
   callerDelayMs: duration,
   vmListLagMs: duration,
+  /** One way to the key-value service and back: a floor plus an exponentially distributed extra. */
+  keyValueLatency: z.strictObject({ floorMs: duration, meanExtraMs: duration }),
   entryVms: z.strictObject({ count, disks: z.int().min(0) }),
   /** Time for which callers keep an entry-point answer, also the first phase of a planned stop. */
   entryPointLifetimeMs: duration.default(5000),
