--- a/packages/bench/src/cases/limits.ts
+++ b/packages/bench/src/cases/limits.ts
@@ -42,6 +42,7 @@
   evenAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseAny },
   skewedAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseSkewed },
   movingAbove: { teams: 4, limitPerSecond: 40, load: 1.5, choose: chooseMoving },
+  evenBelow: { teams: 4, limitPerSecond: 40, load: 0.8, choose: chooseAny },
   movingBelow: { teams: 4, limitPerSecond: 40, load: 0.8, choose: chooseMoving },
   // At the design size a team sends about one request per second.
   smallTeams: { teams: 40, limitPerSecond: 2, load: 0.5, choose: chooseAny },
