--- /dev/null
+++ b/packages/capacity/src/costs.ts
@@ -0,0 +1,220 @@
+/** Costs per role, computed from the fits for a scenario. */
+import { predict } from './fit.js';
+import type { FleetCounts } from './measure/key-value.js';
+import type { Results } from './results.js';
+import { countActiveTeams, countOwners, type Scenario } from './scenario.js';
+import type { Series } from './series.js';
+import { TCP_IP_BYTES } from './wire-format.js';
+
+export enum Resource {
+  Bytes = 'B/s sent',
+  Processor = '% of a core',
+  Memory = 'MB',
+}
+
+export interface Cost {
+  role: string;
+  part: string;
+  resource: Resource;
+  value: number;
+  /** Largest relative residual of the fit, or of the worst of several. */
+  error: number;
+  series: string[];
+  /** False for the data path, which is not part of the control budget. */
+  isControl: boolean;
+}
+
+export const BUDGETS: Record<Resource, number> = {
+  [Resource.Bytes]: 6000,
+  [Resource.Processor]: 3.5,
+  [Resource.Memory]: 256,
+};
+
+const SECONDS_PER_DAY = 86_400;
+const MEGABYTE = 1e6;
+const SHARDS = 64;
+const US_TO_PERCENT = 1e-4;
+
+/** JSON of a grant request and its answer beyond the empty push that `call.bytes` starts from. */
+const GRANT_JSON_BYTES = 40;
+
+export class CostModel {
+  private readonly costs: Cost[] = [];
+
+  constructor(
+    private readonly results: Results,
+    private readonly scenario: Scenario,
+  ) {}
+
+  compute(): Cost[] {
+    this.addEntryVm();
+    this.addOwners();
+    this.addDataPath();
+    this.addMemory();
+    return this.costs;
+  }
+
+  private find(id: string): Series {
+    const series = this.results.series.find((candidate) => candidate.id === id);
+    if (series === undefined) throw new Error(`no series ${id}`);
+    return series;
+  }
+
+  /** The measured point at the size, else the line. */
+  private at(id: string, size: number): number {
+    const { points, fit } = this.find(id);
+    return points.find((point) => point.size === size)?.value ?? Math.max(0, predict(fit, size));
+  }
+
+  private add(
+    role: string,
+    part: string,
+    resource: Resource,
+    value: number,
+    series: string[],
+    isControl = true,
+  ): void {
+    const error = Math.max(0, ...series.map((id) => this.find(id).fit.maxResidual));
+    this.costs.push({ role, part, resource, value, error, series, isControl });
+  }
+
+  /** Bytes and processor time of calls at a rate; sent and received ones are alike on the mean VM. */
+  private addCalls(role: string, part: string, perSecond: number, extraBytes: number): void {
+    const bytes = this.at('call.bytes', 0) + TCP_IP_BYTES + extraBytes;
+    const processorUs = this.find('call.processor').fit.intercept;
+    this.add(role, part, Resource.Bytes, perSecond * bytes, ['call.bytes']);
+    this.add(role, part, Resource.Processor, perSecond * processorUs * US_TO_PERCENT, [
+      'call.processor',
+    ]);
+  }
+
+  private addEntryVm(): void {
+    const { entryVms, requestsPerSecond, services, workers } = this.scenario;
+    const role = 'entry VM';
+    this.add(role, 'membership', Resource.Bytes, this.at('membership.bytesOut', entryVms), [
+      'membership.bytesOut',
+    ]);
+    this.add(role, 'membership', Resource.Processor, this.at('membership.processor', entryVms), [
+      'membership.processor',
+    ]);
+    this.add(role, 'online notices', Resource.Bytes, this.at('notices.bytes', entryVms), [
+      'notices.bytes',
+    ]);
+    this.add(role, 'online notices', Resource.Processor, this.at('notices.processor', entryVms), [
+      'notices.processor',
+    ]);
+    const teams = countActiveTeams(this.scenario);
+    this.addCalls(role, 'limit grants', this.at('limits.calls', teams), GRANT_JSON_BYTES);
+    const perVm = requestsPerSecond / entryVms;
+    const choiceUs = this.at('routing.choice', workers / services);
+    this.add(role, 'routing', Resource.Processor, perVm * choiceUs * US_TO_PERCENT, [
+      'routing.choice',
+    ]);
+    this.addConfiguration(role);
+    this.addCalls(role, 'claims', perVm * this.scenario.claimShare, GRANT_JSON_BYTES);
+    this.add(role, 'shard plan', Resource.Processor, this.at('shards.processor', entryVms), [
+      'shards.processor',
+    ]);
+  }
+
+  private addConfiguration(role: string): void {
+    const { configurationChangesPerDay, entryVms } = this.scenario;
+    const changes = configurationChangesPerDay / SECONDS_PER_DAY;
+    const pushes = Math.min(3, entryVms - 1);
+    const recordBytes = 420;
+    this.addCalls(role, 'configuration pushes', changes * pushes, recordBytes);
+    const changeUs =
+      this.at('configuration.changeByMembers', entryVms) +
+      this.at('teams.keyIndex', this.scenario.teams);
+    this.add(role, 'configuration', Resource.Processor, changes * changeUs * US_TO_PERCENT, [
+      'configuration.changeByMembers',
+      'teams.keyIndex',
+    ]);
+  }
+
+  private addOwners(): void {
+    const { entryVms, openJobs, itemsPerDay, itemsPerJob } = this.scenario;
+    const owners = countOwners(this.scenario);
+    this.add(
+      'worker owner',
+      'notices, busiest',
+      Resource.Bytes,
+      this.at('notices.ownerBytes', entryVms),
+      ['notices.ownerBytes'],
+    );
+    const polling = this.findPolling();
+    this.addCalls('executor', 'chunk requests', polling, GRANT_JSON_BYTES);
+    const jobsPerOwner = openJobs / owners;
+    const grantUs = this.at('jobs.grant', jobsPerOwner);
+    this.add(
+      'chunk owner',
+      'chunk requests',
+      Resource.Processor,
+      polling * grantUs * US_TO_PERCENT,
+      ['jobs.grant'],
+    );
+    const chunksPerJob = this.at('jobs.chunks', itemsPerJob);
+    const commits = (itemsPerDay / itemsPerJob) * (chunksPerJob / SECONDS_PER_DAY / owners);
+    const commitUs = this.at('jobs.commit', chunksPerJob);
+    this.add('chunk owner', 'commits', Resource.Processor, commits * commitUs * US_TO_PERCENT, [
+      'jobs.commit',
+      'jobs.chunks',
+    ]);
+    this.addClaimOwner(owners);
+  }
+
+  private addClaimOwner(owners: number): void {
+    const { requestsPerSecond, claimShare } = this.scenario;
+    const claims = (requestsPerSecond * claimShare) / owners;
+    // Pages are between empty and 256 KiB, so half full on average.
+    const onPage = (256 * 1024) / 2 / this.find('claims.bytes').fit.slope;
+    const commitUs = this.at('claims.processor', onPage);
+    const bytes = this.at('claims.bytes', onPage);
+    this.add('claim owner', 'commits', Resource.Processor, claims * commitUs * US_TO_PERCENT, [
+      'claims.processor',
+    ]);
+    this.add('claim owner', 'bytes to the key-value service', Resource.Bytes, claims * bytes, [
+      'claims.bytes',
+    ]);
+  }
+
+  /** Chunk requests per second of a VM with workers, as counted in the idle fleets. */
+  private findPolling(): number {
+    const idle = this.results.keyValue.filter((counts) => counts.case === 'idleByVms');
+    const rate = ({ peerCalls }: FleetCounts): number => peerCalls.requestChunk ?? 0;
+    return Math.max(...idle.map(rate));
+  }
+
+  private addDataPath(): void {
+    const { requestsPerSecond, tokensPerSecond, entryVms } = this.scenario;
+    const { fit } = this.find('proxy.request');
+    const requestUs = (requestsPerSecond / entryVms) * Math.max(0, fit.intercept);
+    const tokenUs = (tokensPerSecond / entryVms) * fit.slope;
+    const series = ['proxy.request'];
+    this.add('data path', 'requests', Resource.Processor, requestUs * US_TO_PERCENT, series, false);
+    this.add('data path', 'tokens', Resource.Processor, tokenUs * US_TO_PERCENT, series, false);
+  }
+
+  private addMemory(): void {
+    const { scenario } = this;
+    const owners = countOwners(scenario);
+    const megabytes = (id: string, size: number): number => this.at(id, size) / MEGABYTE;
+    const memory = (role: string, part: string, value: number, ids: string[]): void =>
+      this.add(role, part, Resource.Memory, value, ids);
+    memory('entry VM', 'process with all modules', this.results.baselineBytes / MEGABYTE, []);
+    memory('entry VM', 'records', megabytes('configuration.heap', scenario.records), [
+      'configuration.heap',
+    ]);
+    memory('entry VM', 'member entries', megabytes('membership.memory', scenario.entryVms), [
+      'membership.memory',
+    ]);
+    memory('chunk owner', 'open jobs', megabytes('jobs.heap', scenario.openJobs / owners), [
+      'jobs.heap',
+    ]);
+    const shares = (countActiveTeams(scenario) * scenario.entryVms) / owners;
+    memory('limit owner', 'shares', megabytes('limits.heap', shares), ['limits.heap']);
+    const claims = (scenario.requestsPerSecond * scenario.claimShare * SECONDS_PER_DAY) / SHARDS;
+    const perOwner = claims * Math.ceil(SHARDS / owners);
+    memory('claim owner', 'claims of 24 h', megabytes('claims.heap', perOwner), ['claims.heap']);
+  }
+}
--- /dev/null
+++ b/packages/capacity/src/fit.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava';
+import { fitLine, predict } from './fit.js';
+
+const sizes = [1, 2, 4, 8, 16];
+
+// Guards against a wrong slope, from which every figure of the page would follow.
+test('a line is found exactly', (t) => {
+  const fit = fitLine(sizes.map((size) => ({ size, value: 3 + 0.5 * size })));
+  t.true(Math.abs(fit.slope - 0.5) < 1e-12);
+  t.true(Math.abs(fit.intercept - 3) < 1e-12);
+  t.true(Math.abs(fit.r2 - 1) < 1e-12);
+  t.true(fit.maxResidual < 1e-12);
+  t.true(Math.abs(predict(fit, 410) - 208) < 1e-9);
+});
+
+// Guards against a quadratic cost that passes as a linear one.
+test('a square shows in the exponent and the residual', (t) => {
+  const fit = fitLine(sizes.map((size) => ({ size, value: size ** 2 })));
+  t.true(Math.abs(fit.exponent - 2) < 1e-12);
+  t.true(fit.maxResidual > 0.1);
+  t.true(fit.r2 < 0.97);
+});
+
+// Textbook data: slope 0.6, intercept 2.2, R² 0.6.
+test('scattered points give the least-squares line', (t) => {
+  const values = [2, 4, 5, 4, 5];
+  const fit = fitLine(values.map((value, index) => ({ size: index + 1, value })));
+  t.true(Math.abs(fit.slope - 0.6) < 1e-12);
+  t.true(Math.abs(fit.intercept - 2.2) < 1e-12);
+  t.true(Math.abs(fit.r2 - 0.6) < 1e-12);
+});
+
+test('constant points have slope 0 and no residual', (t) => {
+  const fit = fitLine(sizes.map((size) => ({ size, value: 7 })));
+  t.is(fit.slope, 0);
+  t.is(fit.r2, 1);
+  t.is(fit.maxResidual, 0);
+});
--- /dev/null
+++ b/packages/capacity/src/job-record.ts
@@ -0,0 +1,67 @@
+/** Job records as large as real ones, built with the product's own chunking and encoding. */
+import { ChunkBuilder, encodeJob } from '@jujubelanding/batch-jobs';
+import { computeChecksum } from '@jujubelanding/random';
+import { JobStatus, type JobChunk, type JobRecord } from '@jujubelanding/types';
+
+/** Entry VMs with a disk that hold the copies. */
+const DISK_VMS = 51;
+
+const createSegment = (index: number, bytes: number) => ({
+  id: computeChecksum(`segment-${index}`),
+  bytes,
+  copies: [0, 1].map(
+    (copy) => `entry-vm-${String(((index + copy) % DISK_VMS) * 8).padStart(4, '0')}`,
+  ),
+});
+
+export const createJobRecord = (chunks: JobChunk[], jobId = 0): JobRecord => ({
+  id: computeChecksum(`job-${jobId}`).slice(0, 32),
+  team: `team-${jobId % 7300}`,
+  idempotencyKey: computeChecksum(`key-${jobId}`),
+  model: 'advisor',
+  maxAttempts: 3,
+  digest: computeChecksum('items'),
+  status: JobStatus.Open,
+  itemCount: chunks.reduce((sum, { itemCount }) => sum + itemCount, 0),
+  chunks,
+  createdAt: 1_767_225_600_000,
+  dueAt: 1_767_247_200_000 + jobId,
+  fence: 123,
+});
+
+/** Chunks of equal size; `finished` of them have a result. */
+export const createChunks = (count: number, finished: number): JobChunk[] =>
+  Array.from({ length: count }, (_, index) => ({
+    index,
+    firstItem: index * 2000,
+    itemCount: 2000,
+    input: createSegment(index, 987_654),
+    ...(index < finished ? { result: createSegment(index + count, 1_876_543) } : {}),
+    failedItems: index % 3,
+  }));
+
+/** Splits a job of short items; the record of a finished job is the largest. */
+export const buildFinishedJob = (itemCount: number): { chunks: number; recordBytes: number } => {
+  const builder = new ChunkBuilder();
+  const counts: number[] = [];
+  const messages = [{ role: 'user', content: 'x'.repeat(400) }];
+  for (let index = 0; index < itemCount; index += 1) {
+    const chunk = builder.add({ itemId: `item-${index}`, messages, maxTokens: 256 });
+    if (chunk !== undefined) counts.push(chunk.itemCount);
+  }
+  const last = builder.finish();
+  if (last !== undefined) counts.push(last.itemCount);
+  const chunks = createChunks(counts.length, counts.length).map((chunk, index) => ({
+    ...chunk,
+    itemCount: counts[index]!,
+  }));
+  return {
+    chunks: counts.length,
+    recordBytes: Buffer.byteLength(encodeJob(createJobRecord(chunks))),
+  };
+};
+
+/** Fails on a record that the key-value service would refuse. */
+export const checkRecordSize = (bytes: number, limit: number): void => {
+  if (bytes > limit) throw new Error(`job record of ${bytes} bytes exceeds ${limit}`);
+};
--- /dev/null
+++ b/packages/capacity/src/key-value-projection.ts
@@ -0,0 +1,114 @@
+/** Key-value calls of a scenario by purpose, from counted rates and the load of the scenario. */
+import { predict } from './fit.js';
+import type { FleetCounts } from './measure/key-value.js';
+import { Purpose } from './key-value-purposes.js';
+import type { Results } from './results.js';
+import { countOwners, type Scenario } from './scenario.js';
+
+export interface Projection {
+  purpose: string;
+  reads: number;
+  writes: number;
+  from: string;
+}
+
+const SECONDS_PER_DAY = 86_400;
+/** VM failures and restarts of the design, each of which moves the shards of a VM. */
+const LOSSES_PER_DAY = 141;
+
+const ratePer = (
+  counts: FleetCounts[],
+  purpose: Purpose,
+  kind: 'reads' | 'writes',
+  size: (counts: FleetCounts) => number,
+): number => {
+  const last = counts.at(-1);
+  return last === undefined ? 0 : (last[kind][purpose] ?? 0) / size(last);
+};
+
+/** Calls per shard that moves, from the losses that were simulated. */
+const callsPerShard = ({ losses }: Results): number => {
+  const calls = losses.reduce((sum, loss) => sum + loss.acquisitionCalls, 0);
+  return calls / losses.reduce((sum, loss) => sum + loss.shardsLost, 0);
+};
+
+const projectOwnership = (results: Results, scenario: Scenario): Projection[] => {
+  const idle = results.keyValue.filter((counts) => counts.case === 'idleByVms');
+  const owners = countOwners(scenario);
+  const byOwner = (purpose: Purpose, kind: 'reads' | 'writes'): number =>
+    owners * ratePer(idle, purpose, kind, ({ load }) => Math.min(64, load.entryVms));
+  const moved = (LOSSES_PER_DAY * (scenario.entryVms / 410) * 64) / scenario.entryVms;
+  const acquisitions = (moved * callsPerShard(results)) / SECONDS_PER_DAY;
+  return [
+    {
+      purpose: 'lease renewals',
+      reads: 0,
+      writes: byOwner(Purpose.LeaseRenewals, 'writes'),
+      from: `counted per owner, ${owners} owners`,
+    },
+    {
+      purpose: 'shard audits',
+      reads: byOwner(Purpose.ShardAudits, 'reads'),
+      writes: 0,
+      from: `counted per owner, ${owners} owners`,
+    },
+    {
+      purpose: 'shard acquisitions',
+      reads: acquisitions / 2,
+      writes: acquisitions / 2,
+      from: 'counted per moved shard; 141 losses and restarts a day per 410 VMs, halves assumed',
+    },
+    {
+      purpose: 'watches of jobs, renewed',
+      reads: ratePer(idle, Purpose.JobWatches, 'reads', () => 1),
+      writes: 0,
+      from: 'counted, 64 shards',
+    },
+  ];
+};
+
+const projectLoad = (results: Results, scenario: Scenario): Projection[] => {
+  const owners = countOwners(scenario);
+  const changes = scenario.configurationChangesPerDay / SECONDS_PER_DAY;
+  const jobs = scenario.itemsPerDay / scenario.itemsPerJob / SECONDS_PER_DAY;
+  const { fit } = results.series.find(({ id }) => id === 'jobs.chunks')!;
+  const commits = jobs * predict(fit, scenario.itemsPerJob);
+  const claims = scenario.requestsPerSecond * scenario.claimShare;
+  const idle = results.keyValue.filter((counts) => counts.case === 'idleByVms');
+  const watches = ratePer(idle, Purpose.RecordWatches, 'reads', ({ load }) => load.entryVms);
+  return [
+    {
+      purpose: 'watches of records',
+      reads: owners * (watches + changes),
+      writes: 0,
+      from: 'counted per owner when idle, and one more per owner and change',
+    },
+    {
+      purpose: 'records and history',
+      reads: 2 * changes,
+      writes: 2 * changes,
+      from: 'counted: two reads and two writes per change',
+    },
+    {
+      purpose: 'job records',
+      reads: 2 * jobs + commits,
+      writes: 2 * jobs + commits,
+      from: 'one commit per chunk (upper bound), one watch answer per commit',
+    },
+    {
+      purpose: 'claims',
+      reads: 0,
+      writes: claims,
+      from: `${scenario.claimShare * 100}% of requests, assumed; one write per claim (upper bound)`,
+    },
+  ];
+};
+
+/** Sums up as the last row. */
+export const projectKeyValue = (results: Results, scenario: Scenario): Projection[] => {
+  const rows = [...projectOwnership(results, scenario), ...projectLoad(results, scenario)];
+  const sum = (kind: 'reads' | 'writes'): number =>
+    rows.reduce((total, row) => total + row[kind], 0);
+  const total = { purpose: 'total', reads: sum('reads'), writes: sum('writes'), from: '' };
+  return [...rows, total];
+};
--- /dev/null
+++ b/packages/capacity/src/main.ts
@@ -0,0 +1,66 @@
+/** Command that measures the cost slopes and writes the tables and charts of the capacity page. */
+import { readFile, writeFile } from 'node:fs/promises';
+import { formatLine } from '@jujubelanding/log';
+import meow from 'meow';
+import { writeCharts } from './charts.js';
+import { createTables, fillPage, formatSeries } from './report.js';
+import { computeSpread, measureAll, type Results } from './results.js';
+
+const SEED = 1;
+
+const cli = meow(
+  `
+  Usage
+    $ npm run capacity -- [options]
+
+  Options
+    --json FILE      results (default docs/capacity.json)
+    --charts FOLDER  charts (default docs/charts)
+    --page FILE      page whose tables are replaced
+    --earlier FILE   results of an earlier run, to give the spread
+    --quick          fewer and smaller sizes
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      json: { type: 'string', default: 'docs/capacity.json' },
+      charts: { type: 'string', default: 'docs/charts' },
+      page: { type: 'string' },
+      earlier: { type: 'string' },
+      quick: { type: 'boolean', default: false },
+    },
+  },
+);
+
+const printCounts = (results: Results): void => {
+  for (const { case: name, size, readsPerSecond, writesPerSecond, ...counts } of results.keyValue) {
+    const { pendingWatches, processorPercent } = counts;
+    const rates = { reads: readsPerSecond, writes: writesPerSecond };
+    console.log(
+      formatLine('keyValue', { case: name, size, ...rates, pendingWatches, processorPercent }),
+    );
+  }
+  results.losses.forEach((loss) => console.log(formatLine('loss', { ...loss })));
+};
+
+const run = async (): Promise<void> => {
+  const { json, charts, page, earlier, quick } = cli.flags;
+  const results = await measureAll({ seed: SEED, quick }, (series) =>
+    console.log(formatSeries(series)),
+  );
+  if (earlier !== undefined) {
+    const before = JSON.parse(await readFile(earlier, 'utf8')) as Results;
+    results.spread = computeSpread(results, before);
+  }
+  printCounts(results);
+  const tables = createTables(results);
+  Object.entries(tables).forEach(([name, table]) => console.log(`\n<!-- ${name} -->\n${table}`));
+  await writeFile(json, `${JSON.stringify(results, null, 2)}\n`);
+  const names = await writeCharts(charts, results.series);
+  names.forEach((name) => console.log(formatLine('chart', { name })));
+  if (page !== undefined) await writeFile(page, fillPage(await readFile(page, 'utf8'), tables));
+};
+
+await run();
+// Timers of measured parts would keep the process alive.
+process.exit(0);
--- /dev/null
+++ b/packages/capacity/src/measure/configuration.ts
@@ -0,0 +1,189 @@
+/** Cost of operator records and of a change against the number of records and of members. */
+import { ConfigurationController } from '@jujubelanding/configuration';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { PeerMethod, type ReplicatedRecord } from '@jujubelanding/peer-protocol';
+import { computeChecksum, createRandom } from '@jujubelanding/random';
+import { encodeStored } from '@jujubelanding/records';
+import { KeyValueService } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { RecordKind, type Member } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { addressOf, createMember, createMembers, createMembership } from '../parts.js';
+import { measureHeapBytes, readProcessorMs } from '../processor-time.js';
+import {
+  createSeries,
+  Kind,
+  measureEach,
+  pickPoints,
+  type MeasureOptions,
+  type Series,
+} from '../series.js';
+import type { WireNetwork } from '../wire-network.js';
+import { Wire } from '../wire.js';
+
+const RECORDS = [500, 1500, 4000, 8000];
+const MEMBERS = [8, 32, 128, 410];
+const CHANGES = 200;
+const ROUNDS = 5;
+
+const createRecord = (index: number, revision: number): ReplicatedRecord => {
+  const name = `team-${index}`;
+  const spec = {
+    keyHashes: [computeChecksum(`key-${index}`)],
+    requestsPerSecond: 100,
+    burst: 200,
+    concurrency: 500,
+    maxBodyBytes: 1_000_000,
+    maxJobItems: 570_000,
+    batchWeight: 1,
+  };
+  const origin = { writeId: 'aaaaaaaaaaaaaaaa', author: 'operator', time: 1_767_225_600_000 };
+  const header = { kind: RecordKind.Team, name, schemaVersion: 2 } as const;
+  return { kind: 'team', name, revision, value: encodeStored({ ...header, spec, ...origin }) };
+};
+
+/** JSON of one pushed record, without the parts that a call adds. */
+export const RECORD_BYTES = JSON.stringify(createRecord(1, 1)).length;
+
+interface Replica {
+  /** Other members, of which more than half are made to hold each change. */
+  peers: Member[];
+  controller: ConfigurationController;
+  network: WireNetwork;
+  timer: VirtualTimer;
+  push: (records: ReplicatedRecord[], after: number, revision: number) => Promise<unknown>;
+}
+
+/** A pull has nothing to bring, because the push of the same change is on its way. */
+const createPeer = (wire: Wire, address: string): void => {
+  const network = wire.createNetwork(address);
+  network.handle(PeerMethod.PushConfiguration, async ({ revision }) =>
+    ok({ heldRevision: revision }),
+  );
+  network.handle(PeerMethod.PullConfiguration, async ({ afterRevision }) =>
+    ok({ afterRevision, revision: afterRevision, records: [] }),
+  );
+};
+
+/** A replica that knows its start revision, with silent peers. */
+const startReplica = async (memberCount: number, seed: number): Promise<Replica> => {
+  const timer = new VirtualTimer();
+  const wire = new Wire(timer);
+  const members = createMembers(memberCount).map((member, index) =>
+    index === 0 ? createMember(0) : { ...member, heldRevision: 0, activeRevision: 0 },
+  );
+  const self = members[0]!;
+  members.slice(1).forEach(({ peerAddress }) => createPeer(wire, peerAddress));
+  const network = wire.createNetwork(self.peerAddress);
+  const random = createRandom(seed);
+  const io = {
+    timer,
+    random,
+    store: new KeyValueService({ timer, random }).createClient('vm'),
+    network,
+    createLog: () => silentLog,
+    metrics: silentMetrics,
+  };
+  const controller = new ConfigurationController({
+    io,
+    settings: self,
+    membership: createMembership(self, members),
+    directory: { entryVms: () => members },
+    shards: { owned: () => [{ shard: 1, fence: 1 }] },
+  });
+  controller.start();
+  await timer.advance(100);
+  const caller = wire.createNetwork(addressOf('caller'));
+  const push: Replica['push'] = (records, afterRevision, revision) =>
+    caller.call(self, PeerMethod.PushConfiguration, { afterRevision, revision, records });
+  return { controller, network, timer, push, peers: members.slice(1) };
+};
+
+/** Two of three peers hold the change, so that it is put in force at once; the rest gets a push. */
+const receive = async (
+  { peers, push, timer }: Replica,
+  records: ReplicatedRecord[],
+  after: number,
+  revision: number,
+): Promise<void> => {
+  peers.forEach((peer, index) => {
+    if (index % 3 !== 0) peer.heldRevision = revision;
+  });
+  const pushed = push(records, after, revision);
+  await timer.advance(4);
+  await pushed;
+};
+
+const load = (replica: Replica, count: number): Promise<void> => {
+  const records = Array.from({ length: count }, (_, index) => createRecord(index, index + 1));
+  return receive(replica, records, 0, count);
+};
+
+const measureChange = async (records: number, members: number, seed: number): Promise<number> => {
+  const replica = await startReplica(members, seed);
+  await load(replica, records);
+  let revision = records;
+  const rounds: number[] = [];
+  while (rounds.length < ROUNDS) {
+    const start = readProcessorMs();
+    for (let index = 0; index < CHANGES; index += 1) {
+      await receive(replica, [createRecord(index, revision + 1)], revision, revision + 1);
+      revision += 1;
+    }
+    rounds.push(((readProcessorMs() - start) * 1000) / CHANGES);
+  }
+  if (replica.controller.activeRevision() !== revision) throw new Error('changes not in force');
+  return rounds.toSorted((a, b) => a - b)[Math.floor(ROUNDS / 2)]!;
+};
+
+const measureRecordHeap = async (count: number, seed: number): Promise<number> => {
+  const replica = await startReplica(8, seed);
+  return measureHeapBytes(async () => {
+    await load(replica, count);
+    return replica;
+  });
+};
+
+const SOURCE = 'configuration/src/replica.ts, activation.ts, peer-sync.ts';
+
+/** Measures a received change, pushed on to three members, and the memory of the replica. */
+export const measureConfiguration = async ({ seed }: MeasureOptions): Promise<Series[]> => {
+  // Compiles the code, which would otherwise count for the first size.
+  await measureChange(RECORDS[0]!, MEMBERS[0]!, seed);
+  const byRecords = await measureEach(RECORDS, (count) => measureChange(count, 8, seed));
+  const byMembers = await measureEach(MEMBERS, (count) => measureChange(500, count, seed));
+  const heaps = await measureEach(RECORDS, (count) => measureRecordHeap(count, seed));
+  const change = { kind: Kind.Processor, unit: 'µs per change', source: SOURCE };
+  return [
+    createSeries(
+      {
+        ...change,
+        id: 'configuration.changeByRecords',
+        title: 'Configuration: a received change, by records',
+        size: 'records',
+      },
+      pickPoints(byRecords, (value) => value),
+    ),
+    createSeries(
+      {
+        ...change,
+        id: 'configuration.changeByMembers',
+        title: 'Configuration: a received change, by members',
+        size: 'members',
+      },
+      pickPoints(byMembers, (value) => value),
+    ),
+    createSeries(
+      {
+        id: 'configuration.heap',
+        title: 'Configuration: heap of the replica',
+        kind: Kind.Memory,
+        size: 'records',
+        unit: 'B',
+        source: SOURCE,
+      },
+      pickPoints(heaps, (value) => value),
+    ),
+  ];
+};
--- /dev/null
+++ b/packages/capacity/src/measure/jobs.ts
@@ -0,0 +1,128 @@
+/** Cost of open jobs and chunks for the job owner. */
+import { chooseChunks, decodeJob, encodeJob, type OpenJob } from '@jujubelanding/batch-jobs';
+import { JobControl, type JobRecord } from '@jujubelanding/types';
+import { buildFinishedJob, createChunks, createJobRecord } from '../job-record.js';
+import { measureHeapBytes, measureSynchronous } from '../processor-time.js';
+import type { Point } from '../fit.js';
+import {
+  createSeries,
+  Kind,
+  measureEach,
+  pickPoints,
+  selectSizes,
+  type MeasureOptions,
+  type Series,
+} from '../series.js';
+
+const OPEN_JOBS = [8, 32, 125, 500, 2000];
+const CHUNKS = [25, 75, 150, 300];
+const ITEMS = [10_000, 50_000, 150_000, 300_000, 570_000];
+/** Chunks of a job of 145,000 items, the mean of 290 M items in 2,000 jobs. */
+const MEAN_CHUNKS = 77;
+
+const policy = { weightOf: () => 1, controlOf: () => JobControl.Running };
+
+const createOpenJob = (index: number): OpenJob => ({
+  record: createJobRecord(createChunks(MEAN_CHUNKS, Math.floor(MEAN_CHUNKS / 2)), index),
+  revision: 1,
+  grants: new Map([[40, { grantId: 'grant', executorId: 'vm', deadline: 1e9 }]]),
+  finished: new Set(),
+  grantsFrom: 0,
+  isSuspended: false,
+});
+
+const measureGrant = (count: number): Promise<number> => {
+  const jobs = Array.from({ length: count }, (_, index) => createOpenJob(index));
+  return measureSynchronous(() => {
+    chooseChunks(jobs, { models: ['advisor'], slots: 64 }, policy, 1000);
+  });
+};
+
+const decodeRecord = (value: string): JobRecord => {
+  const decoded = decodeJob(value);
+  if (decoded.isErr()) throw new Error(decoded.error.message);
+  return decoded.value;
+};
+
+/** A commit encodes the record, and the owner's watch returns it to be decoded. */
+const measureCommit = (chunks: number): Promise<number> => {
+  const record = createJobRecord(createChunks(chunks, chunks - 1));
+  return measureSynchronous(() => {
+    decodeRecord(encodeJob(record));
+  });
+};
+
+const measureJobHeap = (count: number): Promise<number> =>
+  measureHeapBytes(() => {
+    const values = Array.from({ length: count }, (_, index) =>
+      encodeJob(createOpenJob(index).record),
+    );
+    return values.map(decodeRecord);
+  });
+
+const SCHEDULE = 'batch-jobs/src/schedule.ts';
+const CODEC = 'batch-jobs/src/codec.ts, chunk-builder.ts';
+
+const createRecordSeries = (options: MeasureOptions): Series[] => {
+  const built = selectSizes(ITEMS, options).map((size) => ({
+    size,
+    result: buildFinishedJob(size),
+  }));
+  const item = { kind: Kind.Counted, size: 'items', source: CODEC };
+  return [
+    createSeries(
+      { ...item, id: 'jobs.chunks', title: 'Job: chunks', unit: 'chunks' },
+      pickPoints(built, ({ chunks }) => chunks),
+    ),
+    createSeries(
+      { ...item, id: 'jobs.recordBytes', title: 'Job: record of a finished job', unit: 'B' },
+      pickPoints(built, ({ recordBytes }) => recordBytes),
+    ),
+  ];
+};
+
+const createGrantSeries = (points: Point[]): Series =>
+  createSeries(
+    {
+      id: 'jobs.grant',
+      title: 'Job owner: a chunk request',
+      kind: Kind.Processor,
+      size: 'open jobs of 77 chunks',
+      unit: 'µs per request',
+      source: SCHEDULE,
+    },
+    points,
+  );
+
+/** Measures grants, commits, records and memory of the job owner. */
+export const measureJobs = async (options: MeasureOptions): Promise<Series[]> => {
+  const grants = await measureEach(selectSizes(OPEN_JOBS, options), measureGrant);
+  const commits = await measureEach(CHUNKS, measureCommit);
+  const heaps = await measureEach([8, 32, 64, 128], measureJobHeap);
+  return [
+    createGrantSeries(pickPoints(grants, (value) => value)),
+    createSeries(
+      {
+        id: 'jobs.commit',
+        title: 'Job owner: encoding and decoding a commit',
+        kind: Kind.Processor,
+        size: 'chunks',
+        unit: 'µs per commit',
+        source: CODEC,
+      },
+      pickPoints(commits, (value) => value),
+    ),
+    createSeries(
+      {
+        id: 'jobs.heap',
+        title: 'Job owner: heap of open jobs of 77 chunks',
+        kind: Kind.Memory,
+        size: 'open jobs',
+        unit: 'B',
+        source: CODEC,
+      },
+      pickPoints(heaps, (value) => value),
+    ),
+    ...createRecordSeries(options),
+  ];
+};
--- /dev/null
+++ b/packages/capacity/src/measure/key-value.ts
@@ -0,0 +1,190 @@
+/** Key-value calls per second of simulated fleets, idle and under load. */
+import { MeasuredFleet, type FleetLoad } from '../measured-fleet.js';
+import { Purpose } from '../key-value-purposes.js';
+import { readProcessorMs } from '../processor-time.js';
+import type { MeasureOptions } from '../series.js';
+
+const MEASURED_MS = 30_000;
+/** Time after a loss in which the shards of the lost VM find new owners. */
+const TAKEOVER_MS = 30_000;
+const CHANGE_INTERVAL_MS = 2000;
+
+export interface FleetCounts {
+  case: string;
+  size: number;
+  load: FleetLoad;
+  measuredSeconds: number;
+  readsPerSecond: number;
+  writesPerSecond: number;
+  pendingWatches: number;
+  /** Calls per second. */
+  reads: Partial<Record<Purpose, number>>;
+  writes: Partial<Record<Purpose, number>>;
+  /** Calls and datagrams between entry VMs, per second and VM. */
+  peerCalls: Record<string, number>;
+  /** Processor time per VM of everything simulated, in percent of a core. */
+  processorPercent: number;
+}
+
+const IDLE: FleetLoad = {
+  entryVms: 8,
+  workers: 17,
+  jobs: 0,
+  itemsPerJob: 400,
+  claimsPerSecond: 0,
+  recordChanges: 0,
+};
+
+const LOADED: FleetLoad = { ...IDLE, jobs: 8, claimsPerSecond: 10, recordChanges: 5 };
+
+interface Case {
+  name: string;
+  sizes: number[];
+  createLoad: (size: number) => FleetLoad;
+}
+
+const CASES: Case[] = [
+  {
+    name: 'idleByVms',
+    sizes: [4, 8, 16, 32, 64],
+    createLoad: (entryVms) => ({ ...IDLE, entryVms }),
+  },
+  {
+    name: 'loadedByVms',
+    sizes: [4, 8, 16, 32],
+    createLoad: (entryVms) => ({ ...LOADED, entryVms }),
+  },
+  {
+    name: 'loadedByWorkers',
+    sizes: [4, 8, 16, 32],
+    createLoad: (workers) => ({ ...LOADED, workers }),
+  },
+  { name: 'loadedByJobs', sizes: [2, 4, 8, 16], createLoad: (jobs) => ({ ...LOADED, jobs }) },
+  {
+    name: 'loadedByItems',
+    sizes: [200, 400, 800, 1600],
+    createLoad: (itemsPerJob) => ({ ...LOADED, itemsPerJob }),
+  },
+];
+
+const perSecond = <K extends string>(
+  counts: ReadonlyMap<K, number>,
+  seconds: number,
+): Partial<Record<K, number>> =>
+  Object.fromEntries([...counts].map(([name, count]) => [name, count / seconds])) as Partial<
+    Record<K, number>
+  >;
+
+/** Submits the jobs and changes records while the fleet runs. */
+const runLoad = async (measured: MeasuredFleet): Promise<void> => {
+  const { fleet, load } = measured;
+  measured.startClaims();
+  const submissions = Array.from({ length: load.jobs }, (_, index) => measured.submit(index));
+  for (let change = 0, revision = 0; change < load.recordChanges; change += 1) {
+    const content = { schemaVersion: 1, spec: { weight: `weight-${change}` } };
+    revision = await measured.apply('version/changed', { ...content, expectedRevision: revision });
+    await fleet.advance(CHANGE_INTERVAL_MS - 1000);
+  }
+  await fleet.advance(MEASURED_MS - load.recordChanges * CHANGE_INTERVAL_MS);
+  await Promise.all(submissions);
+};
+
+const measureFleet = async (
+  name: string,
+  size: number,
+  load: FleetLoad,
+  seed: number,
+): Promise<FleetCounts> => {
+  const measured = new MeasuredFleet(load, seed);
+  const { fleet, counters } = measured;
+  await measured.start();
+  counters.reset();
+  fleet.medium.traffic.calls.clear();
+  fleet.medium.traffic.datagrams.clear();
+  const startMs = readProcessorMs();
+  await runLoad(measured);
+  const seconds = MEASURED_MS / 1000;
+  const vmSeconds = seconds * load.entryVms;
+  const { calls, datagrams } = fleet.medium.traffic;
+  return {
+    case: name,
+    size,
+    load,
+    measuredSeconds: seconds,
+    readsPerSecond: counters.total('reads') / seconds,
+    writesPerSecond: counters.total('writes') / seconds,
+    pendingWatches: counters.pendingWatches,
+    reads: perSecond(counters.reads, seconds),
+    writes: perSecond(counters.writes, seconds),
+    peerCalls: { ...perSecond(calls, vmSeconds), ...perSecond(datagrams, vmSeconds) } as Record<
+      string,
+      number
+    >,
+    processorPercent: (readProcessorMs() - startMs) / 10 / vmSeconds,
+  };
+};
+
+export interface LossCounts {
+  entryVms: number;
+  shardsLost: number;
+  /** All calls for acquisitions until the shards are owned again. */
+  acquisitionCalls: number;
+  jobReads: number;
+  claimReads: number;
+  /** Virtual time until all shards have an owner. */
+  unownedMs: number;
+}
+
+const countOwned = ({ fleet }: MeasuredFleet): number =>
+  fleet.liveNodes().reduce((sum, { entryVm }) => sum + entryVm.parts.shards.owned().length, 0);
+
+/** Loses the VM that owns most shards, and counts the calls of the takeover. */
+const measureLoss = async (entryVms: number, seed: number): Promise<LossCounts> => {
+  const measured = new MeasuredFleet({ ...IDLE, entryVms }, seed);
+  const { fleet, counters } = measured;
+  await measured.start();
+  const [lost] = fleet
+    .liveNodes()
+    .toSorted(
+      (a, b) => b.entryVm.parts.shards.owned().length - a.entryVm.parts.shards.owned().length,
+    );
+  const shardsLost = lost!.entryVm.parts.shards.owned().length;
+  const total = countOwned(measured);
+  counters.reset();
+  fleet.crash(lost!.host.id);
+  let unownedMs = 0;
+  for (let elapsed = 0; elapsed < TAKEOVER_MS; elapsed += 100) {
+    await fleet.advance(100);
+    if (countOwned(measured) < total) unownedMs = elapsed + 100;
+  }
+  const count = (purpose: Purpose): number =>
+    (counters.reads.get(purpose) ?? 0) + (counters.writes.get(purpose) ?? 0);
+  return {
+    entryVms,
+    shardsLost,
+    acquisitionCalls: count(Purpose.ShardAcquisitions),
+    jobReads: count(Purpose.JobReads),
+    claimReads: count(Purpose.Claims),
+    unownedMs,
+  };
+};
+
+/** Counts the calls of all cases. */
+export const measureKeyValue = async ({ seed, quick }: MeasureOptions): Promise<FleetCounts[]> => {
+  const counts: FleetCounts[] = [];
+  for (const { name, sizes, createLoad } of CASES) {
+    for (const size of quick ? sizes.slice(0, 2) : sizes) {
+      counts.push(await measureFleet(name, size, createLoad(size), seed));
+    }
+  }
+  return counts;
+};
+
+/** Counts the calls after the loss of one VM. */
+export const measureLosses = async ({ seed, quick }: MeasureOptions): Promise<LossCounts[]> => {
+  const counts: LossCounts[] = [];
+  for (const entryVms of quick ? [4, 8] : [4, 8, 16, 32]) {
+    counts.push(await measureLoss(entryVms, seed));
+  }
+  return counts;
+};
--- /dev/null
+++ b/packages/capacity/src/measure/members.ts
@@ -0,0 +1,169 @@
+/** Cost of membership per VM against the number of members. */
+import { silentLog } from '@jujubelanding/log';
+import { MembershipController } from '@jujubelanding/membership';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { DatagramKind } from '@jujubelanding/peer-protocol';
+import { createRandom } from '@jujubelanding/random';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { assignShards, createMembers } from '../parts.js';
+import { measureHeapBytes, measureOnceMs } from '../processor-time.js';
+import {
+  createSeries,
+  Kind,
+  measureEach,
+  pickPoints,
+  selectSizes,
+  type MeasureOptions,
+  type Series,
+  type SeriesHeader,
+} from '../series.js';
+import { encodeDatagram } from '../wire-format.js';
+import { Wire } from '../wire.js';
+
+const SIZES = [8, 32, 64, 128, 256, 410];
+const WARM_UP_MS = 1000;
+const MEASURED_MS = 4000;
+const LOAD_INTERVAL_MS = 1000;
+
+interface MembersResult {
+  oversizedShare: number;
+  bytesOutPerSecond: number;
+  bytesInPerSecond: number;
+  messagesPerSecond: number;
+  processorShare: number;
+  bytesPerMember: number;
+  largestDatagram: number;
+  knownShare: number;
+}
+
+export interface MemberFleet {
+  wire: Wire;
+  timer: VirtualTimer;
+  controllers: MembershipController[];
+}
+
+/** Starts a fleet of membership controllers whose online load changes every second. */
+export const startMembers = (count: number, seed: number): MemberFleet => {
+  const timer = new VirtualTimer();
+  const wire = new Wire(timer);
+  const members = createMembers(count);
+  const owners = assignShards(members);
+  const random = createRandom(seed);
+  const controllers = members.map((member) => {
+    const io = {
+      timer,
+      random: createRandom(random.below(2 ** 31)),
+      network: wire.createNetwork(member.peerAddress),
+      createLog: () => silentLog,
+      metrics: silentMetrics,
+    };
+    const directory = { entryVms: () => members };
+    const controller = new MembershipController({ io, settings: member, directory });
+    controller.start();
+    const shards = owners.flatMap((owner, shard) =>
+      owner === member ? [{ shard, fence: 7 }] : [],
+    );
+    controller.updateSelf({ shards, heldRevision: 123_456, activeRevision: 123_456 });
+    timer.every(LOAD_INTERVAL_MS, () => controller.updateSelf({ onlineLoad: random.below(300) }));
+    return controller;
+  });
+  return { wire, timer, controllers };
+};
+
+/**
+ * Gives every VM the entries of all and ends their spread. A fleet that starts within one second
+ * repeats them for about a minute; the figures are those of a fleet at rest.
+ */
+export const introduceAll = ({ wire, controllers }: MemberFleet): void => {
+  const updates = controllers.map((controller) => controller.self());
+  const [first, second] = updates;
+  controllers.forEach((controller) => {
+    const self = controller.self();
+    const { entryVmId: from } = self === first ? second! : first!;
+    const datagram = { kind: DatagramKind.ProbeReply as const, sequence: 0, from, updates };
+    wire.networks.get(self.peerAddress)!.receive(encodeDatagram(datagram));
+    const { queue } = Reflect.get(controller, 'swim') as { queue: { clear: () => void } };
+    queue.clear();
+  });
+};
+
+const measureMembers = async (count: number, seed: number): Promise<MembersResult> => {
+  const fleet = startMembers(count, seed);
+  introduceAll(fleet);
+  await fleet.timer.advance(WARM_UP_MS);
+  fleet.wire.reset();
+  const elapsedMs = await measureOnceMs(() => fleet.timer.advance(MEASURED_MS));
+  const seconds = (MEASURED_MS / 1000) * count;
+  const usages = fleet.wire.usages();
+  const total = (pick: (usage: (typeof usages)[number]) => number): number =>
+    usages.reduce((sum, usage) => sum + pick(usage), 0) / seconds;
+  const known = fleet.controllers.reduce((sum, node) => sum + node.members().length, 0);
+  const heap = await measureHeapBytes(() =>
+    Array.from({ length: 50 }, () => structuredClone(createMembers(count))),
+  );
+  return {
+    oversizedShare: fleet.wire.oversized / (total(({ messagesOut }) => messagesOut) * seconds),
+    bytesOutPerSecond: total(({ bytesOut }) => bytesOut),
+    bytesInPerSecond: total(({ bytesIn }) => bytesIn),
+    messagesPerSecond: total(({ messagesOut, messagesIn }) => messagesOut + messagesIn),
+    processorShare: elapsedMs / 1000 / seconds,
+    bytesPerMember: heap / 50,
+    largestDatagram: fleet.wire.largestDatagram,
+    knownShare: known / count ** 2,
+  };
+};
+
+const SOURCE = 'membership/src/swim.ts, membership-controller.ts, payload.ts';
+
+const header = (id: string, title: string, kind: Kind, unit: string) => ({
+  id,
+  title,
+  kind,
+  unit,
+  size: 'members',
+  source: SOURCE,
+});
+
+type Row = readonly [header: SeriesHeader, pick: (result: MembersResult) => number];
+
+const ROWS: readonly Row[] = [
+  [
+    header('membership.bytesOut', 'Membership: bytes sent per VM', Kind.Counted, 'B/s'),
+    (result) => result.bytesOutPerSecond,
+  ],
+  [
+    header('membership.bytesIn', 'Membership: bytes received per VM', Kind.Counted, 'B/s'),
+    (result) => result.bytesInPerSecond,
+  ],
+  [
+    header('membership.messages', 'Membership: datagrams per VM', Kind.Counted, '1/s'),
+    (result) => result.messagesPerSecond,
+  ],
+  [
+    header('membership.processor', 'Membership: processor time', Kind.Processor, '% of a core'),
+    (result) => result.processorShare * 100,
+  ],
+  [
+    header('membership.memory', 'Membership: heap of the member entries', Kind.Memory, 'B'),
+    (result) => result.bytesPerMember,
+  ],
+  [
+    header('membership.largest', 'Membership: largest datagram', Kind.Counted, 'B'),
+    (result) => result.largestDatagram,
+  ],
+  [
+    header('membership.oversized', 'Membership: datagrams above 1,200 B', Kind.Counted, 'ratio'),
+    (result) => result.oversizedShare,
+  ],
+  [
+    header('membership.known', 'Membership: share of members known', Kind.Counted, 'ratio'),
+    (result) => result.knownShare,
+  ],
+];
+
+/** Measures membership; each figure is the mean per VM. */
+export const measureMembership = async (options: MeasureOptions): Promise<Series[]> => {
+  const sizes = selectSizes(SIZES, options);
+  const results = await measureEach(sizes, (count) => measureMembers(count, options.seed));
+  return ROWS.map(([row, pick]) => createSeries(row, pickPoints(results, pick)));
+};
--- /dev/null
+++ b/packages/capacity/src/measure/transport.ts
@@ -0,0 +1,154 @@
+/** Bytes and processor time of calls and datagrams through the real transport on loopback. */
+import { silentLog } from '@jujubelanding/log';
+import {
+  DatagramKind,
+  PeerMethod,
+  type ConfigurationDelta,
+  type OnlineNotice,
+} from '@jujubelanding/peer-protocol';
+import { createPeerNetwork, type PeerTransport } from '@jujubelanding/peer-transport';
+import { SystemTimer } from '@jujubelanding/timer';
+import { ok } from 'neverthrow';
+import { measurePerOperation } from '../processor-time.js';
+import {
+  createSeries,
+  Kind,
+  measureEach,
+  pickPoints,
+  selectSizes,
+  type MeasureOptions,
+  type Series,
+} from '../series.js';
+import { encodeDatagram } from '../wire-format.js';
+
+const VALUE_BYTES = [0, 400, 1600, 6400, 25_600];
+const DATAGRAM_WORKERS = [1, 8, 16, 32];
+const CALL_MS = 150;
+
+export interface Pair {
+  a: PeerTransport;
+  b: PeerTransport;
+  peer: { entryVmId: string; peerAddress: string };
+}
+
+/** Starts two networks on free loopback ports. */
+export const startPair = async (): Promise<Pair> => {
+  const create = (): PeerTransport =>
+    createPeerNetwork({
+      address: '127.0.0.1:0',
+      fleetKey: 'capacity',
+      log: silentLog,
+      timer: new SystemTimer(),
+    });
+  const [a, b] = [create(), create()];
+  const bound = await Promise.all([a.start(), b.start()]);
+  const peerAddress = bound[1].unwrapOr('');
+  if (peerAddress === '') throw new Error('no free loopback port');
+  return { a, b, peer: { entryVmId: 'b', peerAddress } };
+};
+
+export const stopPair = async ({ a, b }: Pair): Promise<void> => {
+  await Promise.all([a.stop(), b.stop()]);
+};
+
+const createDelta = (valueBytes: number): ConfigurationDelta => ({
+  afterRevision: 1,
+  revision: 2,
+  records: [{ kind: 'team', name: 'traders', revision: 2, value: 'x'.repeat(valueBytes) }],
+});
+
+interface CallCost {
+  bytes: number;
+  processorUs: number;
+}
+
+const measureCall = async (valueBytes: number): Promise<CallCost> => {
+  const pair = await startPair();
+  const { a, b, peer } = pair;
+  b.network.handle(PeerMethod.PushConfiguration, async () => ok({ heldRevision: 2 }));
+  const delta = createDelta(valueBytes);
+  const call = async (): Promise<void> => {
+    const answer = await a.network.call(peer, PeerMethod.PushConfiguration, delta);
+    if (answer.isErr()) throw new Error(answer.error.message);
+  };
+  const processorUs = await measurePerOperation(call, CALL_MS);
+  const { messagesOut, bytesOut, bytesIn } = a.counters().traffic[PeerMethod.PushConfiguration]!;
+  await stopPair(pair);
+  return { bytes: (bytesOut + bytesIn) / messagesOut, processorUs };
+};
+
+export const createFullNotice = (workers: number): OnlineNotice => ({
+  kind: DatagramKind.OnlineNotice,
+  from: 'entry-vm-0001',
+  bootId: 'aaaaaaaaaaaaaaaa',
+  sequence: 123_456,
+  inFlight: Object.fromEntries(
+    Array.from({ length: workers }, (_, index) => [`worker-${1000 + index}`, index]),
+  ),
+  full: true,
+});
+
+const DATAGRAM_BATCH = 20;
+
+/** Both ends; batches keep the number of waits for the socket low, as on a busy VM. */
+const measureDatagram = async (workers: number): Promise<number> => {
+  const pair = await startPair();
+  let received = 0;
+  let wake = (): void => {};
+  pair.b.network.handleDatagram(DatagramKind.OnlineNotice, () => {
+    received += 1;
+    if (received % DATAGRAM_BATCH === 0) wake();
+  });
+  const notice = createFullNotice(workers);
+  const value = await measurePerOperation(
+    () =>
+      new Promise<void>((resolve) => {
+        wake = resolve;
+        for (let index = 0; index < DATAGRAM_BATCH; index += 1) {
+          pair.a.network.send(pair.peer.peerAddress, notice);
+        }
+      }),
+    CALL_MS,
+  );
+  await stopPair(pair);
+  return value / DATAGRAM_BATCH;
+};
+
+const CALL_SOURCE = 'peer-transport/src/peer-caller.ts, peer-server.ts';
+const DATAGRAM_SOURCE = 'peer-transport/src/datagram-channel.ts';
+
+/** Measures the transport; both ends run in this process, so processor time is that of both. */
+export const measureTransport = async (options: MeasureOptions): Promise<Series[]> => {
+  const calls = await measureEach(selectSizes(VALUE_BYTES, options), measureCall);
+  const datagrams = await measureEach(DATAGRAM_WORKERS, measureDatagram);
+  const call = { size: 'bytes of the record value', source: CALL_SOURCE };
+  const datagram = { size: 'workers listed', source: DATAGRAM_SOURCE };
+  const bytes = DATAGRAM_WORKERS.map((size) => ({
+    size,
+    value: encodeDatagram(createFullNotice(size)).length,
+  }));
+  return [
+    createSeries(
+      { ...call, id: 'call.bytes', title: 'Call: HTTP bytes', kind: Kind.Counted, unit: 'B' },
+      pickPoints(calls, (cost) => cost.bytes),
+    ),
+    createSeries(
+      { ...call, id: 'call.processor', title: 'Call: both ends', kind: Kind.Processor, unit: 'µs' },
+      pickPoints(calls, (cost) => cost.processorUs),
+    ),
+    createSeries(
+      { ...datagram, id: 'datagram.bytes', title: 'Notice: bytes', kind: Kind.Counted, unit: 'B' },
+      bytes,
+    ),
+    createSeries(
+      {
+        ...datagram,
+        id: 'datagram.processor',
+        title: 'Notice: both ends',
+        kind: Kind.Processor,
+        unit: 'µs',
+      },
+      pickPoints(datagrams, (value) => value),
+    ),
+  ];
+};
--- /dev/null
+++ b/packages/capacity/src/measured-fleet.ts
@@ -0,0 +1,148 @@
+/** A simulated fleet under an adjustable load, with counted key-value calls. */
+import { computeChecksum } from '@jujubelanding/random';
+import { Fleet, OPERATOR_TOKEN, type FleetNode } from '@jujubelanding/simulation';
+import { FencingMode, ServiceKind, type BatchItem } from '@jujubelanding/types';
+import { PurposeCounters } from './key-value-purposes.js';
+import { ZONES } from './parts.js';
+
+export interface FleetLoad {
+  entryVms: number;
+  workers: number;
+  jobs: number;
+  itemsPerJob: number;
+  claimsPerSecond: number;
+  recordChanges: number;
+}
+
+const MAX_DISK_VMS = 8;
+const WARM_UP_MS = 20_000;
+const SETTLE_STEP_MS = 1000;
+const ENGINE_SLOTS = 16;
+
+const RECORDS = [
+  {
+    path: 'service/advisor-service',
+    schemaVersion: 2,
+    spec: {
+      kind: ServiceKind.ModelEngine,
+      fencing: FencingMode.Checked,
+      slotsPerWorker: ENGINE_SLOTS,
+      requestTimeoutMs: 30_000,
+      nonIdempotentPaths: [],
+    },
+  },
+  { path: 'version/v1', schemaVersion: 1, spec: { weight: 'weight-1' } },
+  {
+    path: 'model/advisor',
+    schemaVersion: 1,
+    spec: { service: 'advisor-service', version: 'v1', minWorkers: 1, maxTokens: 64 },
+  },
+  {
+    path: 'team/traders',
+    schemaVersion: 2,
+    spec: {
+      keyHashes: [computeChecksum('key')],
+      requestsPerSecond: 10_000,
+      burst: 10_000,
+      concurrency: 10_000,
+      maxBodyBytes: 1_000_000,
+      maxJobItems: 570_000,
+      batchWeight: 1,
+    },
+  },
+];
+
+async function* createItems(count: number): AsyncGenerator<BatchItem> {
+  for (let index = 0; index < count; index += 1) {
+    yield { itemId: `item-${index}`, messages: [{ role: 'user', content: 'vase' }], maxTokens: 1 };
+  }
+}
+
+export class MeasuredFleet {
+  readonly fleet: Fleet;
+
+  readonly counters = new PurposeCounters();
+
+  constructor(
+    readonly load: FleetLoad,
+    seed: number,
+  ) {
+    this.fleet = new Fleet({
+      seed,
+      availabilityZones: ZONES,
+      entryVmCount: load.entryVms,
+      diskVmCount: Math.min(MAX_DISK_VMS, load.entryVms),
+      localDelayMs: 0.5,
+      remoteDelayMs: 1.5,
+      vmListLagMs: 300,
+      prepare: (node) => this.counters.observe(node.store),
+    });
+  }
+
+  /** Starts all VMs, writes the records and waits until shards and leases are at rest. */
+  async start(): Promise<void> {
+    const { fleet, load } = this;
+    for (let index = 0; index < load.workers; index += 1) {
+      fleet.addEngine(`worker-${index}`, 'advisor-service', ZONES[index % ZONES.length]!, {
+        slots: ENGINE_SLOTS,
+        models: ['advisor'],
+        stepBaseMs: 100,
+        stepPerStreamMs: 1,
+      });
+    }
+    fleet.startAll();
+    await fleet.advance(WARM_UP_MS);
+    for (const { path, schemaVersion, spec } of RECORDS) {
+      await this.apply(path, { schemaVersion, spec, expectedRevision: 0 });
+    }
+    await fleet.advance(WARM_UP_MS);
+  }
+
+  node(index: number): FleetNode {
+    return this.fleet.node(`entry-${index % this.load.entryVms}`);
+  }
+
+  /** Writes a record through the administration interface; returns its revision. */
+  async apply(path: string, content: object): Promise<number> {
+    const reply = Promise.resolve(
+      this.node(0).entryVm.app.request(`http://entry/admin/v1/records/${path}`, {
+        method: 'PUT',
+        headers: {
+          authorization: `Bearer ${OPERATOR_TOKEN}`,
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify(content),
+      }),
+    );
+    await this.fleet.advance(SETTLE_STEP_MS);
+    const response = await reply;
+    const body = await response.text();
+    if (!response.ok) throw new Error(`${path}: ${response.status} ${body}`);
+    return (JSON.parse(body) as { revision: number }).revision;
+  }
+
+  async submit(index: number): Promise<void> {
+    const submitted = await this.node(index).entryVm.parts.batchJobs.submit({
+      team: 'traders',
+      idempotencyKey: `job-${index}`,
+      model: 'advisor',
+      maxAttempts: 3,
+      dueAt: this.fleet.timer.wallClock() + 3_600_000,
+      items: createItems(this.load.itemsPerJob),
+      maxItems: 570_000,
+    });
+    if (submitted.isErr()) throw new Error(submitted.error.message);
+  }
+
+  /** Claims at a constant rate from all VMs in turn. */
+  startClaims(): void {
+    const { claimsPerSecond } = this.load;
+    if (claimsPerSecond === 0) return;
+    let index = 0;
+    this.fleet.timer.every(1000 / claimsPerSecond, () => {
+      index += 1;
+      const { claims } = this.node(index).entryVm.parts;
+      void claims.claim('traders', `key-${index}`, computeChecksum('body'), `request-${index}`);
+    });
+  }
+}
--- /dev/null
+++ b/packages/capacity/src/processor-time.ts
@@ -0,0 +1,67 @@
+/** Processor time and memory of this process. */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+const MICROSECONDS_PER_MS = 1000;
+
+/** Processor time below which one measurement would be mostly noise of the clock. */
+const LEAST_MEASURED_MS = 60;
+
+const REPEATS = 5;
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Milliseconds of processor time of all threads of the process, garbage collection included. */
+export const readProcessorMs = (): number => {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MS;
+};
+
+/** Runs an operation once and returns its processor time in milliseconds. */
+export const measureOnceMs = async (operation: () => unknown): Promise<number> => {
+  collectGarbage();
+  const start = readProcessorMs();
+  await operation();
+  return readProcessorMs() - start;
+};
+
+/**
+ * Returns microseconds of processor time per operation: the median of several rounds, so that the
+ * compilation of code in the first round does not count.
+ */
+export const measurePerOperation = async (
+  operation: (index: number) => unknown,
+  leastMs = LEAST_MEASURED_MS,
+): Promise<number> => {
+  const rounds: number[] = [];
+  let count = 1;
+  while (rounds.length < REPEATS) {
+    const operations = count;
+    const elapsedMs = await measureOnceMs(async () => {
+      for (let index = 0; index < operations; index += 1) await operation(index);
+    });
+    if (elapsedMs < leastMs) count *= 2;
+    else rounds.push((elapsedMs * MICROSECONDS_PER_MS) / operations);
+  }
+  return rounds.toSorted((a, b) => a - b)[Math.floor(REPEATS / 2)]!;
+};
+
+/** As `measurePerOperation`, without the cost of a promise per operation. */
+export const measureSynchronous = (operation: (index: number) => void): Promise<number> => {
+  const batch = 20;
+  return measurePerOperation((round) => {
+    for (let index = 0; index < batch; index += 1) operation(round * batch + index);
+  }).then((value) => value / batch);
+};
+
+/** Returns the heap bytes that the built object keeps. */
+export const measureHeapBytes = async <T>(build: () => T | Promise<T>): Promise<number> => {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const kept = await build();
+  collectGarbage();
+  const after = process.memoryUsage().heapUsed;
+  // Uses the object after the measurement, so that it is not collected before.
+  return kept === undefined ? 0 : after - before;
+};
--- /dev/null
+++ b/packages/capacity/src/scenario.ts
@@ -0,0 +1,70 @@
+/** Loads for which the costs are computed. */
+
+export interface Scenario {
+  name: string;
+  entryVms: number;
+  workers: number;
+  services: number;
+  requestsPerSecond: number;
+  tokensPerSecond: number;
+  teams: number;
+  records: number;
+  openJobs: number;
+  itemsPerDay: number;
+  itemsPerJob: number;
+  configurationChangesPerDay: number;
+  /** Share of requests with a claim; not given by the design, assumed. */
+  claimShare: number;
+  /** Mean duration of a request; 0.25 s and 217 tokens at 45 ms, assumed. */
+  requestSeconds: number;
+}
+
+export const DESIGN: Scenario = {
+  name: 'design size',
+  entryVms: 410,
+  workers: 600,
+  services: 5,
+  requestsPerSecond: 8300,
+  tokensPerSecond: 1.8e6,
+  teams: 7300,
+  records: 7400,
+  openJobs: 2000,
+  itemsPerDay: 290e6,
+  itemsPerJob: 145_000,
+  configurationChangesPerDay: 2600,
+  claimShare: 0.01,
+  requestSeconds: 10,
+};
+
+const TODAY_VMS = 8;
+
+/** Today's larger deployment; what the design gives only for its size is scaled by entry VMs. */
+export const TODAY: Scenario = {
+  ...DESIGN,
+  name: 'today',
+  entryVms: TODAY_VMS,
+  workers: 17,
+  services: 2,
+  requestsPerSecond: (8300 / 410) * TODAY_VMS,
+  tokensPerSecond: (1.8e6 / 410) * TODAY_VMS,
+  teams: Math.round((7300 / 410) * TODAY_VMS),
+  records: Math.round((7400 / 410) * TODAY_VMS),
+  openJobs: Math.round((2000 / 410) * TODAY_VMS),
+  itemsPerDay: (290e6 / 410) * TODAY_VMS,
+  configurationChangesPerDay: (2600 / 410) * TODAY_VMS,
+};
+
+const SHARDS = 64;
+
+export const countOwners = ({ entryVms }: Scenario): number => Math.min(SHARDS, entryVms);
+
+/** Teams with a request in progress or within the last 5 s on one VM, if all teams ask alike. */
+export const countActiveTeams = ({
+  entryVms,
+  requestsPerSecond,
+  requestSeconds,
+  teams,
+}: Scenario) => {
+  const recent = (requestsPerSecond / entryVms) * (requestSeconds + 5);
+  return teams * (1 - Math.exp(-recent / teams));
+};
