Divide unused limits among all live entry VMs

A request for a grant now also says how many requests were wanted, and a share that is nearly used up is asked for again before it is.

--- a/packages/limits/src/grant-division.ts
+++ b/packages/limits/src/grant-division.ts
@@ -11,7 +11,7 @@
 
 interface Share {
   demandPerSecond: number;
-  inFlight: number;
+  wantedInFlight: number;
   requestsPerSecond: number;
   concurrency: number;
   expiresAt: number;
@@ -21,6 +21,8 @@
   entryVmId: string;
   demandPerSecond: number;
   inFlight: number;
+  /** Requests in progress and those refused lately. */
+  wantedInFlight?: number;
 }
 
 export interface Granted extends TeamBounds {
@@ -28,12 +30,12 @@
 }
 
 /**
- * Share of a limit by demand. Without shortage the rest is spread evenly with one part kept back, so
- * that a VM that asks for the first time gets something at once.
+ * Share of a limit by demand. Without shortage each VM gets an equal part of the rest on top; parts
+ * of VMs that do not ask are kept back, because callers may turn to any of them at any moment.
  */
-const divide = (limit: number, demand: number, others: number, holders: number): number => {
+const divide = (limit: number, demand: number, others: number, parts: number): number => {
   const total = demand + others;
-  if (total <= limit) return demand + (limit - total) / (holders + 1);
+  if (total <= limit) return demand + (limit - total) / parts;
   return (limit * demand) / total;
 };
 
@@ -41,24 +43,26 @@
 export class GrantDivision {
   private readonly shares = new Map<string, Share>();
 
-  grant(asked: Asked, bounds: TeamBounds, now: number): Granted {
+  /** `liveVms` is the number of entry VMs that could ask. */
+  grant(asked: Asked, bounds: TeamBounds, now: number, liveVms = 1): Granted {
+    const { wantedInFlight = asked.inFlight } = asked;
     this.expire(now);
     this.shares.delete(asked.entryVmId);
     const others = [...this.shares.values()];
     const sum = (pick: (share: Share) => number): number =>
       others.reduce((total, share) => total + pick(share), 0);
-    const holders = others.length + 1;
+    const parts = Math.max(liveVms, others.length + 1);
     const rateShare = divide(
       bounds.requestsPerSecond,
       asked.demandPerSecond,
       sum((share) => share.demandPerSecond),
-      holders,
+      parts,
     );
     const slotShare = divide(
       bounds.concurrency,
-      asked.inFlight,
-      sum((share) => share.inFlight),
-      holders,
+      wantedInFlight,
+      sum((share) => share.wantedInFlight),
+      parts,
     );
     const freeRate = bounds.requestsPerSecond - sum((share) => share.requestsPerSecond);
     const freeSlots = bounds.concurrency - sum((share) => share.concurrency);
@@ -67,7 +71,7 @@
     const concurrency = Math.max(0, Math.min(Math.ceil(slotShare), freeSlots));
     this.shares.set(asked.entryVmId, {
       demandPerSecond: asked.demandPerSecond,
-      inFlight: asked.inFlight,
+      wantedInFlight,
       requestsPerSecond,
       // Requests admitted under an earlier, larger grant still run.
       concurrency: Math.max(concurrency, asked.inFlight),
--- a/packages/limits/src/grant-holder.ts
+++ b/packages/limits/src/grant-holder.ts
@@ -23,6 +23,8 @@
 
 const MAX_RETRY_MS = 60_000;
 
+const NEAR_BOUNDS = 0.75;
+
 /** Weight of the newest interval in the demand. */
 const DEMAND_SMOOTHING = 0.5;
 
@@ -36,6 +38,9 @@
 
   private attempts = 0;
 
+  /** Requests refused for concurrency since the last `takeWanted`. */
+  private refused = 0;
+
   private measuredAt: number;
 
   private demandRate = 0;
@@ -76,6 +81,7 @@
     this.lastAttemptAt = now;
     this.refill(now);
     if (this.running >= this.bounds.concurrency) {
+      this.refused += 1;
       return { admission: Admission.ConcurrencyExceeded, retryAfterMs: CONCURRENCY_RETRY_MS };
     }
     if (this.tokens < 1) {
@@ -103,6 +109,21 @@
     return this.demandRate;
   }
 
+  /** Requests in progress and those refused since the last call. */
+  takeWanted(): number {
+    const wanted = this.running + this.refused;
+    this.refused = 0;
+    return wanted;
+  }
+
+  /** True when most of the bounds is in use, so that more should be asked for in time. */
+  isNearBounds(): boolean {
+    return (
+      this.running >= NEAR_BOUNDS * this.bounds.concurrency ||
+      this.tokens <= (1 - NEAR_BOUNDS) * this.capacity()
+    );
+  }
+
   /** Time since the last request, or 0 while one is in progress. */
   idleFor(now: number): number {
     return this.running > 0 ? 0 : now - this.lastAttemptAt;
--- a/packages/limits/src/team-limits.test.ts
+++ b/packages/limits/src/team-limits.test.ts
@@ -35,6 +35,22 @@
   t.true(sum(held) >= 0.7 * TEAM.concurrency, `${held}`);
 });
 
+test('a burst over all VMs passes while the limits are far away', async (t) => {
+  const group = new LimitGroup(7);
+  await group.run([5, 5, 5, 5, 5, 5, 5], 3000);
+  await group.run([], 500);
+  const admitted = await group.run([200, 200, 200, 200, 200, 200, 200], 10, 500);
+  // Each VM has about 16 / 7 tokens; no VM may have got all of the rest before another one asked.
+  t.deepEqual(admitted, [2, 2, 2, 2, 2, 2, 2]);
+});
+
+test('a single VM reaches the whole concurrency soon', async (t) => {
+  const group = new LimitGroup(8);
+  await group.run([0, 60], 2500, 100_000);
+  const held = group.controllers[1]!.inFlight('team');
+  t.true(held >= 0.9 * TEAM.concurrency, `${held}`);
+});
+
 test('without the owner each VM uses an equal part', async (t) => {
   const group = new LimitGroup(4);
   group.owner = undefined;
@@ -80,8 +96,14 @@
   for (let step = 0; step < 500; step += 1) {
     const entryVmId = `vm${(step * 7) % 5}`;
     const now = step * 130;
-    const asked = { entryVmId, demandPerSecond: (step * 37) % 200, inFlight: (step * 13) % 30 };
-    const grant = division.grant(asked, TEAM, now);
+    const inFlight = (step * 13) % 30;
+    const asked = {
+      entryVmId,
+      demandPerSecond: (step * 37) % 200,
+      inFlight,
+      wantedInFlight: inFlight,
+    };
+    const grant = division.grant(asked, TEAM, now, 5);
     inForce.set(entryVmId, {
       until: now + grant.validMs,
       rate: grant.requestsPerSecond,
--- a/packages/limits/src/team-limits.ts
+++ b/packages/limits/src/team-limits.ts
@@ -20,7 +20,7 @@
 /** Interval at which shares are renewed; half their validity, so that one lost call does no harm. */
 const RENEW_INTERVAL_MS = 1000;
 
-/** A refused request may ask for a larger share at most this often per team. */
+/** A share that is nearly used up is asked for again at most this often per team. */
 const EARLY_RENEW_MS = 250;
 
 /** Shares of teams without requests are not renewed after this time. */
@@ -77,7 +77,7 @@
     if (!holder.isGranted(now)) holder.setBounds(this.createFallback(record.spec), now);
     const decision = holder.admit(now);
     const isRefused = decision.admission !== Admission.Admitted;
-    const isDue = isRefused || !holder.isGranted(now);
+    const isDue = isRefused || !holder.isGranted(now) || holder.isNearBounds();
     if (isDue && now - held.askedAt >= EARLY_RENEW_MS) void this.renew(team, held);
     if (isRefused) return err(this.refuse(team, decision.admission, decision.retryAfterMs));
     return ok(this.createPermit(holder));
@@ -116,10 +116,7 @@
 
   /** Without the owner each VM may use an equal part of the limit, but at least one request. */
   private createFallback(record: TeamRecord): HeldBounds {
-    const live = this.options.membership
-      .members()
-      .filter((member) => member.state === MemberState.Alive).length;
-    const parts = Math.max(1, live);
+    const parts = this.countLive();
     return {
       requestsPerSecond: record.requestsPerSecond / parts,
       burst: record.burst / parts,
@@ -127,6 +124,11 @@
     };
   }
 
+  private countLive(): number {
+    const members = this.options.membership.members();
+    return Math.max(1, members.filter(({ state }) => state === MemberState.Alive).length);
+  }
+
   private renewAll(): void {
     const now = this.options.io.timer.now();
     for (const [team, held] of this.held) {
@@ -151,6 +153,7 @@
       team,
       demandPerSecond: held.holder.measureDemand(now),
       inFlight: held.holder.inFlight,
+      wantedInFlight: held.holder.takeWanted(),
     };
     const isOwn = owner.entryVmId === this.options.entryVmId;
     const answer = isOwn
@@ -182,7 +185,8 @@
     }
     const division = this.divisions.get(request.team) ?? new GrantDivision();
     this.divisions.set(request.team, division);
-    return ok(division.grant(request, record.spec, this.options.io.timer.now()));
+    const now = this.options.io.timer.now();
+    return ok(division.grant(request, record.spec, now, this.countLive()));
   }
 
   private createFault(code: FaultCode, message: string): Fault {
--- a/packages/peer-protocol/src/calls.ts
+++ b/packages/peer-protocol/src/calls.ts
@@ -120,6 +120,8 @@
   /** Requests per second seen recently by the asking VM. */
   demandPerSecond: number;
   inFlight: number;
+  /** Requests in progress and those refused since the last request for a grant. */
+  wantedInFlight?: number;
 }
 
 /** Share of a team's limits for one entry VM. */
