--- a/packages/batch-jobs/src/schedule.test.ts
+++ b/packages/batch-jobs/src/schedule.test.ts
@@ -2,6 +2,7 @@
 import { JobControl, JobStatus, type JobRecord } from '@jujubelanding/types';
 import { MAX_VALUE_BYTES } from '@jujubelanding/platform';
 import { computeChecksum } from '@jujubelanding/random';
+import { mergeResults } from './commit.js';
 import { createItems } from './fixtures/job-fleet.js';
 import { getValue } from './fixtures/segment-fleet.js';
 import { ChunkBuilder, chooseChunks, decodeJob, encodeJob, type OpenJob } from './index.js';
@@ -97,3 +98,17 @@
   t.true(Buffer.byteLength(encoded) < MAX_VALUE_BYTES / 8);
   t.deepEqual(getValue(decodeJob(encoded)), record);
 });
+
+test('a committed result is final and a later owner is not overwritten', (t) => {
+  const record = createRecord('a', [10, 10], { fence: 2 });
+  const result = createSegment('first');
+  record.chunks[0]!.result = result;
+  const finished = new Map(
+    [0, 1].map((chunk) => [chunk, { result: createSegment(`late-${chunk}`), failedItems: 1 }]),
+  );
+  t.is(mergeResults(record, finished, 1, 5), undefined);
+  const merged = mergeResults(record, finished, 2, 5)!;
+  t.deepEqual(merged.chunks[0], record.chunks[0]);
+  t.deepEqual([merged.status, merged.endedAt], [JobStatus.Completed, 5]);
+  t.is(mergeResults({ ...record, status: JobStatus.Cancelled }, finished, 2, 5), undefined);
+});
