Keep the former usable record in force over restarts

A VM that restarted after a record had become unusable had no record of that name in force, while others still had the former one. Replicas now pass the former record on, and a VM that reads all records from the key-value service takes it from the history.

--- a/packages/admin-api/src/admin-api.ts
+++ b/packages/admin-api/src/admin-api.ts
@@ -6,6 +6,7 @@
   isKnownVersion,
   isTombstone,
   newestVersion,
+  type Revision,
   toInvalidInput,
 } from '@jujubelanding/records';
 import { type Context, Hono } from 'hono';
@@ -13,7 +14,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { createFault } from './faults.js';
 import { FleetStatusController } from './fleet-status.js';
-import { MAX_RECORD_BYTES, type Revision } from './history.js';
+import { MAX_RECORD_BYTES } from './history.js';
 import { readKind, readRecordWrite, readWantedVersion, readWriteRequest } from './input.js';
 import { isOperator } from './operator-token.js';
 import { RecordsController, type RevisedRecord } from './records-controller.js';
--- a/packages/admin-api/src/history.test.ts
+++ b/packages/admin-api/src/history.test.ts
@@ -1,13 +1,7 @@
-import { type StoredValue } from '@jujubelanding/records';
+import type { Revision, StoredValue } from '@jujubelanding/records';
 import { RecordKind } from '@jujubelanding/types';
 import test from 'ava';
-import {
-  appendRevision,
-  MAX_HISTORY,
-  MAX_RECORD_BYTES,
-  MIN_HISTORY,
-  type Revision,
-} from './history.js';
+import { appendRevision, MAX_HISTORY, MAX_RECORD_BYTES, MIN_HISTORY } from './history.js';
 
 const createRevision = (revision: number, weight = 'w'): Revision => ({
   revision,
--- a/packages/admin-api/src/history.ts
+++ b/packages/admin-api/src/history.ts
@@ -1,7 +1,7 @@
 /** Earlier revisions of a record, kept in one bounded list. */
 import { FaultCode, type Reply } from '@jujubelanding/errors';
-import { type KeyValueEntry, type KeyValueStore, WriteStatus } from '@jujubelanding/platform';
-import { historyKey, type StoredValue } from '@jujubelanding/records';
+import { type KeyValueStore, WriteStatus } from '@jujubelanding/platform';
+import { historyKey, parseHistory, type Revision } from '@jujubelanding/records';
 import { err, ok } from 'neverthrow';
 import { createFault, toUnavailable } from './faults.js';
 
@@ -14,14 +14,6 @@
 export const MIN_HISTORY = 8;
 const APPEND_ATTEMPTS = 5;
 
-export interface Revision {
-  revision: number;
-  stored: StoredValue;
-}
-
-const parseHistory = (entry: KeyValueEntry | undefined): Revision[] =>
-  entry === undefined ? [] : (JSON.parse(entry.value) as Revision[]);
-
 /** Adds a revision, newest first, and drops the oldest beyond the bounds. */
 export const appendRevision = (history: readonly Revision[], added: Revision): Revision[] => {
   const all = [added, ...history].toSorted((a, b) => b.revision - a.revision).slice(0, MAX_HISTORY);
@@ -34,7 +26,7 @@
 
   async read(kind: string, name: string): Reply<Revision[]> {
     const entry = await this.store.get(historyKey(kind, name));
-    return entry.map(parseHistory);
+    return entry.map((found) => parseHistory(found?.value));
   }
 
   /**
@@ -46,7 +38,7 @@
     for (let attempt = 1; attempt <= APPEND_ATTEMPTS; attempt += 1) {
       const entry = await this.store.get(key);
       if (entry.isErr()) return err(toUnavailable(entry.error, 'write-history'));
-      const history = parseHistory(entry.value);
+      const history = parseHistory(entry.value?.value);
       if (history.some(({ revision }) => revision === added.revision)) return ok();
       const written = await this.store.write({
         key,
--- a/packages/admin-api/src/record-writer.ts
+++ b/packages/admin-api/src/record-writer.ts
@@ -2,10 +2,16 @@
 import { type Fault, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
 import type { EntryVmIo } from '@jujubelanding/interfaces';
 import { type KeyValueEntry, type Write, WriteStatus } from '@jujubelanding/platform';
-import { encodeStored, parseStored, recordKey, type StoredValue } from '@jujubelanding/records';
+import {
+  encodeStored,
+  parseStored,
+  recordKey,
+  type Revision,
+  type StoredValue,
+} from '@jujubelanding/records';
 import { err, ok } from 'neverthrow';
 import { createConflict, createFault, toUnavailable, toUnknown } from './faults.js';
-import { type HistoryStore, MIN_HISTORY, type Revision } from './history.js';
+import { type HistoryStore, MIN_HISTORY } from './history.js';
 
 /** Repetitions of a write whose reply was lost. */
 const RESOLVE_ATTEMPTS = 4;
--- a/packages/admin-api/src/records-controller.ts
+++ b/packages/admin-api/src/records-controller.ts
@@ -6,6 +6,7 @@
   isTombstone,
   type OperatorRecord,
   parseStored,
+  type Revision,
   type StoredRecord,
   type StoredValue,
   RECORDS_PREFIX,
@@ -13,7 +14,7 @@
 import type { RecordKind } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
 import { createConflict, createFault, createNotFound, toUnavailable } from './faults.js';
-import { HistoryStore, type Revision } from './history.js';
+import { HistoryStore } from './history.js';
 import { AttemptStatus, RecordWriter } from './record-writer.js';
 
 const PAGE_SIZE = 500;
--- a/packages/configuration/src/configuration.test.ts
+++ b/packages/configuration/src/configuration.test.ts
@@ -172,6 +172,28 @@
   t.deepEqual(configuration.invalidRecords(), []);
 });
 
+test('a VM restarted after a record became unusable has the former one in force', async (t) => {
+  const fleet = await startFleet(15);
+  const former = JSON.parse(fleet.service.state.get('records/version/v1')!.value);
+  fleet.service.state.write({
+    key: 'history/version/v1',
+    value: JSON.stringify([{ revision: 1, stored: former }]),
+    expectedRevision: 0,
+  });
+  const revision = await fleet.write('v1', '', '{"kind":"version","name":"v1"}');
+  await fleet.timer.advance(4000);
+  fleet.crash('vm-1');
+  fleet.add('vm-1');
+  await fleet.timer.advance(4000);
+  t.is(weightOf(fleet, 'vm-1', 'v1'), 'first', 'read from the history');
+  fleet.service.faults.reachability = Reachability.Refusing;
+  fleet.crash('vm-2');
+  fleet.add('vm-2');
+  await fleet.timer.advance(6000);
+  t.is(fleet.get('vm-2').configuration.activeRevision(), revision);
+  t.is(weightOf(fleet, 'vm-2', 'v1'), 'first', 'received from another VM');
+});
+
 test('a record stored under the key of another one is not put in force', async (t) => {
   const fleet = await startFleet(14);
   const stored = { kind: 'version', name: 'v2', schemaVersion: 1, spec: { weight: 'other' } };
--- a/packages/configuration/src/replica.ts
+++ b/packages/configuration/src/replica.ts
@@ -1,5 +1,6 @@
 /** Records held by this VM, and those of them that are not in force yet. */
 import type { ConfigurationDelta, ReplicatedRecord } from '@jujubelanding/peer-protocol';
+import { parseStored } from '@jujubelanding/records';
 
 /** Records received together; a revision is put in force by whole batches. */
 export interface Batch {
@@ -24,6 +25,9 @@
   /** Batches above the active revision, oldest first. */
   private pending: Batch[] = [];
 
+  /** Last usable record before a newest one that does not parse. */
+  private readonly former = new Map<string, ReplicatedRecord>();
+
   private held = 0;
 
   heldRevision(): number {
@@ -41,7 +45,7 @@
     const newer = records.filter(
       (record) => record.revision > (this.records.get(keyOf(record))?.revision ?? 0),
     );
-    newer.forEach((record) => this.records.set(keyOf(record), record));
+    newer.forEach((record) => this.put(record));
     this.held = revision;
     this.pending.push({ revision, records: newer, heldAt: now });
     return ApplyStatus.Applied;
@@ -49,7 +53,12 @@
 
   /** Returns everything changed after a revision. */
   deltaAfter(afterRevision: number): ConfigurationDelta {
-    const records = [...this.records.values()].filter(({ revision }) => revision > afterRevision);
+    const records = [...this.records.values()]
+      .filter(({ revision }) => revision > afterRevision)
+      .flatMap((record) => {
+        const former = this.former.get(keyOf(record));
+        return former === undefined ? [record] : [former, record];
+      });
     return { afterRevision, revision: this.held, records };
   }
 
@@ -59,4 +68,13 @@
     this.pending = this.pending.filter((batch) => batch.revision > revision);
     return taken;
   }
+
+  /** Keeps the former record of one that does not parse, so that a restarted VM has it in force too. */
+  private put(record: ReplicatedRecord): void {
+    const key = keyOf(record);
+    const before = this.records.get(key);
+    this.records.set(key, record);
+    if (parseStored(record.value).isOk()) this.former.delete(key);
+    else if (before !== undefined && parseStored(before.value).isOk()) this.former.set(key, before);
+  }
 }
--- a/packages/configuration/src/store-reader.ts
+++ b/packages/configuration/src/store-reader.ts
@@ -2,7 +2,15 @@
 import type { Reply } from '@jujubelanding/errors';
 import type { ConfigurationDelta, ReplicatedRecord } from '@jujubelanding/peer-protocol';
 import { ChangeKind, type KeyValueEntry, type KeyValueStore } from '@jujubelanding/platform';
-import { parseRecordKey, recordKey, RECORDS_PREFIX } from '@jujubelanding/records';
+import {
+  encodeStored,
+  historyKey,
+  parseHistory,
+  parseRecordKey,
+  parseStored,
+  recordKey,
+  RECORDS_PREFIX,
+} from '@jujubelanding/records';
 import { err, ok } from 'neverthrow';
 
 const PAGE_SIZE = 500;
@@ -55,17 +63,35 @@
     // More changes than the service keeps passed during the reading.
     if (since.value.status === WatchStatus.Compacted) return this.readAll();
     const delta = createDelta(0, entries);
+    const former = await this.readFormer(delta.records);
+    if (former.isErr()) return err(former.error);
     const { records, revision } = since.value.delta;
     return ok({
       storeRevision: since.value.storeRevision,
       delta: {
         afterRevision: 0,
         revision: records.length === 0 ? delta.revision : Math.max(delta.revision, revision),
-        records: [...delta.records, ...records],
+        records: [...former.value, ...delta.records, ...records],
       },
     });
   }
 
+  /** Reads the last usable revisions of records that do not parse. */
+  private async readFormer(records: readonly ReplicatedRecord[]): Reply<ReplicatedRecord[]> {
+    const former: ReplicatedRecord[] = [];
+    for (const { kind, name, revision, value } of records) {
+      if (parseStored(value).isOk()) continue;
+      const history = await this.store.get(historyKey(kind, name));
+      if (history.isErr()) return err(history.error);
+      const usable = parseHistory(history.value?.value)
+        .filter((earlier) => earlier.revision < revision)
+        .map((earlier) => ({ revision: earlier.revision, value: encodeStored(earlier.stored) }))
+        .find((earlier) => parseStored(earlier.value).isOk());
+      if (usable !== undefined) former.push({ kind, name, ...usable });
+    }
+    return ok(former);
+  }
+
   /** Waits for changes after a store revision. */
   async watch(afterRevision: number, waitMs: number): Reply<WatchRead> {
     const watched = await this.store.watch(RECORDS_PREFIX, afterRevision, waitMs);
--- a/packages/records/src/stored.ts
+++ b/packages/records/src/stored.ts
@@ -72,3 +72,15 @@
 export const newestSpecOf = <K extends RecordKind>(
   stored: StoredRecord & { kind: K },
 ): RecordSpecs[K] => convertToNewest(stored.kind, stored.spec, stored.schemaVersion);
+
+/** An earlier revision of a record. */
+export interface Revision {
+  revision: number;
+  stored: StoredValue;
+}
+
+/** Reads the value of a history key; a damaged one counts as empty. */
+export const parseHistory = (value: string | undefined): Revision[] => {
+  const parsed = value === undefined ? undefined : parseJson(value);
+  return Array.isArray(parsed) ? (parsed as Revision[]) : [];
+};
