--- a/packages/timer/src/virtual-timer.ts
+++ b/packages/timer/src/virtual-timer.ts
@@ -4,6 +4,7 @@
   dueAt: number;
   sequence: number;
   handler: () => void;
+  isCancelled: boolean;
 }
 
 /** Start of virtual calendar time, in epoch milliseconds. */
@@ -21,8 +22,6 @@
   /** Binary heap by due time, then sequence. */
   private readonly heap: Entry[] = [];
 
-  private readonly cancelled = new Set<Entry>();
-
   now(): number {
     return this.time;
   }
@@ -32,10 +31,19 @@
   }
 
   after(delayMs: number, handler: () => void): Subscription {
-    const entry = { dueAt: this.time + Math.max(0, delayMs), sequence: this.sequence, handler };
+    const entry: Entry = {
+      dueAt: this.time + Math.max(0, delayMs),
+      sequence: this.sequence,
+      handler,
+      isCancelled: false,
+    };
     this.sequence += 1;
     this.push(entry);
-    return { cancel: () => this.cancelled.add(entry) };
+    return {
+      cancel: () => {
+        entry.isCancelled = true;
+      },
+    };
   }
 
   every(intervalMs: number, handler: () => void): Subscription {
@@ -97,7 +105,7 @@
   private pop(end: number): Entry | undefined {
     while (this.heap.length > 0 && this.heap[0]!.dueAt <= end) {
       const entry = this.removeFirst();
-      if (!this.cancelled.delete(entry)) return entry;
+      if (!entry.isCancelled) return entry;
     }
     return undefined;
   }
