--- a/packages/caller-api/src/batch-input.ts
+++ b/packages/caller-api/src/batch-input.ts
@@ -4,7 +4,7 @@
 import { createRefusal } from './exchange.js';
 import { checkInput, describeLocation, InputRejection, parseInput } from './request-body.js';
 import { itemSchema, submissionSchema, type SubmissionFields } from './schemas.js';
-import { JsonItemScanner, ScannedKind } from './json-item-scanner.js';
+import { ScannedKind, scanItems } from './json-item-scanner.js';
 
 /** Text of one item and where it stands in the body. */
 export interface ItemText {
@@ -60,8 +60,7 @@
   chunks: AsyncIterable<Uint8Array>,
   maxItemBytes: number,
 ): Promise<BatchInput> => {
-  const scanner = new JsonItemScanner(maxItemBytes);
-  const scanned = scanner.scan(decode(chunks));
+  const scanned = scanItems(decode(chunks), maxItemBytes);
   const first = await scanned.next();
   if (first.done === true || first.value.kind !== ScannedKind.Fields) {
     const message = 'the body must be an object with the field items';
--- a/packages/caller-api/src/json-item-scanner.ts
+++ b/packages/caller-api/src/json-item-scanner.ts
@@ -54,22 +54,27 @@
 
   constructor(private readonly maxItemLength: number) {}
 
-  async *scan(texts: AsyncIterable<string>): AsyncGenerator<Scanned> {
-    for await (const text of texts) {
-      let position = 0;
-      while (position < text.length) {
-        // Items make up nearly all of a body; they are searched instead of read by character.
-        const isInItem = this.isInItems && this.depth > 2;
-        const end = isInItem ? this.skipItem(text, position) : position + 1;
-        const scanned = isInItem ? this.endItem() : this.step(text[position]!);
-        position = end;
-        if (scanned !== undefined) yield scanned;
-        if (this.text.length > this.maxItemLength) {
-          const problem = `a part of the body exceeds ${this.maxItemLength} characters`;
-          this.refuse(FaultCode.TooLarge, problem);
-        }
+  /** Returns the parts that end in this piece of the body. */
+  feed(text: string): Scanned[] {
+    const parts: Scanned[] = [];
+    let position = 0;
+    while (position < text.length) {
+      // Items make up nearly all of a body; they are searched instead of read by character.
+      const isInItem = this.isInItems && this.depth > 2;
+      const end = isInItem ? this.skipItem(text, position) : position + 1;
+      const scanned = isInItem ? this.endItem() : this.step(text[position]!);
+      position = end;
+      if (scanned !== undefined) parts.push(scanned);
+      if (this.text.length > this.maxItemLength) {
+        const problem = `a part of the body exceeds ${this.maxItemLength} characters`;
+        this.refuse(FaultCode.TooLarge, problem);
       }
     }
+    return parts;
+  }
+
+  /** Checks that the body was complete. */
+  finish(): void {
     if (!this.isPastItems || this.depth !== 0) {
       this.refuse(FaultCode.InvalidInput, 'the body ends before its JSON is complete');
     }
@@ -169,3 +174,13 @@
     throw new InputRejection(createRefusal(code, 'body', message, location));
   }
 }
+
+/** Scans a body that arrives in pieces. */
+export async function* scanItems(
+  texts: AsyncIterable<string>,
+  maxItemLength: number,
+): AsyncGenerator<Scanned> {
+  const scanner = new JsonItemScanner(maxItemLength);
+  for await (const text of texts) yield* scanner.feed(text);
+  scanner.finish();
+}
--- a/packages/caller-api/src/submission.ts
+++ b/packages/caller-api/src/submission.ts
@@ -52,8 +52,9 @@
   if (applied.isErr()) return err(applied.error);
   const fields = applied.value;
   const { configuration, io } = options;
-  if (fields.model === undefined)
+  if (fields.model === undefined) {
     return refuseField('model', 'is missing before the items, and no job is named');
+  }
   const model = configuration.get(RecordKind.Model, fields.model);
   if (model === undefined) return refuseField('model', `${fields.model} is not known`);
   const { adapter } = fields;
