--- a/packages/replay/src/generate/days.ts
+++ b/packages/replay/src/generate/days.ts
@@ -94,6 +94,15 @@
     items: 400,
     failing: [17, 230],
   });
+  // A caller that missed the acknowledgement sends the whole job again.
+  writer.add({
+    kind: EventKind.Resend,
+    id: 'offers-again',
+    at: DAY_MS + 2000,
+    via: 'entry-6',
+    job: 'offers',
+  });
+  writer.expect({ expect: ExpectationKind.SameJob, events: ['offers', 'offers-again'] });
   writer.completeJob({
     id: 'stock-review',
     at: DAY_MS + 1000,
