--- a/packages/shards/src/ownership-store.test.ts
+++ b/packages/shards/src/ownership-store.test.ts
@@ -15,13 +15,21 @@
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
   const random = createRandom(2);
+  let advancing: Promise<void> | undefined;
+  /** Lets time pass; calls that wait at the same time share one advance. */
+  const advance = (): Promise<void> => {
+    advancing ??= timer.advance(10).finally(() => {
+      advancing = undefined;
+    });
+    return advancing;
+  };
   /** Runs a call while time passes. */
   const run = async <T>(call: Promise<Result<T, unknown>>): Promise<T> => {
     let isDone = false;
     void call.finally(() => {
       isDone = true;
     });
-    while (!isDone) await timer.advance(10);
+    while (!isDone) await advance();
     return valueOf(await call);
   };
   const createStore = (store: KeyValueStore) => new OwnershipStore(store, () => random.createId());
