--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -49,7 +49,7 @@
       const watched = this.watchSink(workerId, sink);
       const started = start(generation, watched);
       if (started.isErr()) return started;
-      this.checkDispatch(workerId);
+      this.checkDispatch(workerId, generation.requestId);
       this.checkBatchDispatch(engine, generation, item[1]!);
       return started;
     };
@@ -58,7 +58,7 @@
   watchPlainService(workerId: string, service: PlainService): void {
     const run = service.run.bind(service);
     service.run = (request: ServiceRequest) => {
-      this.checkDispatch(workerId);
+      this.checkDispatch(workerId, request.requestId);
       const executed = service.executions.get(request.requestId) ?? 0;
       const reply = run(request);
       // A refusal that says that the request did not run leaves the count unchanged.
@@ -75,7 +75,7 @@
   ): T {
     const started = start();
     if (started.isOk()) {
-      this.checkDispatch(engine.workerId);
+      this.checkDispatch(engine.workerId, generation.requestId);
       this.count(this.executions, removeAttempt(generation.requestId));
     }
     return started;
@@ -94,11 +94,12 @@
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
 
-  private checkDispatch(workerId: string): void {
+  private checkDispatch(workerId: string, requestId: string): void {
     const since = this.leavingSince.get(workerId);
     const late = this.fleet.timer.now() - (since ?? Infinity);
     if (late > STOP_BOUND_MS) {
-      this.violations.report(Invariant.LeavingWorker, workerId, `dispatch ${late} ms after`);
+      const detail = `request ${requestId} dispatched ${late} ms after`;
+      this.violations.report(Invariant.LeavingWorker, workerId, detail);
     }
   }
 
--- a/packages/soak/src/step.ts
+++ b/packages/soak/src/step.ts
@@ -71,7 +71,7 @@
   [StepKind.LoseDatagrams]: 1,
   [StepKind.CrashWorker]: 1,
   [StepKind.PauseWorker]: 1,
-  [StepKind.BreakStreams]: 1,
+  [StepKind.BreakStreams]: 3,
   [StepKind.RestoreWorkers]: 4,
   [StepKind.LeaveWorker]: 2,
   [StepKind.FillDisk]: 1,
