Try workers of unknown load when the known ones are full

They counted as loaded as the known ones on average, so that full local workers never spilled over to other zones whose totals were not known.

--- a/packages/routing/src/chooser.test.ts
+++ b/packages/routing/src/chooser.test.ts
@@ -59,6 +59,13 @@
   t.is(choose(candidates)?.workerId, 'l');
 });
 
+test('a worker of another zone without fresh load is tried when the known ones are full', (t) => {
+  const load = { workerId: 'u', slots: 10, online: 0, batch: 0, ageMs: 10_000 };
+  const unknown = createCandidate('u', 0, { load, availabilityZone: 'b' });
+  const full = [createCandidate('l', 10), createCandidate('m', 10)];
+  t.like(choose([...full, unknown]), { workerId: 'u', reason: ChoiceReason.Spillover });
+});
+
 test('ejected workers get nothing, reinstated ones a share, and all are used when none is left', (t) => {
   const ejected = createCandidate('e', 0, { admission: 0 });
   const reinstated = createCandidate('i', 0, { admission: 0.2 });
--- a/packages/routing/src/chooser.ts
+++ b/packages/routing/src/chooser.ts
@@ -81,6 +81,9 @@
 const measureUtilization = (load: WorkerLoad, batchWeight: number): number =>
   (load.online + 1 + batchWeight * load.batch) / Math.max(1, load.slots);
 
+/** Largest load assumed of a worker without fresh load; when all known ones are full, it is tried. */
+const MAX_ASSUMED_UTILIZATION = 0.75;
+
 /** A worker without fresh load is taken to be as loaded as the others on average. */
 const scoreAll = (
   candidates: readonly Candidate[],
@@ -94,9 +97,10 @@
     0,
   );
   const mean = fresh.length === 0 ? 0 : sum / fresh.length;
+  const assumed = Math.min(mean, MAX_ASSUMED_UTILIZATION);
   return candidates.map((candidate) => {
     const measured = measureUtilization(candidate.load, bounds.batchWeight);
-    const utilization = isFresh(candidate) ? measured : Math.max(mean, measured);
+    const utilization = isFresh(candidate) ? measured : Math.max(assumed, measured);
     const penalty = candidate.availabilityZone === zone ? 0 : bounds.zoneSpillover;
     return { candidate, utilization, score: utilization + penalty };
   });
