Interpolate between measured sizes and expect owners by rendezvous hashing

The line through large sizes gave 0 for 31 open jobs, where 28 µs were measured at 32. 64 VMs own the 64 shards as about 41 VMs, not as 64: the counted renewals are 20.5 per second.

--- a/packages/capacity/src/costs.ts
+++ b/packages/capacity/src/costs.ts
@@ -1,5 +1,5 @@
 /** Costs per role, computed from the fits for a scenario. */
-import { predict } from './fit.js';
+import { interpolate } from './fit.js';
 import type { FleetCounts } from './measure/key-value.js';
 import type { Results } from './results.js';
 import { countActiveTeams, countOwners, type Scenario } from './scenario.js';
@@ -60,10 +60,9 @@
     return series;
   }
 
-  /** The measured point at the size, else the line. */
   private at(id: string, size: number): number {
     const { points, fit } = this.find(id);
-    return points.find((point) => point.size === size)?.value ?? Math.max(0, predict(fit, size));
+    return interpolate(points, fit, size);
   }
 
   private add(
--- a/packages/capacity/src/fit.test.ts
+++ b/packages/capacity/src/fit.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { fitLine, predict } from './fit.js';
+import { fitLine, interpolate, predict } from './fit.js';
 
 const sizes = [1, 2, 4, 8, 16];
 
@@ -36,3 +36,12 @@
   t.is(fit.r2, 1);
   t.is(fit.maxResidual, 0);
 });
+
+// Guards against a negative cost between small sizes, where a line through large ones falls below 0.
+test('values between points are interpolated, those above follow the line', (t) => {
+  const points = [1, 2, 4].map((size) => ({ size, value: size ** 2 }));
+  const fit = fitLine(points);
+  t.is(interpolate(points, fit, 3), 10);
+  t.is(interpolate(points, fit, 0.5), 1);
+  t.is(interpolate(points, fit, 8), predict(fit, 8));
+});
--- a/packages/capacity/src/fit.ts
+++ b/packages/capacity/src/fit.ts
@@ -56,3 +56,16 @@
 
 /** Value of the line at a size. */
 export const predict = (fit: Fit, size: number): number => fit.intercept + fit.slope * size;
+
+/**
+ * Value between the two nearest points. Above the largest size the line is used; below the smallest
+ * one its value, as an upper bound.
+ */
+export const interpolate = (points: readonly Point[], fit: Fit, size: number): number => {
+  const upper = points.findIndex((point) => point.size >= size);
+  if (upper === -1) return Math.max(0, predict(fit, size));
+  const [before, after] = [points[upper - 1], points[upper]!];
+  if (before === undefined) return after.value;
+  const share = (size - before.size) / (after.size - before.size);
+  return before.value + share * (after.value - before.value);
+};
--- a/packages/capacity/src/key-value-projection.ts
+++ b/packages/capacity/src/key-value-projection.ts
@@ -3,7 +3,7 @@
 import type { FleetCounts } from './measure/key-value.js';
 import { Purpose } from './key-value-purposes.js';
 import type { Results } from './results.js';
-import { countOwners, type Scenario } from './scenario.js';
+import { countOwners, expectOwners, type Scenario } from './scenario.js';
 
 export interface Projection {
   purpose: string;
@@ -36,7 +36,7 @@
   const idle = results.keyValue.filter((counts) => counts.case === 'idleByVms');
   const owners = countOwners(scenario);
   const byOwner = (purpose: Purpose, kind: 'reads' | 'writes'): number =>
-    owners * ratePer(idle, purpose, kind, ({ load }) => Math.min(64, load.entryVms));
+    owners * ratePer(idle, purpose, kind, ({ load }) => expectOwners(load.entryVms));
   const moved = (LOSSES_PER_DAY * (scenario.entryVms / 410) * 64) / scenario.entryVms;
   const acquisitions = (moved * callsPerShard(results)) / SECONDS_PER_DAY;
   return [
@@ -44,13 +44,13 @@
       purpose: 'lease renewals',
       reads: 0,
       writes: byOwner(Purpose.LeaseRenewals, 'writes'),
-      from: `counted per owner, ${owners} owners`,
+      from: `counted per owner, ${owners.toFixed(0)} owners`,
     },
     {
       purpose: 'shard audits',
       reads: byOwner(Purpose.ShardAudits, 'reads'),
       writes: 0,
-      from: `counted per owner, ${owners} owners`,
+      from: `counted per owner, ${owners.toFixed(0)} owners`,
     },
     {
       purpose: 'shard acquisitions',
@@ -75,7 +75,9 @@
   const commits = jobs * predict(fit, scenario.itemsPerJob);
   const claims = scenario.requestsPerSecond * scenario.claimShare;
   const idle = results.keyValue.filter((counts) => counts.case === 'idleByVms');
-  const watches = ratePer(idle, Purpose.RecordWatches, 'reads', ({ load }) => load.entryVms);
+  const watches = ratePer(idle, Purpose.RecordWatches, 'reads', ({ load }) =>
+    expectOwners(load.entryVms),
+  );
   return [
     {
       purpose: 'watches of records',
--- a/packages/capacity/src/main.ts
+++ b/packages/capacity/src/main.ts
@@ -18,6 +18,7 @@
     --charts FOLDER  charts (default docs/charts)
     --page FILE      page whose tables are replaced
     --earlier FILE   results of an earlier run, to give the spread
+    --results FILE   results to be reported again, without measuring
     --quick          fewer and smaller sizes
 `,
   {
@@ -27,6 +28,7 @@
       charts: { type: 'string', default: 'docs/charts' },
       page: { type: 'string' },
       earlier: { type: 'string' },
+      results: { type: 'string' },
       quick: { type: 'boolean', default: false },
     },
   },
@@ -43,14 +45,20 @@
   results.losses.forEach((loss) => console.log(formatLine('loss', { ...loss })));
 };
 
+const readResults = async (file: string): Promise<Results> =>
+  JSON.parse(await readFile(file, 'utf8')) as Results;
+
+const obtainResults = async (): Promise<Results> => {
+  const { results, quick } = cli.flags;
+  if (results !== undefined) return readResults(results);
+  return measureAll({ seed: SEED, quick }, (series) => console.log(formatSeries(series)));
+};
+
 const run = async (): Promise<void> => {
-  const { json, charts, page, earlier, quick } = cli.flags;
-  const results = await measureAll({ seed: SEED, quick }, (series) =>
-    console.log(formatSeries(series)),
-  );
+  const { json, charts, page, earlier } = cli.flags;
+  const results = await obtainResults();
   if (earlier !== undefined) {
-    const before = JSON.parse(await readFile(earlier, 'utf8')) as Results;
-    results.spread = computeSpread(results, before);
+    results.spread = computeSpread(results, await readResults(earlier));
   }
   printCounts(results);
   const tables = createTables(results);
--- a/packages/capacity/src/scenario.ts
+++ b/packages/capacity/src/scenario.ts
@@ -56,7 +56,11 @@
 
 const SHARDS = 64;
 
-export const countOwners = ({ entryVms }: Scenario): number => Math.min(SHARDS, entryVms);
+/** VMs that own a shard, as expected when each of 64 shards falls to any VM alike. */
+export const expectOwners = (entryVms: number): number =>
+  entryVms * (1 - (1 - 1 / entryVms) ** SHARDS);
+
+export const countOwners = ({ entryVms }: Scenario): number => expectOwners(entryVms);
 
 /** Teams with a request in progress or within the last 5 s on one VM, if all teams ask alike. */
 export const countActiveTeams = ({
