Compute load polls and progress reports of executors

Both were missing: with 16 chunks an executor sends 28 reports per second, which is 22.6 KB/s and 4.6% of a core at the measured cost of a call.

--- a/packages/capacity/src/costs.ts
+++ b/packages/capacity/src/costs.ts
@@ -35,6 +35,14 @@
 const SHARDS = 64;
 const US_TO_PERCENT = 1e-4;
 
+/** An executor holds at most 16 chunks and reports per shard every 500 ms. */
+const CHUNKS_IN_WORK = 16;
+const REPORTS_PER_SECOND = 2;
+const POLLS_PER_SECOND = 2;
+
+/** JSON of a report of one chunk beyond the empty push. */
+const PROGRESS_JSON_BYTES = 60;
+
 /** JSON of a grant request and its answer beyond the empty push that `call.bytes` starts from. */
 const GRANT_JSON_BYTES = 40;
 
@@ -141,6 +149,7 @@
       this.at('notices.ownerBytes', entryVms),
       ['notices.ownerBytes'],
     );
+    this.addExecutor(owners);
     const polling = this.findPolling();
     this.addCalls('executor', 'chunk requests', polling, GRANT_JSON_BYTES);
     const jobsPerOwner = openJobs / owners;
@@ -162,6 +171,18 @@
     this.addClaimOwner(owners);
   }
 
+  /** Load polls, of which one end runs here, and progress reports of an executor with all its chunks. */
+  private addExecutor(owners: number): void {
+    const polls = (this.scenario.workers / owners) * POLLS_PER_SECOND;
+    const pollUs = this.find('call.processor').fit.intercept / 2;
+    this.add('worker owner', 'load polls', Resource.Processor, polls * pollUs * US_TO_PERCENT, [
+      'call.processor',
+    ]);
+    const shards = SHARDS * (1 - (1 - 1 / SHARDS) ** CHUNKS_IN_WORK);
+    const reports = shards * REPORTS_PER_SECOND * (1 - 1 / owners);
+    this.addCalls('executor', 'progress reports, 16 chunks', reports, PROGRESS_JSON_BYTES);
+  }
+
   private addClaimOwner(owners: number): void {
     const { requestsPerSecond, claimShare } = this.scenario;
     const claims = (requestsPerSecond * claimShare) / owners;
