--- a/packages/bench/src/cases/design-load.ts
+++ b/packages/bench/src/cases/design-load.ts
@@ -73,7 +73,7 @@
     const tokens = record.firstTokenMs.count + record.interTokenMs.count;
     const idleMs = fleet.engines.reduce((sum, engine) => sum + engine.idleSlotMs, 0);
     const slotMs = measured * 1000 * DEPLOYMENT.workers * DEPLOYMENT.engine.slots;
-    return {
+    const figures = {
       ...describeOnline(record),
       measuredSeconds: measured,
       requestsPerSecond: record.requests / measured,
@@ -81,6 +81,7 @@
       utilization: 1 - idleMs / slotMs,
       batchItemsPerSecond: fleet.ledger.totals.completedItems / measured,
     };
+    return { figures };
   },
   summarize: (results) =>
     [...results].map(([variant, runs]) => {
--- a/packages/bench/src/cases/fault.ts
+++ b/packages/bench/src/cases/fault.ts
@@ -102,7 +102,8 @@
       },
     });
     const resumed = fleet.engines.reduce((sum, engine) => sum + engine.resumedOnline, 0);
-    return { ...describeOnline(player.record), resumed, ...describeEjections(meter, window) };
+    const ejections = describeEjections(meter, window);
+    return { figures: { ...describeOnline(player.record), resumed, ...ejections } };
   },
   summarize: (results) => {
     const common = { deployment: deployment.name, workers: deployment.workers };
--- a/packages/bench/src/cases/policies.ts
+++ b/packages/bench/src/cases/policies.ts
@@ -14,7 +14,7 @@
   YIELD_TARGET_MS,
 } from '../targets.js';
 import { measureYieldTimes } from '../yield-times.js';
-import type { BenchCase } from './bench-case.js';
+import type { BenchCase, Run } from './bench-case.js';
 import { describeOnline } from './online-figures.js';
 import { runOnline } from './run-online.js';
 
@@ -51,7 +51,7 @@
 });
 
 /** Runs one policy under one seed. */
-export const runPolicy = async (run: PolicyRun): Promise<Figures> => {
+export const runPolicy = async (run: PolicyRun): Promise<Run> => {
   const { deployment, policy, seed, seconds } = run;
   const batchPolicy = CAPACITY_POLICIES[policy];
   const { fleet, player, load, window } = await runOnline({
@@ -65,7 +65,7 @@
   const yields = new Samples();
   measureYieldTimes(fleet.engines, bursts).forEach((time) => yields.add(time));
   const idleMs = fleet.engines.reduce((sum, engine) => sum + engine.idleSlotMs, 0);
-  return {
+  const figures = {
     ...describeOnline(player.record),
     idleSlotSeconds: idleMs / 1000,
     ...describeBatch(fleet.ledger, seconds),
@@ -73,6 +73,7 @@
     yieldP50Ms: yields.percentile(50),
     yieldMaxMs: yields.percentile(100),
   };
+  return { figures, firstTokenMs: player.record.firstTokenMs.list() };
 };
 
 /** Figures of a policy relative to those of `onlineOnly` under the same seeds. */
@@ -102,16 +103,22 @@
   variants: Object.values(BenchPolicy),
   run: ({ variant, seed, seconds }) =>
     runPolicy({ deployment, policy: variant as BenchPolicy, seed, seconds }),
-  summarize: (results) => {
+  summarize: (results, firstTokenMs) => {
     const common = { deployment: deployment.name, workers: deployment.workers };
     const policies = [...results].map(([policy, runs]) => ({
       case: 'policies',
       fields: { ...common, policy, ...mergeFigures(runs) },
     }));
     const baseline = results.get(BASELINE)!;
+    const findPooled = (policy: BenchPolicy): number => firstTokenMs.get(policy)!.percentile(99);
     const ratios = COMPARED.map((policy) => ({
       case: 'ratios',
-      fields: { ...common, policy, ...compare(results.get(policy)!, baseline) },
+      fields: {
+        ...common,
+        policy,
+        firstTokenP99PooledRatio: findPooled(policy) / findPooled(BASELINE),
+        ...compare(results.get(policy)!, baseline),
+      },
     }));
     return [...policies, ...ratios];
   },
--- a/packages/bench/src/cases/routing.ts
+++ b/packages/bench/src/cases/routing.ts
@@ -59,11 +59,12 @@
     });
     const sum = (pick: 'promptTokens' | 'cachedTokens'): number =>
       fleet.engines.reduce((total, engine) => total + engine[pick], 0);
-    return {
+    const figures = {
       ...describeOnline(player.record),
       cacheHitShare: sum('cachedTokens') / sum('promptTokens'),
       imbalance: imbalance.mean,
     };
+    return { figures };
   },
   summarize: (results) =>
     [...results].map(([chooser, runs]) => ({
--- a/packages/bench/src/run-pool.ts
+++ b/packages/bench/src/run-pool.ts
@@ -1,8 +1,7 @@
 /** Runs independent tasks on threads; each run is deterministic, so their order does not matter. */
 import { availableParallelism } from 'node:os';
 import { Worker } from 'node:worker_threads';
-import type { RunRequest } from './cases/bench-case.js';
-import type { Figures } from './report.js';
+import type { Run, RunRequest } from './cases/bench-case.js';
 
 /** Leaves room for other programs on larger machines. */
 const MAX_THREADS = 6;
@@ -19,19 +18,19 @@
   });
 `;
 
-const runOn = (worker: Worker, task: Task): Promise<Figures> =>
+const runOn = (worker: Worker, task: Task): Promise<Run> =>
   new Promise((resolve, reject) => {
     worker.once('error', reject);
-    worker.once('message', (figures: Figures) => {
+    worker.once('message', (run: Run) => {
       worker.off('error', reject);
-      resolve(figures);
+      resolve(run);
     });
     worker.postMessage(task);
   });
 
-/** Returns the figures of each task, in the order of the tasks. */
-export const runTasks = async (tasks: readonly Task[]): Promise<Figures[]> => {
-  const results: Figures[] = [];
+/** Returns the run of each task, in the order of the tasks. */
+export const runTasks = async (tasks: readonly Task[]): Promise<Run[]> => {
+  const results: Run[] = [];
   let next = 0;
   const work = async (): Promise<void> => {
     const worker = new Worker(START_SCRIPT, { eval: true });
--- a/packages/bench/src/statistics.ts
+++ b/packages/bench/src/statistics.ts
@@ -18,6 +18,14 @@
     this.isSorted = false;
   }
 
+  addAll(values: readonly number[]): void {
+    values.forEach((value) => this.add(value));
+  }
+
+  list(): readonly number[] {
+    return this.values;
+  }
+
   get count(): number {
     return this.values.length;
   }
