Check dispatch bounds when an entry VM sends; hash seeds

The check now stands where the entry VM sends, and is otherwise as strict. Generators with neighbouring seeds started with nearly equal numbers; the seed is hashed first.

--- a/packages/random/src/random.ts
+++ b/packages/random/src/random.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { hashText } from './hashing.js';
 
 /** A source of random numbers; two sources with the same seed give the same numbers. */
 export interface Random {
@@ -19,7 +20,8 @@
 
 /** Creates a seeded source. */
 export const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed);
+  // Generators whose seeds are neighbouring numbers start alike; hashed seeds are far apart.
+  const generator = xoroshiro128plus(hashText(`seed ${seed}`));
   const nextUint32 = (): number => generator.next() >>> 0;
   const next = (): number => nextUint32() / UINT32_RANGE;
   const below = (bound: number): number => Math.floor(next() * bound);
--- a/packages/soak/src/actions/faults.ts
+++ b/packages/soak/src/actions/faults.ts
@@ -42,7 +42,10 @@
   if (node === undefined || world.stopping.has(node.host.id)) return;
   const { id } = node.host;
   world.stopping.add(id);
-  void world.fleet.stopEntryVm(id).then(() => world.stopping.delete(id));
+  // Callers learn of a broken connection after the stop has returned.
+  void world.fleet
+    .stopEntryVm(id)
+    .then(() => world.fleet.timer.after(1, () => world.stopping.delete(id)));
 };
 
 export const pauseEntryVm = (world: World, { target, amount }: Step): void => {
--- a/packages/soak/src/mutation.ts
+++ b/packages/soak/src/mutation.ts
@@ -1,9 +1,9 @@
 /** Deliberate faults in the system under test; each must be caught by an invariant. */
-import { Outcome } from '@jujubelanding/errors';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
 import { WriteStatus } from '@jujubelanding/platform';
 import type { Fleet, FleetNode } from '@jujubelanding/simulation';
-import { JobStatus, VmState, type Worker } from '@jujubelanding/types';
-import { ok } from 'neverthrow';
+import { FinishReason, JobStatus, VmState, type Token, type Worker } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
 
 export enum Mutation {
   /** Claims are granted without being recorded. */
@@ -22,6 +22,14 @@
   ChangeResults = 'changeResults',
   /** A planned stop does not wait for requests in progress. */
   StopAtOnce = 'stopAtOnce',
+  /** A shard counts as owned after its lease has ended. */
+  IgnoreFence = 'ignoreFence',
+  /** A VM is ready before it knows the configuration. */
+  RevertConfiguration = 'revertConfiguration',
+  /** Batch work takes twice the slots of a worker. */
+  FillAllSlots = 'fillAllSlots',
+  /** A stream that breaks counts as complete. */
+  AcceptTruncated = 'acceptTruncated',
 }
 
 type Change = (node: FleetNode, fleet: Fleet) => void;
@@ -98,6 +106,41 @@
       host.crash();
     };
   },
+  [Mutation.IgnoreFence]: ({ entryVm }) => {
+    const { shards } = entryVm.parts;
+    const fenceOf = shards.fenceOf.bind(shards);
+    const known = new Map<number, number>();
+    shards.fenceOf = (shard) => {
+      const fence = fenceOf(shard) ?? known.get(shard);
+      if (fence !== undefined) known.set(shard, fence);
+      return fence;
+    };
+  },
+  [Mutation.RevertConfiguration]: ({ entryVm }) => {
+    entryVm.parts.configuration.isReady = () => true;
+  },
+  [Mutation.FillAllSlots]: ({ entryVm }) => {
+    const { owned } = entryVm.parts;
+    const slots = owned.slots.bind(owned);
+    owned.slots = (workerId) => 2 * slots(workerId);
+  },
+  [Mutation.AcceptTruncated]: ({ backendServers }) => {
+    const generate = backendServers.generate.bind(backendServers);
+    backendServers.generate = async (worker, generation, onToken, signal) => {
+      let tokenCount = generation.resumeTokens.length;
+      const count = (token: Token): void => {
+        tokenCount += 1;
+        onToken(token);
+      };
+      const { requestId } = generation;
+      const reply = await generate(worker, generation, count, signal);
+      return reply.orElse((fault) =>
+        fault.code === FaultCode.Interrupted
+          ? ok({ requestId, tokenCount, finishReason: FinishReason.Stop, cachedTokens: 0 })
+          : err(fault),
+      );
+    };
+  },
 };
 
 /** Applies a mutation to an entry VM before it starts. */
--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -1,5 +1,5 @@
 /** Records what reaches the backend servers, independently of the system under test. */
-import type { Fleet } from '@jujubelanding/simulation';
+import type { Fleet, FleetNode } from '@jujubelanding/simulation';
 import type { ModelEngine, PlainService, StreamSink } from '@jujubelanding/stand-ins';
 import type { Generation, ServiceRequest } from '@jujubelanding/types';
 import { Invariant, type Violations } from './violation.js';
@@ -40,17 +40,35 @@
     private readonly violations: Violations,
   ) {}
 
+  /**
+   * Checks what an entry VM sends at the moment of sending: a paused worker takes requests late
+   * that were sent in time.
+   */
+  watchNode({ backendServers }: FleetNode): void {
+    const generate = backendServers.generate.bind(backendServers);
+    backendServers.generate = (worker, generation, onToken, signal) => {
+      this.checkDispatch(worker.id, generation.requestId);
+      const item = JOB_TAG.exec(generation.messages.at(-1)?.content ?? '');
+      if (item !== null) this.checkCancelled(item[1]!);
+      return generate(worker, generation, onToken, signal);
+    };
+    const call = backendServers.call.bind(backendServers);
+    backendServers.call = (worker, request, signal) => {
+      this.checkDispatch(worker.id, request.requestId);
+      return call(worker, request, signal);
+    };
+  }
+
   watchEngine(engine: ModelEngine): void {
     const start = engine.start.bind(engine);
     const { workerId } = engine;
     engine.start = (generation, sink) => {
       const item = JOB_TAG.exec(generation.messages.at(-1)?.content ?? '');
-      if (item === null) return this.startOnline(engine, generation, () => start(generation, sink));
+      if (item === null) return this.startOnline(generation, () => start(generation, sink));
       const watched = this.watchSink(workerId, sink);
       const started = start(generation, watched);
       if (started.isErr()) return started;
-      this.checkDispatch(workerId, generation.requestId);
-      this.checkBatchDispatch(engine, generation, item[1]!);
+      this.checkBatchStart(engine, generation);
       return started;
     };
   }
@@ -58,7 +76,6 @@
   watchPlainService(workerId: string, service: PlainService): void {
     const run = service.run.bind(service);
     service.run = (request: ServiceRequest) => {
-      this.checkDispatch(workerId, request.requestId);
       const executed = service.executions.get(request.requestId) ?? 0;
       const reply = run(request);
       // A refusal that says that the request did not run leaves the count unchanged.
@@ -68,16 +85,9 @@
     };
   }
 
-  private startOnline<T extends { isOk(): boolean }>(
-    engine: ModelEngine,
-    generation: Generation,
-    start: () => T,
-  ): T {
+  private startOnline<T extends { isOk(): boolean }>(generation: Generation, start: () => T): T {
     const started = start();
-    if (started.isOk()) {
-      this.checkDispatch(engine.workerId, generation.requestId);
-      this.count(this.executions, removeAttempt(generation.requestId));
-    }
+    if (started.isOk()) this.count(this.executions, removeAttempt(generation.requestId));
     return started;
   }
 
@@ -103,12 +113,15 @@
     }
   }
 
-  private checkBatchDispatch(engine: ModelEngine, generation: Generation, job: string): void {
-    const { workerId } = engine;
+  private checkCancelled(job: string): void {
     const late = this.fleet.timer.now() - (this.cancelledAt.get(job) ?? Infinity);
     if (late > STOP_BOUND_MS) {
       this.violations.report(Invariant.CancelledJob, job, `dispatch ${late} ms after the cancel`);
     }
+  }
+
+  private checkBatchStart(engine: ModelEngine, generation: Generation): void {
+    const { workerId } = engine;
     const running = (this.batchRunning.get(workerId) ?? 0) + 1;
     this.batchRunning.set(workerId, running);
     if (running > engine.settings.slots) {
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -151,6 +151,7 @@
       vmListLagMs: 300,
       ...(options.createLog === undefined ? {} : { createLog: options.createLog }),
       prepare: (node) => {
+        this.observer.watchNode(node);
         if (options.mutation !== undefined) applyMutation(options.mutation, node, this.fleet);
       },
     });
