--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,6 +36,7 @@
       '@stylistic/no-confusing-arrow': 'off',
       '@stylistic/newline-per-chained-call': 'off',
       '@stylistic/quotes': 'off',
+      '@stylistic/generator-star-spacing': 'off',
       '@stylistic/max-len': [
         'error',
         { code: 110, ignoreStrings: true, ignoreTemplateLiterals: true },
--- a/packages/batch-jobs/src/batch-job-service.ts
+++ b/packages/batch-jobs/src/batch-job-service.ts
@@ -123,7 +123,6 @@
     return ok(record);
   }
 
-  // eslint-disable-next-line @stylistic/generator-star-spacing -- conflicts with prettier
   async *readResults(jobId: string, from: number, to: number): AsyncIterable<ItemResult> {
     const job = await this.get(jobId);
     if (job.isErr()) throw new FaultError(job.error);
--- a/packages/soak/src/mutation.ts
+++ b/packages/soak/src/mutation.ts
@@ -110,6 +110,13 @@
     const { shards } = entryVm.parts;
     const fenceOf = shards.fenceOf.bind(shards);
     const known = new Map<number, number>();
+    const ownedSince = shards.ownedSince.bind(shards);
+    const since = new Map<number, number>();
+    shards.ownedSince = (shard) => {
+      const time = ownedSince(shard) ?? since.get(shard);
+      if (time !== undefined) since.set(shard, time);
+      return time;
+    };
     shards.fenceOf = (shard) => {
       const fence = fenceOf(shard) ?? known.get(shard);
       if (fence !== undefined) known.set(shard, fence);
--- a/packages/worker-load/src/worker-load.test.ts
+++ b/packages/worker-load/src/worker-load.test.ts
@@ -78,6 +78,17 @@
   t.is(owner.owned.online('w1'), 0);
 });
 
+test('a lost begin notice is repeated long before the next full notice', async (t) => {
+  const { group, owner, second } = setUp();
+  await group.timer.advance(10);
+  group.isLost = () => true;
+  second.loads.begin('w1');
+  second.loads.begin('w1');
+  group.isLost = () => false;
+  await group.timer.advance(30);
+  t.is(owner.owned.online('w1'), 2);
+});
+
 test('without totals the own counts and the configured slots are used', async (t) => {
   const { group, second } = setUp();
   group.isLost = () => true;
--- a/packages/worker-load/src/worker-loads.ts
+++ b/packages/worker-load/src/worker-loads.ts
@@ -33,6 +33,13 @@
 /** Every owner is reached within this number of intervals, twice before it expires the counts. */
 const MAX_TURNS = 3;
 
+/**
+ * A begin is reported once more after this time, since a lost notice would leave batch work running
+ * until the next full notice. Far below the bound of 100 ms for yielding, and above the round trip
+ * between availability zones.
+ */
+export const REPEAT_DELAY_MS = 20;
+
 /** Workers in use of one owner. */
 interface UsedGroup {
   owner: ShardOwner;
@@ -65,6 +72,9 @@
   /** Workers with an end that was not reported yet. */
   private readonly unreported = new Set<string>();
 
+  /** Workers whose begins are reported once more, by shard owner. */
+  private readonly repeats = new Map<string, Set<string>>();
+
   /** Time of the last full notice by owner. */
   private readonly fullSentAt = new Map<string, number>();
 
@@ -132,6 +142,25 @@
       (id) => this.options.shards.ownerOf(findShard(id))?.entryVmId === owner?.entryVmId,
     );
     this.deliver(owner, this.createNotice(this.takeCounts(workerIds), false));
+    if (difference === 1 && !isOwn && owner !== undefined) this.repeatLater(owner, workerId);
+  }
+
+  /** Reports the worker's count once more; begins within the delay share one notice. */
+  private repeatLater(owner: ShardOwner, workerId: string): void {
+    const scheduled = this.repeats.get(owner.entryVmId);
+    if (scheduled !== undefined) {
+      scheduled.add(workerId);
+      return;
+    }
+    const workerIds = new Set([workerId]);
+    this.repeats.set(owner.entryVmId, workerIds);
+    const { timer } = this.options.io;
+    timer.after(REPEAT_DELAY_MS, () => {
+      this.repeats.delete(owner.entryVmId);
+      if (!this.budget.trySpend(timer.now())) return;
+      this.sequence += 1;
+      this.deliver(owner, this.createNotice(this.takeCounts([...workerIds]), false));
+    });
   }
 
   private configuredSlots(workerId: string): number {
