Test a lost entry VM, a planned stop and invalid settings on real processes

A program that was ended by a signal no longer blocks the stop of the local fleet; the first run of the test waited for it for ever.

--- /dev/null
+++ b/packages/quickstart/src/local-fleet.test.ts
@@ -0,0 +1,51 @@
+import { spawnSync } from 'node:child_process';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import test from 'ava';
+import { LocalFleet, Session } from './index.js';
+
+/** Built by `npm ci` and by `npm run build`. */
+const PROGRAMS = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../dist');
+
+const startFleet = async (): Promise<{ fleet: LocalFleet; session: Session }> => {
+  const fleet = new LocalFleet({ programs: PROGRAMS, entryVms: 3, engines: 2 });
+  await fleet.start();
+  const session = new Session(fleet.callerAddresses());
+  await session.awaitReady();
+  await session.applyRecords();
+  return { fleet, session };
+};
+
+test.serial(
+  'a job survives the loss of the entry VM right after its acknowledgement',
+  async (t) => {
+    const { fleet, session } = await startFleet();
+    t.teardown(() => fleet.stop());
+    const id = await session.submitJob(300, 'lost-vm');
+    fleet.entryVms[0]!.kill();
+    const job = await session.collectJob(id);
+    t.is(job.items, 300);
+    t.is(job.succeeded, 300);
+  },
+);
+
+test.serial('a planned stop lets a stream in progress end and exits with 0', async (t) => {
+  const { fleet, session } = await startFleet();
+  t.teardown(() => fleet.stop());
+  const answer = session.streamAnswer('a long question', 256);
+  const code = await fleet.entryVms[0]!.stop();
+  t.true((await answer).isWhole);
+  t.is(code, 0);
+});
+
+test.serial('invalid settings are reported together and end the daemon with code 2', (t) => {
+  const { status, stderr } = spawnSync(
+    process.execPath,
+    [path.join(PROGRAMS, 'jujubelandingd.js'), '--peer-address', 'nowhere', '--unknown', 'x'],
+    { encoding: 'utf8', env: { PATH: process.env.PATH } },
+  );
+  t.is(status, 2);
+  for (const name of ['--peer-address', '--unknown', '--fleet-key', '--entry-vm-id']) {
+    t.true(stderr.includes(name), name);
+  }
+});
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -46,6 +46,9 @@
 
   readonly entryVms: Program[] = [];
 
+  /** Address of each model engine, by worker id. */
+  readonly engineAddresses = new Map<string, string>();
+
   private platform = { keyValue: '', vmList: '', weightStore: '' };
 
   private dataFolder = '';
@@ -121,6 +124,7 @@
       ...['--worker-id', id, '--weight-store', this.platform.weightStore],
       ...['--settings', JSON.stringify(ENGINE_SETTINGS)],
     ]);
+    this.engineAddresses.set(id, address);
     const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
     await this.listVm(id, 'backendServer', zone, address, SERVICE);
   }
--- a/packages/quickstart/src/main.ts
+++ b/packages/quickstart/src/main.ts
@@ -25,7 +25,7 @@
   const answer = await session.streamAnswer('Which lens fits a 2014 left side mirror?');
   print(`online answer: ${answer.tokens} tokens, whole=${answer.isWhole}`);
 
-  const job = await session.runJob(ITEMS);
+  const job = await session.collectJob(await session.submitJob(ITEMS, 'quickstart-job'));
   print(`batch job ${job.id}: ${job.succeeded} of ${job.items} items succeeded`);
   if (!answer.isWhole || job.succeeded !== ITEMS) throw new Error('the answers are not complete');
 };
--- /dev/null
+++ b/packages/quickstart/src/overhead.ts
@@ -0,0 +1,127 @@
+/** Measures the time that an entry VM adds to the first token of an online request on loopback. */
+import path from 'node:path';
+import { performance } from 'node:perf_hooks';
+import { fileURLToPath } from 'node:url';
+import { createBackendServersClient } from '@jujubelanding/platform-clients';
+import { SystemTimer } from '@jujubelanding/timer';
+import type { Message } from '@jujubelanding/types';
+import { Pool } from 'undici';
+import { LocalFleet, MODEL } from './local-fleet.js';
+import { TEAM_KEY } from './records.js';
+import { Session } from './session.js';
+
+const WARM_UP_PAIRS = 50;
+
+const PAIRS = 500;
+
+const TARGET_P50_MS = 1;
+
+const TARGET_P99_MS = 5;
+
+const MAX_TOKENS = 2;
+
+/** Sends one request and returns the milliseconds until its first token. */
+type Probe = (number: number) => Promise<number>;
+
+const createMessages = (number: number): Message[] => [
+  { role: 'user', content: `fit question ${number}` },
+];
+
+const createDirectProbe = (workerId: string, address: string): Probe => {
+  const client = createBackendServersClient({ timer: new SystemTimer() });
+  return async (number) => {
+    const startedAt = performance.now();
+    let firstTokenMs: number | undefined;
+    const generation = {
+      requestId: `direct-${number}`,
+      model: MODEL,
+      messages: createMessages(number),
+      maxTokens: MAX_TOKENS,
+      resumeTokens: [],
+    };
+    const reply = await client.generate(
+      { id: workerId, address },
+      generation,
+      () => {
+        firstTokenMs ??= performance.now() - startedAt;
+      },
+      new AbortController().signal,
+    );
+    if (reply.isErr() || firstTokenMs === undefined) throw new Error('the engine did not answer');
+    return firstTokenMs;
+  };
+};
+
+const createProxiedProbe = (address: string): Probe => {
+  const pool = new Pool(`http://${address}`);
+  const headers = { 'content-type': 'application/json', authorization: `Bearer ${TEAM_KEY}` };
+  return async (number) => {
+    const startedAt = performance.now();
+    const { statusCode, body } = await pool.request({
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers,
+      body: JSON.stringify({
+        model: MODEL,
+        stream: true,
+        max_tokens: MAX_TOKENS,
+        messages: createMessages(number),
+      }),
+    });
+    if (statusCode !== 200) throw new Error(`the entry VM answered ${statusCode}`);
+    let firstTokenMs: number | undefined;
+    let text = '';
+    for await (const chunk of body) {
+      text += Buffer.from(chunk as Uint8Array).toString('utf8');
+      // The first chunk names the role; content follows with the first token.
+      if (/"content":"[^"]/.test(text)) firstTokenMs ??= performance.now() - startedAt;
+    }
+    if (firstTokenMs === undefined) throw new Error('the answer has no token');
+    return firstTokenMs;
+  };
+};
+
+const findPercentile = (values: readonly number[], share: number): number =>
+  values.toSorted((a, b) => a - b)[Math.ceil(values.length * share) - 1]!;
+
+const measure = async (direct: Probe, proxied: Probe): Promise<void> => {
+  const directMs: number[] = [];
+  const proxiedMs: number[] = [];
+  for (let number = 0; number < WARM_UP_PAIRS + PAIRS; number += 1) {
+    // Alternating order, so that drift of the machine affects both alike.
+    const isDirectFirst = number % 2 === 0;
+    const first = await (isDirectFirst ? direct : proxied)(2 * number);
+    const second = await (isDirectFirst ? proxied : direct)(2 * number + 1);
+    if (number < WARM_UP_PAIRS) continue;
+    directMs.push(isDirectFirst ? first : second);
+    proxiedMs.push(isDirectFirst ? second : first);
+  }
+  const p50 = findPercentile(proxiedMs, 0.5) - findPercentile(directMs, 0.5);
+  const p99 = findPercentile(proxiedMs, 0.99) - findPercentile(directMs, 0.99);
+  const directP50 = findPercentile(directMs, 0.5);
+  process.stdout.write(
+    `case=overhead pairs=${PAIRS} directP50Ms=${directP50.toFixed(2)} ` +
+      `addedP50Ms=${p50.toFixed(2)} addedP50Ms.target=${TARGET_P50_MS} ` +
+      `addedP50Ms.met=${p50 <= TARGET_P50_MS} addedP99Ms=${p99.toFixed(2)} ` +
+      `addedP99Ms.target=${TARGET_P99_MS} addedP99Ms.met=${p99 <= TARGET_P99_MS}\n`,
+  );
+};
+
+const main = async (): Promise<void> => {
+  const programs = path.dirname(fileURLToPath(import.meta.url));
+  const fleet = new LocalFleet({ programs, entryVms: 2, engines: 1 });
+  try {
+    await fleet.start();
+    const session = new Session(fleet.callerAddresses());
+    await session.awaitReady();
+    await session.applyRecords();
+    const [[workerId, address]] = [...fleet.engineAddresses] as [[string, string]];
+    const proxied = createProxiedProbe(fleet.callerAddresses()[0]!);
+    await measure(createDirectProbe(workerId, address), proxied);
+  } finally {
+    await fleet.stop();
+  }
+};
+
+await main();
+process.exit(0);
--- a/packages/quickstart/src/program.ts
+++ b/packages/quickstart/src/program.ts
@@ -6,6 +6,9 @@
 
 const STOP_LIMIT_MS = 20_000;
 
+/** Reported for a program that was ended by a signal. */
+const EXIT_KILLED = 1;
+
 export class Program {
   private constructor(
     readonly name: string,
@@ -49,12 +52,14 @@
 
   /** Asks the program to stop and returns its exit code; ends it after a limit. */
   stop(): Promise<number> {
-    if (this.child.exitCode !== null) return Promise.resolve(this.child.exitCode);
+    const { exitCode, signalCode } = this.child;
+    if (exitCode !== null) return Promise.resolve(exitCode);
+    if (signalCode !== null) return Promise.resolve(EXIT_KILLED);
     return new Promise((resolve) => {
       const limit = setTimeout(() => this.child.kill('SIGKILL'), STOP_LIMIT_MS);
       this.child.once('exit', (code) => {
         clearTimeout(limit);
-        resolve(code ?? 1);
+        resolve(code ?? EXIT_KILLED);
       });
       this.child.kill('SIGTERM');
     });
--- a/packages/quickstart/src/session.ts
+++ b/packages/quickstart/src/session.ts
@@ -38,6 +38,7 @@
 
 export interface JobSummary {
   id: string;
+  /** Different items that have a result. */
   items: number;
   succeeded: number;
   failed: number;
@@ -81,14 +82,14 @@
     });
   }
 
-  async streamAnswer(question: string): Promise<StreamedAnswer> {
+  async streamAnswer(question: string, maxTokens = 24): Promise<StreamedAnswer> {
     const { statusCode, body } = await request(this.url('/v1/chat/completions'), {
       method: 'POST',
       headers: { ...JSON_TYPE, authorization: `Bearer ${TEAM_KEY}` },
       body: JSON.stringify({
         model: MODEL,
         stream: true,
-        max_tokens: 24,
+        max_tokens: maxTokens,
         messages: [{ role: 'user', content: question }],
       }),
     });
@@ -114,8 +115,8 @@
     return answer;
   }
 
-  /** Submits a batch job, waits for its end and reads its results from another entry VM. */
-  async runJob(itemCount: number): Promise<JobSummary> {
+  /** Submits a batch job through the first entry VM; resolves once it is acknowledged. */
+  async submitJob(itemCount: number, idempotencyKey: string): Promise<string> {
     const items = Array.from({ length: itemCount }, (_, index) =>
       JSON.stringify({
         itemId: `sheet-${index}`,
@@ -128,24 +129,30 @@
       headers: {
         authorization: `Bearer ${TEAM_KEY}`,
         'content-type': 'application/x-ndjson',
-        'idempotency-key': 'quickstart-job',
+        'idempotency-key': idempotencyKey,
       },
       body: items.join('\n'),
     });
     const text = await submitted.body.text();
     if (submitted.statusCode >= 300) throw new Error(`batch was refused: ${text}`);
-    const { id } = JSON.parse(text) as JobView;
+    return (JSON.parse(text) as JobView).id;
+  }
+
+  /** Waits for the end of a job and reads its results, both through the last entry VM. */
+  async collectJob(id: string): Promise<JobSummary> {
     await waitFor(`end of job ${id}`, JOB_LIMIT_MS, async () => {
-      const { body } = await this.get(`/v1/batches/${id}`);
-      return ((await body.json()) as JobView).status === 'completed';
+      const { statusCode, body } = await this.get(`/v1/batches/${id}`);
+      const text = await body.text();
+      return statusCode === 200 && (JSON.parse(text) as JobView).status === 'completed';
     });
     const { body } = await this.get(`/v1/batches/${id}/results`);
-    const statuses = (await body.text())
+    const results = (await body.text())
       .split('\n')
       .filter((line) => line !== '')
-      .map((line) => (JSON.parse(line) as { status: string }).status);
-    const succeeded = statuses.filter((status) => status === 'succeeded').length;
-    return { id, items: statuses.length, succeeded, failed: statuses.length - succeeded };
+      .map((line) => JSON.parse(line) as { index: number; status: string });
+    const succeeded = results.filter(({ status }) => status === 'succeeded').length;
+    const items = new Set(results.map(({ index }) => index)).size;
+    return { id, items, succeeded, failed: results.length - succeeded };
   }
 
   private get(path: string) {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
   jujubelanding: 'packages/cli/src/main.ts',
   'stand-ins': 'packages/stand-ins/src/main.ts',
   quickstart: 'packages/quickstart/src/main.ts',
+  overhead: 'packages/quickstart/src/overhead.ts',
 };
 
 const entryPoints = Object.fromEntries(
