--- a/packages/directory/src/directory-controller.ts
+++ b/packages/directory/src/directory-controller.ts
@@ -132,7 +132,7 @@
 
   private countFailure(fault: Fault): void {
     this.failures += 1;
-    this.options.io.metrics.increment('vm_list_failures');
+    this.options.io.metrics.increment('vm_list.failures');
     // One line for each outage, not for each attempt.
     if (this.failures === 1) {
       this.log.write('vm-list-unavailable', { code: fault.code, message: fault.message });
--- a/packages/entry-vm/src/entry-vm.ts
+++ b/packages/entry-vm/src/entry-vm.ts
@@ -128,7 +128,6 @@
       this.parts.membership.updateSelf({ onlineLoad });
     }
     this.io.metrics.gauge('online.in_flight', onlineLoad);
-    this.io.metrics.gauge('configuration.active', this.parts.configuration.activeRevision());
   }
 
   private enter(phase: Phase): void {
