--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -8,6 +8,10 @@
 export const STOP_BOUND_MS = 2000;
 
 const JOB_TAG = /\[job=([^\s\]]+) item=(\d+)\]/;
+/** Returns the job tag of a batch item's prompt; undefined for an online request. */
+const findJob = ({ messages }: Generation): string | undefined =>
+  JOB_TAG.exec(messages.at(-1)?.content ?? '')?.[1];
+
 const ORDER_TAG = /\[order=([^\s\]]+)\]/;
 
 /** Marks the prompt of a batch item, so that the observer knows it again. */
@@ -23,7 +27,7 @@
   readonly executions = new Map<string, number>();
 
   /** Executions by order tag. */
-  readonly orders = new Map<string, number>();
+  private readonly orders = new Map<string, number>();
 
   /** Time at which the VM list showed the worker as leaving. */
   readonly leavingSince = new Map<string, number>();
@@ -48,8 +52,8 @@
     const generate = backendServers.generate.bind(backendServers);
     backendServers.generate = (worker, generation, onToken, signal) => {
       this.checkDispatch(worker.id, generation.requestId);
-      const item = JOB_TAG.exec(generation.messages.at(-1)?.content ?? '');
-      if (item !== null) this.checkCancelled(item[1]!);
+      const job = findJob(generation);
+      if (job !== undefined) this.checkCancelled(job);
       return generate(worker, generation, onToken, signal);
     };
     const call = backendServers.call.bind(backendServers);
@@ -63,8 +67,9 @@
     const start = engine.start.bind(engine);
     const { workerId } = engine;
     engine.start = (generation, sink) => {
-      const item = JOB_TAG.exec(generation.messages.at(-1)?.content ?? '');
-      if (item === null) return this.startOnline(generation, () => start(generation, sink));
+      if (findJob(generation) === undefined) {
+        return this.startOnline(generation, () => start(generation, sink));
+      }
       const watched = this.watchSink(workerId, sink);
       const started = start(generation, watched);
       if (started.isErr()) return started;
