Give every shard watch a connection to the key-value service

Cause: each VM holds one waiting watch per owned shard and one for the records, but the client allowed 16 connections for watches. A VM with more than 15 shards (three VMs own 21 to 23 each) could start all shard watches before the one of the records, which was then refused as overloaded for ever: in a run of the local fleet all three VMs stayed at revision 0 for seven minutes while the service held revision 5. Seen through the inspector: 16 of 16 places in use, 106 failures of the records watch in a row.

The limit is now derived from the number of shards. The new test holds a watch per shard and changes a record.

--- a/packages/platform-clients/src/key-value-client.test.ts
+++ b/packages/platform-clients/src/key-value-client.test.ts
@@ -3,6 +3,7 @@
 import { MAX_VALUE_BYTES, WriteStatus } from '@jujubelanding/platform';
 import { Reachability } from '@jujubelanding/stand-ins';
 import { VirtualTimer } from '@jujubelanding/timer';
+import { SHARD_COUNT } from '@jujubelanding/types';
 import { getFault, getValue } from './fixtures/results.js';
 import { awaitCall, awaitCondition, serveKeyValue } from './fixtures/servers.js';
 import { createKeyValueClient } from './index.js';
@@ -47,6 +48,19 @@
   t.deepEqual(idle, { changes: [], revision: 1, compacted: false });
 });
 
+test('a VM that owns all shards still learns of changed records', async (t) => {
+  const { store, timer, service } = await setUp(t);
+  const shards = Array.from({ length: SHARD_COUNT }, (_, shard) =>
+    store.watch(`jobs/${shard}/`, 0, 60_000),
+  );
+  const records = store.watch('records/', 0, 60_000);
+  await awaitCondition(timer, () => service.counters.get('watch') === SHARD_COUNT + 1);
+  service.state.write(write('records/team/a', '1'));
+  t.is(getValue(await records).changes.length, 1);
+  await store.close();
+  await Promise.all(shards);
+});
+
 test('a lost reply leaves the outcome unknown, with step and peer', async (t) => {
   const { store, service } = await setUp(t);
   service.faults.lostReplyChance = 1;
--- a/packages/platform-clients/src/key-value-client.ts
+++ b/packages/platform-clients/src/key-value-client.ts
@@ -7,6 +7,7 @@
   type WriteResult,
 } from '@jujubelanding/platform';
 import type { Timer } from '@jujubelanding/timer';
+import { SHARD_COUNT } from '@jujubelanding/types';
 import { z } from 'zod';
 import { HttpPeer, type CallRequest } from './http-peer.js';
 
@@ -27,9 +28,13 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Connections for calls, and for watches, which hold theirs while they wait. */
 const CALL_CONNECTIONS = 32;
-const WATCH_CONNECTIONS = 16;
+
+/**
+ * A watch holds its connection while it waits. Each owned shard has one watch and so do the records; with
+ * 16 connections the watch of the records found none on a VM that owned 23 shards.
+ */
+const WATCH_CONNECTIONS = SHARD_COUNT + 8;
 
 const entrySchema = z.object({
   key: z.string(),
