--- a/packages/quickstart/src/local-fleet.test.ts
+++ b/packages/quickstart/src/local-fleet.test.ts
@@ -1,14 +1,18 @@
 import { spawnSync } from 'node:child_process';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { LocalFleet, Session } from './index.js';
 
 /** Built by `npm ci` and by `npm run build`. */
 const PROGRAMS = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../dist');
 
-const startFleet = async (): Promise<{ fleet: LocalFleet; session: Session }> => {
+const startFleet = async (
+  t: ExecutionContext,
+): Promise<{ fleet: LocalFleet; session: Session }> => {
   const fleet = new LocalFleet({ programs: PROGRAMS, entryVms: 3, engines: 2 });
+  // Before the start: processes that outlive a failed start keep the test run from ending.
+  t.teardown(() => fleet.stop());
   await fleet.start();
   const session = new Session(fleet.callerAddresses());
   await session.awaitReady();
@@ -19,8 +23,7 @@
 test.serial(
   'a job survives the loss of the entry VM right after its acknowledgement',
   async (t) => {
-    const { fleet, session } = await startFleet();
-    t.teardown(() => fleet.stop());
+    const { fleet, session } = await startFleet(t);
     const id = await session.submitJob(300, 'lost-vm');
     fleet.entryVms[0]!.kill();
     const job = await session.collectJob(id);
@@ -30,8 +33,7 @@
 );
 
 test.serial('a planned stop lets a stream in progress end and exits with 0', async (t) => {
-  const { fleet, session } = await startFleet();
-  t.teardown(() => fleet.stop());
+  const { fleet, session } = await startFleet(t);
   const answer = session.streamAnswer('a long question', 256);
   const code = await fleet.entryVms[0]!.stop();
   t.true((await answer).isWhole);
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -90,7 +90,7 @@
   async startEntryVm(index: number): Promise<Program> {
     const id = `entry-${index}`;
     const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
-    const program = await Program.start(
+    const program = new Program(
       id,
       path.join(this.options.programs, 'jujubelandingd.js'),
       [
@@ -107,14 +107,16 @@
       this.options.entryVmEnvironment?.(index),
     );
     this.entryVms.push(program);
+    await program.awaitListening();
     await this.listVm(id, 'entryVm', zone, program.listening.peerAddress!);
     return program;
   }
 
   private async startStandIn(name: string, parameters: string[]): Promise<string> {
     const script = path.join(this.options.programs, 'stand-ins.js');
-    const program = await Program.start(name, script, [name, '--port', '0', ...parameters]);
+    const program = new Program(name, script, [name, '--port', '0', ...parameters]);
     this.standIns.push(program);
+    await program.awaitListening();
     return program.listening.address!;
   }
 
--- a/packages/quickstart/src/program.ts
+++ b/packages/quickstart/src/program.ts
@@ -9,43 +9,62 @@
 /** Reported for a program that was ended by a signal. */
 const EXIT_KILLED = 1;
 
+type Listening = Readonly<Record<string, string>>;
+
+const parseListening = (line: string): Listening =>
+  Object.fromEntries(
+    line
+      .split(' ')
+      .slice(1)
+      .map((pair) => pair.split('=') as [string, string]),
+  );
+
 export class Program {
-  private constructor(
-    readonly name: string,
-    private readonly child: ChildProcess,
-    /** Values of the line `listening key=value ...`. */
-    readonly listening: Readonly<Record<string, string>>,
-  ) {}
+  private readonly child: ChildProcess;
 
-  /** Starts a program and waits for its `listening` line. */
-  static start(
-    name: string,
+  private values: Listening | undefined;
+
+  /** Starts the process; `awaitListening` tells when it can be used. */
+  constructor(
+    readonly name: string,
     script: string,
     parameters: readonly string[],
     environment: NodeJS.ProcessEnv = {},
-  ): Promise<Program> {
-    const child = spawn(process.execPath, [script, ...parameters], {
-      stdio: ['ignore', 'pipe', 'inherit'],
+  ) {
+    this.child = spawn(process.execPath, [script, ...parameters], {
+      stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...environment },
     });
+    // Not inherited: a process that outlives this one would keep the reader of its output waiting.
+    this.child.stderr!.on('data', (chunk: Buffer) => process.stderr.write(chunk));
+  }
+
+  /** Waits for the `listening` line. */
+  awaitListening(): Promise<void> {
     return new Promise((resolve, reject) => {
       const limit = setTimeout(() => {
-        child.kill('SIGKILL');
-        reject(new Error(`${name} did not start within ${START_LIMIT_MS} ms`));
+        this.kill();
+        reject(new Error(`${this.name} did not start within ${START_LIMIT_MS} ms`));
       }, START_LIMIT_MS);
-      child.once('exit', (code) => reject(new Error(`${name} ended with code ${code}`)));
-      createInterface({ input: child.stdout }).on('line', (line) => {
+      this.child.once('exit', (code) => {
+        clearTimeout(limit);
+        reject(new Error(`${this.name} ended with code ${code}`));
+      });
+      createInterface({ input: this.child.stdout! }).on('line', (line) => {
         if (!line.startsWith('listening ')) return;
         clearTimeout(limit);
-        const pairs = line.split(' ').slice(1);
-        const listening = Object.fromEntries(
-          pairs.map((pair) => pair.split('=') as [string, string]),
-        );
-        resolve(new Program(name, child, listening));
+        this.values = parseListening(line);
+        resolve();
       });
     });
   }
 
+  /** Values of the line `listening key=value ...`. */
+  get listening(): Listening {
+    if (this.values === undefined) throw new Error(`${this.name} is not listening yet`);
+    return this.values;
+  }
+
   get processId(): number {
     return this.child.pid!;
   }
