Report progress by one datagram per owner VM

Cause: an executor made one call per shard every 500 ms. A call costs 539 B plus 208 B of TCP and IP headers and about 1.6 ms of processor time, so that 16 chunks (14 shards) took 20.1 KB/s and 4.1% of a core with 8 entry VMs and 22.6 KB/s and 4.6% with 410.

Now an executor sends one notice a second to each owner VM, with the list of grants until the owner has answered for it. Answers name only the grants to stop. The owner sends executors a stop datagram when a job turns out cancelled. The contact time of 1.5 s and the grant timeout of 3 s are unchanged, and contact counts from the sending of the answered notice.

--- a/packages/batch-execution/src/batch-executor.ts
+++ b/packages/batch-execution/src/batch-executor.ts
@@ -22,12 +22,12 @@
 import { chooseItem, type ItemChoice } from './item-choice.js';
 import { cancelIfStalled, createItemRunner, formatReason, type RunItem } from './item-runner.js';
 import { OwnerCalls } from './owner-calls.js';
+import { ProgressReporter } from './progress-reporter.js';
 import { cancelItem, type RunningItem, type WorkerLane } from './worker-lane.js';
 import { WorkerPool } from './worker-pool.js';
 
 /** The reserve of a worker shrinks while time passes, without any event. */
 const TICK_MS = 50;
-const PROGRESS_INTERVAL_MS = 500;
 /** A worker that refused an item is not asked again at once. */
 const REFUSAL_PAUSE_MS = 250;
 const DEFAULT_STALL_MS = 30_000;
@@ -54,6 +54,8 @@
 
   private readonly chunks: ChunkSet;
 
+  private readonly progress: ProgressReporter;
+
   private readonly poller: ChunkPoller;
 
   private readonly runItem: RunItem;
@@ -78,6 +80,12 @@
       log: this.log,
       onStop: (chunk) => this.cancelChunk(chunk),
     });
+    this.progress = new ProgressReporter({
+      io,
+      calls,
+      executorId: entryVmId,
+      chunks: this.chunks,
+    });
     this.poller = new ChunkPoller({
       io,
       calls,
@@ -100,9 +108,7 @@
       shards.onChange(() => this.tick()),
       directory.onChange(() => this.tick()),
       io.timer.every(TICK_MS, () => this.tick()),
-      io.timer.every(PROGRESS_INTERVAL_MS, () => {
-        void this.chunks.reportProgress();
-      }),
+      this.progress.start(),
     ];
   }
 
--- a/packages/batch-execution/src/chunk-set.ts
+++ b/packages/batch-execution/src/chunk-set.ts
@@ -1,8 +1,8 @@
-/** Chunks in work at this executor, with their contact to the job owners. */
+/** Chunks in work at this executor. */
 import type { EntryVmIo, SegmentStore } from '@jujubelanding/interfaces';
 import { formatTarget, parseItems } from '@jujubelanding/batch-jobs';
 import type { Log } from '@jujubelanding/log';
-import { ProgressVerdict, type ChunkGrant } from '@jujubelanding/peer-protocol';
+import type { ChunkGrant } from '@jujubelanding/peer-protocol';
 import { ChunkFinisher } from './chunk-finisher.js';
 import { ChunkPhase, ChunkWork } from './chunk-work.js';
 import { mayDispatch } from './item-choice.js';
@@ -10,8 +10,6 @@
 
 /** Bounds the memory for items in work. */
 export const MAX_CHUNKS = 16;
-/** Longer than an outage of an owner; the chunk is then run again from its input. */
-const ABANDON_MS = 10 * 60 * 1000;
 
 export interface ChunkSetOptions {
   io: Pick<EntryVmIo, 'timer' | 'random'>;
@@ -65,23 +63,18 @@
     this.loading.set(grantId, grant);
     const content = await this.options.segments.read(grant.input);
     const items = content.andThen(parseItems);
-    this.loading.delete(grantId);
+    // Stopped while the items were being read.
+    if (!this.loading.delete(grantId)) return;
     if (items.isErr()) {
       const { message } = items.error;
       this.options.log.write('chunk-unreadable', { job: jobId, chunk, message });
       return;
     }
-    this.chunks.set(grantId, new ChunkWork(grant, items.value, requestedAt));
+    this.put(new ChunkWork(grant, items.value, requestedAt));
   }
 
-  /** Sends one progress report per shard and obeys the verdicts. */
-  async reportProgress(): Promise<void> {
-    const byShard = new Map<number, ChunkWork[]>();
-    this.chunks.forEach((chunk) => {
-      const { shard } = chunk.grant;
-      byShard.set(shard, [...(byShard.get(shard) ?? []), chunk]);
-    });
-    await Promise.all([...byShard].map(([shard, chunks]) => this.reportShard(shard, chunks)));
+  put(chunk: ChunkWork): void {
+    this.chunks.set(chunk.grant.grantId, chunk);
   }
 
   async finish(chunk: ChunkWork): Promise<void> {
@@ -105,22 +98,10 @@
     this.options.onStop(chunk);
   }
 
-  private async reportShard(shard: number, chunks: readonly ChunkWork[]): Promise<void> {
-    const { calls, executorId, io } = this.options;
-    const sentAt = io.timer.now();
-    const grants = chunks.map(({ grant: { jobId, chunk, grantId } }) => ({
-      jobId,
-      chunk,
-      grantId,
-    }));
-    const reply = await calls.reportProgress({ shard, executorId, grants });
-    chunks.forEach((chunk, index) => {
-      if (reply.isErr()) {
-        if (io.timer.now() - chunk.lastContactAt > ABANDON_MS) this.stop(chunk, 'no contact');
-        return;
-      }
-      if (reply.value.verdicts[index] === ProgressVerdict.Stop) this.stop(chunk, 'told by owner');
-      else chunk.lastContactAt = Math.max(chunk.lastContactAt, sentAt);
-    });
+  /** Stops a granted chunk, also one whose items are still being read. */
+  stopGrant(grantId: string, reason: string): void {
+    this.loading.delete(grantId);
+    const chunk = this.chunks.get(grantId);
+    if (chunk !== undefined) this.stop(chunk, reason);
   }
 }
--- a/packages/batch-execution/src/chunk-work.ts
+++ b/packages/batch-execution/src/chunk-work.ts
@@ -55,6 +55,11 @@
     return this.results.size === this.itemCount;
   }
 
+  /** Notes that the job owner has judged the grant after this time. */
+  confirmContact(at: number): void {
+    this.lastContactAt = Math.max(this.lastContactAt, at);
+  }
+
   take(work: ItemWork): void {
     const position = this.pending.indexOf(work);
     if (position >= 0) this.pending.splice(position, 1);
--- a/packages/batch-execution/src/index.ts
+++ b/packages/batch-execution/src/index.ts
@@ -1,6 +1,9 @@
 /** Execution of batch items on owned workers. */
 export * from './attempt-decision.js';
 export * from './batch-executor.js';
+export * from './chunk-set.js';
 export * from './chunk-work.js';
 export * from './item-choice.js';
+export * from './owner-calls.js';
+export * from './progress-reporter.js';
 export * from './worker-lane.js';
--- a/packages/batch-execution/src/owner-calls.ts
+++ b/packages/batch-execution/src/owner-calls.ts
@@ -11,6 +11,7 @@
 } from '@jujubelanding/peer-protocol';
 import { SHARD_COUNT } from '@jujubelanding/types';
 import { err } from 'neverthrow';
+import type { ChunkWork } from './chunk-work.js';
 
 /** The owner commits at most once a second per job, and the write itself takes a while. */
 const COMPLETION_TIMEOUT_MS = 5000;
@@ -22,6 +23,17 @@
   owner: Pick<JobOwner, 'requestChunk' | 'reportProgress' | 'completeChunk'>;
 }
 
+/** A VM that owns jobs. */
+export interface ChunkOwner {
+  peerAddress: string;
+  isSelf: boolean;
+}
+
+export interface OwnedChunks {
+  owner: ChunkOwner;
+  chunks: ChunkWork[];
+}
+
 export class OwnerCalls {
   constructor(private readonly options: OwnerCallsOptions) {}
 
@@ -35,6 +47,22 @@
     return owners;
   }
 
+  /** Groups chunks by the VM that owns their jobs; those without known owner are left out. */
+  groupByOwner(chunks: readonly ChunkWork[]): Map<string, OwnedChunks> {
+    const { entryVmId } = this.options.membership.self();
+    const groups = new Map<string, OwnedChunks>();
+    chunks.forEach((chunk) => {
+      const owner = this.options.shards.ownerOf(chunk.grant.shard);
+      if (owner === undefined) return;
+      const { peerAddress } = owner;
+      const isSelf = owner.entryVmId === entryVmId;
+      const group = groups.get(owner.entryVmId) ?? { owner: { peerAddress, isSelf }, chunks: [] };
+      group.chunks.push(chunk);
+      groups.set(owner.entryVmId, group);
+    });
+    return groups;
+  }
+
   requestChunk(request: ChunkRequest): Reply<PeerCalls[PeerMethod.RequestChunk]['output']> {
     return this.route(
       request.shard,
--- a/packages/batch-jobs/src/job-owner.ts
+++ b/packages/batch-jobs/src/job-owner.ts
@@ -17,6 +17,7 @@
   type ChunkGrant,
   type ChunkRequest,
   type JobNotice,
+  type ListedGrant,
   type ProgressReply,
   type ProgressReport,
 } from '@jujubelanding/peer-protocol';
@@ -29,6 +30,7 @@
 import { createGrant } from './grant.js';
 import { JobRecords } from './job-records.js';
 import { updateJob } from './job-writer.js';
+import { ProgressAnswers } from './progress-answers.js';
 import { removeExpired } from './retention.js';
 import { createSchedulePolicy } from './schedule-policy.js';
 import {
@@ -60,6 +62,8 @@
 
   private readonly repair: CopyRepair;
 
+  private readonly progress: ProgressAnswers;
+
   private readonly policy: SchedulePolicy;
 
   private readonly shardJobs = new Map<number, ShardJobs>();
@@ -72,6 +76,10 @@
     this.log = options.io.createLog('job-owner');
     this.records = new JobRecords(options.io);
     this.policy = createSchedulePolicy(options.configuration);
+    this.progress = new ProgressAnswers({
+      ...options,
+      judge: (executorId, grant) => this.judge(executorId, grant),
+    });
     this.repair = new CopyRepair({
       ...options,
       log: this.log,
@@ -83,6 +91,7 @@
   start(): void {
     const { network, timer } = this.options.io;
     this.isRunning = true;
+    this.progress.start();
     network.handle(PeerMethod.RequestChunk, (request) => this.requestChunk(request));
     network.handle(PeerMethod.ReportProgress, (report) => this.reportProgress(report));
     network.handle(PeerMethod.CompleteChunk, (completion) => this.completeChunk(completion));
@@ -123,23 +132,13 @@
     return ok({ grants: choices.map((choice) => this.grant(choice, request.executorId)) });
   }
 
-  async reportProgress(report: ProgressReport): Reply<ProgressReply> {
-    const jobs = this.shardJobs.get(report.shard);
-    if (jobs?.loaded !== true || this.findFence(jobs) === undefined) {
-      return refuse(
-        FaultCode.NotOwner,
-        'report-progress',
-        `shard ${report.shard} is not ready here`,
-      );
-    }
-    const verdicts = report.grants.map(({ jobId, chunk, grantId }) => {
-      const job = jobs.open.get(jobId);
-      const isExtended =
-        job !== undefined && this.extend(job, chunk, { grantId, executorId: report.executorId });
-      if (!isExtended) this.log.write('grant-stopped', { job: jobId, chunk, grant: grantId });
-      return isExtended ? ProgressVerdict.Continue : ProgressVerdict.Stop;
-    });
-    return ok({ verdicts });
+  /** Progress by call: from this VM itself, and where datagrams are not answered. */
+  async reportProgress({ shard, executorId, grants }: ProgressReport): Reply<ProgressReply> {
+    const verdicts = grants.flatMap(
+      ({ jobId, chunk, grantId }) => this.judge(executorId, [shard, jobId, chunk, grantId]) ?? [],
+    );
+    if (verdicts.length === grants.length) return ok({ verdicts });
+    return refuse(FaultCode.NotOwner, 'report-progress', `shard ${shard} is not ready here`);
   }
 
   /** Answers `committed` only once the result is durable in the job record. */
@@ -182,7 +181,10 @@
     const stored = await this.records.read(jobId);
     if (stored.isErr()) {
       const job = jobs.open.get(jobId);
-      if (job !== undefined) job.isSuspended = true;
+      if (job !== undefined) {
+        job.isSuspended = true;
+        this.progress.stopJob(job);
+      }
       return err(stored.error);
     }
     if (stored.value !== undefined) jobs.apply(stored.value);
@@ -213,16 +215,23 @@
     return createGrant(record, chunk, { grantId, shard, fence: this.shardJobs.get(shard)!.fence });
   }
 
-  private extend(
-    job: OpenJob,
-    chunk: number,
-    report: { grantId: string; executorId: string },
-  ): boolean {
+  /** Extends a grant or stops it; undefined when its shard is not ready here. */
+  private judge(
+    executorId: string,
+    [shard, jobId, chunk, grantId]: ListedGrant,
+  ): ProgressVerdict | undefined {
+    const jobs = this.shardJobs.get(shard);
+    if (jobs?.loaded !== true || this.findFence(jobs) === undefined) return undefined;
+    const job = jobs.open.get(jobId);
+    const report = { grantId, executorId };
     const now = this.options.io.timer.now();
-    const grant = extendGrant(job, chunk, report, this.policy, now);
-    if (grant === undefined) return false;
-    job.grants.set(chunk, grant);
-    return true;
+    const grant = job && extendGrant(job, chunk, report, this.policy, now);
+    if (grant === undefined) {
+      this.log.write('grant-stopped', { job: jobId, chunk, grant: grantId });
+      return ProgressVerdict.Stop;
+    }
+    job!.grants.set(chunk, grant);
+    return ProgressVerdict.Continue;
   }
 
   /** Cancels the open jobs of classes that an operator has cancelled. */
@@ -281,6 +290,7 @@
         shard,
         fence,
         getFence: () => this.findFence(jobs),
+        onCancelled: (job) => this.progress.stopJob(job),
       });
       this.shardJobs.set(shard, jobs);
       void jobs.run();
--- a/packages/batch-jobs/src/schedule.ts
+++ b/packages/batch-jobs/src/schedule.ts
@@ -35,7 +35,7 @@
   chunk: JobChunk;
 }
 
-/** Three missed progress reports, and as many again for a slow network. */
+/** Two progress rounds of 1 s without contact, and a third for a slow network. */
 export const GRANT_TIMEOUT_MS = 3000;
 const MAX_GRANTS_PER_REQUEST = 8;
 
--- a/packages/batch-jobs/src/shard-jobs.ts
+++ b/packages/batch-jobs/src/shard-jobs.ts
@@ -12,7 +12,7 @@
 const WATCH_WAIT_MS = 20_000;
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 5000;
-/** Two progress reports of the executors that still work for the previous owner. */
+/** Executors report to a new owner at once, and again within a second if that is lost. */
 const ADOPTION_MS = 1200;
 
 /** What is remembered of a job that has ended. */
@@ -32,6 +32,8 @@
   shard: number;
   fence: number;
   getFence: () => number | undefined;
+  /** Called when an open job turns out to be cancelled, with its grants. */
+  onCancelled: (job: OpenJob) => void;
 }
 
 /** Returns the VMs that hold copies of a job's segments. */
@@ -135,6 +137,8 @@
 
   private end(stored: StoredJob): void {
     const { record, revision } = stored;
+    const job = this.open.get(record.id);
+    if (job !== undefined && record.status === JobStatus.Cancelled) this.options.onCancelled(job);
     this.commits.get(record.id)?.settle(record);
     this.commits.delete(record.id);
     this.open.delete(record.id);
--- a/packages/capacity/src/costs.ts
+++ b/packages/capacity/src/costs.ts
@@ -35,14 +35,8 @@
 const SHARDS = 64;
 const US_TO_PERCENT = 1e-4;
 
-/** An executor holds at most 16 chunks and reports per shard every 500 ms. */
-const CHUNKS_IN_WORK = 16;
-const REPORTS_PER_SECOND = 2;
 const POLLS_PER_SECOND = 2;
 
-/** JSON of a report of one chunk beyond the empty push. */
-const PROGRESS_JSON_BYTES = 60;
-
 /** JSON of a grant request and its answer beyond the empty push that `call.bytes` starts from. */
 const GRANT_JSON_BYTES = 40;
 
@@ -171,16 +165,19 @@
     this.addClaimOwner(owners);
   }
 
-  /** Load polls, of which one end runs here, and progress reports of an executor with all its chunks. */
+  /** Load polls, of which one end runs here, and progress notices of an executor with all its chunks. */
   private addExecutor(owners: number): void {
     const polls = (this.scenario.workers / owners) * POLLS_PER_SECOND;
     const pollUs = this.find('call.processor').fit.intercept / 2;
     this.add('worker owner', 'load polls', Resource.Processor, polls * pollUs * US_TO_PERCENT, [
       'call.processor',
     ]);
-    const shards = SHARDS * (1 - (1 - 1 / SHARDS) ** CHUNKS_IN_WORK);
-    const reports = shards * REPORTS_PER_SECOND * (1 - 1 / owners);
-    this.addCalls('executor', 'progress reports, 16 chunks', reports, PROGRESS_JSON_BYTES);
+    const { entryVms } = this.scenario;
+    const part = 'progress notices, 16 chunks';
+    const bytes = this.at('progress.bytes', entryVms);
+    this.add('executor', part, Resource.Bytes, bytes, ['progress.bytes']);
+    const processor = this.at('progress.processor', entryVms);
+    this.add('executor', part, Resource.Processor, processor, ['progress.processor']);
   }
 
   private addClaimOwner(owners: number): void {
--- /dev/null
+++ b/packages/capacity/src/measure/progress.ts
@@ -0,0 +1,167 @@
+/** Cost of progress notices and their answers per VM against the size of the fleet. */
+import { ChunkSet, ChunkWork, OwnerCalls, ProgressReporter } from '@jujubelanding/batch-execution';
+import { createJobId, ProgressAnswers } from '@jujubelanding/batch-jobs';
+import { silentLog } from '@jujubelanding/log';
+import {
+  ProgressVerdict,
+  type ChunkGrant,
+  type ProgressReport,
+} from '@jujubelanding/peer-protocol';
+import { createRandom, findShard, type Random } from '@jujubelanding/random';
+import { VirtualTimer } from '@jujubelanding/timer';
+import type { Member } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { assignShards, createMembers, createMembership, createShardTable } from '../parts.js';
+import { measureOnceMs } from '../processor-time.js';
+import {
+  createSeries,
+  Kind,
+  measureEach,
+  pickPoints,
+  selectSizes,
+  type MeasureOptions,
+  type Series,
+} from '../series.js';
+import { Wire } from '../wire.js';
+
+const SIZES = [8, 16, 32, 64, 128, 410];
+/** The most that an executor holds. */
+const CHUNKS = 16;
+/** 200 items of 217 tokens at 45 ms on some 64 slots, assumed. */
+const CHUNK_DURATION_MS = 30_000;
+const WARM_UP_MS = 5000;
+const MEASURED_MS = 20_000;
+
+interface ProgressResult {
+  bytes: number;
+  processorShare: number;
+  largestDatagram: number;
+}
+
+const createGrant = (random: Random): ChunkGrant => {
+  const jobId = createJobId('team', random.createId());
+  return {
+    jobId,
+    shard: findShard(jobId),
+    fence: 7,
+    grantId: random.createId(),
+    chunk: random.below(300),
+    firstItem: 0,
+    itemCount: 0,
+    model: 'model',
+    input: { id: '', bytes: 0, copies: [] },
+    dueAt: random.below(1000),
+    timeoutMs: 3000,
+  };
+};
+
+const createChunkSet = (timer: VirtualTimer, random: Random, executorId: string): ChunkSet => {
+  const segments = { read: async () => new Promise<never>(() => {}) } as never;
+  const calls = {} as OwnerCalls;
+  const io = { timer, random };
+  const set = new ChunkSet({
+    io,
+    segments,
+    calls,
+    executorId,
+    log: silentLog,
+    onStop: () => {},
+  });
+  const replace = (): void => {
+    const chunk = new ChunkWork(createGrant(random), [], timer.now());
+    set.put(chunk);
+    timer.after(CHUNK_DURATION_MS, () => {
+      set.stop(chunk, 'replaced');
+      replace();
+    });
+  };
+  for (let index = 0; index < CHUNKS; index += 1) {
+    timer.after(random.below(CHUNK_DURATION_MS), replace);
+  }
+  return set;
+};
+
+/** Starts an executor and a job owner on each VM; all VMs that own shards are executors. */
+export const startProgress = (count: number, seed: number) => {
+  const timer = new VirtualTimer();
+  const wire = new Wire(timer);
+  const random = createRandom(seed);
+  const members = createMembers(count);
+  const assigned = assignShards(members);
+  const owners = [...new Set<Member>(assigned)];
+  owners.forEach((member) => {
+    const network = wire.createNetwork(member.peerAddress);
+    const io = { timer, network, random };
+    const membership = createMembership(member, members);
+    const shards = createShardTable(member, assigned);
+    const judge = () => ProgressVerdict.Continue;
+    const owner = {
+      reportProgress: async ({ grants }: ProgressReport) => ok({ verdicts: grants.map(judge) }),
+    } as never;
+    const calls = new OwnerCalls({ io, shards, membership, owner });
+    const chunks = createChunkSet(timer, random, member.entryVmId);
+    new ProgressAnswers({ io, membership, judge }).start();
+    timer.after(random.below(1000), () => {
+      new ProgressReporter({ io, calls, executorId: member.entryVmId, chunks }).start();
+    });
+  });
+  return { wire, timer, owners };
+};
+
+const measure = async (count: number, seed: number): Promise<ProgressResult> => {
+  const { wire, timer, owners } = startProgress(count, seed);
+  await timer.advance(CHUNK_DURATION_MS + WARM_UP_MS);
+  wire.reset();
+  const elapsedMs = await measureOnceMs(() => timer.advance(MEASURED_MS));
+  const usages = owners.map(({ peerAddress }) => wire.networks.get(peerAddress)!);
+  const sum = usages.reduce((total, { usage }) => total + usage.bytesOut, 0);
+  return {
+    bytes: sum / owners.length / (MEASURED_MS / 1000),
+    processorShare: elapsedMs / MEASURED_MS / owners.length,
+    largestDatagram: wire.largestDatagram,
+  };
+};
+
+const header = {
+  size: 'entry VMs',
+  source:
+    'batch-execution/src/progress-reporter.ts, owner-calls.ts, batch-jobs/src/progress-answers.ts',
+};
+
+/** Measures an executor with 16 chunks that also answers as job owner; calls between VMs fail it. */
+export const measureProgress = async (options: MeasureOptions): Promise<Series[]> => {
+  const sizes = selectSizes(SIZES, options);
+  const results = await measureEach(sizes, (count) => measure(count, options.seed));
+  return [
+    createSeries(
+      {
+        ...header,
+        id: 'progress.bytes',
+        title: 'Progress: bytes per executor with 16 chunks',
+        kind: Kind.Counted,
+        unit: 'B/s',
+      },
+      pickPoints(results, ({ bytes }) => bytes),
+    ),
+    createSeries(
+      {
+        ...header,
+        id: 'progress.processor',
+        title: 'Progress: processor time per executor with 16 chunks',
+        kind: Kind.Processor,
+        unit: '% of a core',
+      },
+      pickPoints(results, ({ processorShare }) => processorShare * 100),
+    ),
+    createSeries(
+      {
+        ...header,
+        id: 'progress.largest',
+        title: 'Progress: largest datagram',
+        kind: Kind.Counted,
+        unit: 'B',
+      },
+      pickPoints(results, ({ largestDatagram }) => largestDatagram),
+    ),
+  ];
+};
--- a/packages/capacity/src/results.ts
+++ b/packages/capacity/src/results.ts
@@ -12,6 +12,7 @@
 import { measureLimits } from './measure/limits.js';
 import { measureMembership } from './measure/members.js';
 import { measureOnlineNotices } from './measure/notices.js';
+import { measureProgress } from './measure/progress.js';
 import { measureProxy } from './measure/proxy.js';
 import { measureRouting } from './measure/routing.js';
 import { measureShards } from './measure/shards.js';
@@ -41,6 +42,7 @@
   measureConfiguration,
   measureShards,
   measureOnlineNotices,
+  measureProgress,
   measureMembership,
 ];
 
--- a/packages/peer-protocol/src/datagrams.ts
+++ b/packages/peer-protocol/src/datagrams.ts
@@ -7,6 +7,11 @@
   ProbeRequest = 'probeRequest',
   OnlineNotice = 'onlineNotice',
   WorkerTotals = 'workerTotals',
+  LimitRequest = 'limitRequest',
+  LimitAnswer = 'limitAnswer',
+  ProgressNotice = 'progressNotice',
+  ProgressAnswer = 'progressAnswer',
+  GrantStop = 'grantStop',
 }
 
 /** Asks the receiver to answer at once; carries membership updates. */
@@ -63,4 +68,99 @@
   includedSequence?: number;
 }
 
-export type Datagram = Probe | ProbeReply | ProbeRequest | OnlineNotice | WorkerTotals;
+/**
+ * Use of one team's limits on the sender. Rates and tokens are in thousandths, because integers need
+ * fewer bytes; there are no field names, because a request lists many teams.
+ */
+export type TeamUse = [
+  team: string,
+  demandPerSecond: number,
+  inFlight: number,
+  /** Requests in progress and those refused lately. */
+  wantedInFlight: number,
+  /** Requests admitted since the last answer that arrived. */
+  admitted: number,
+  /** Tokens that would fill the sender's bucket. */
+  wantedTokens: number,
+  /** Grant in force at the sender; 0 without one. */
+  heldPerSecond: number,
+  heldConcurrency: number,
+];
+
+/** Asks a shard owner for shares of the limits of some of its teams. */
+export interface LimitRequest {
+  kind: DatagramKind.LimitRequest;
+  from: string;
+  bootId: string;
+  /** Grows with each request of a sender; older requests are discarded. */
+  sequence: number;
+  teams: TeamUse[];
+}
+
+/** Share of a team's limits for one entry VM; rate and tokens in thousandths. */
+export type TeamShare = [
+  requestsPerSecond: number,
+  concurrency: number,
+  /** Tokens to be added at once. */
+  advance: number,
+];
+
+/** Answers a limit request, or recalls shares that another entry VM lacks. */
+export interface LimitAnswer {
+  kind: DatagramKind.LimitAnswer;
+  from: string;
+  /** Sequence of the request; left out when shares are recalled. */
+  sequence?: number;
+  validMs: number;
+  /** In the order of the request; null for a team that the sender does not own. */
+  shares: (TeamShare | null)[];
+  /** Teams for which the receiver should ask again at once. */
+  recalled?: string[];
+}
+
+/** Shard, job id, chunk and grant id; without field names, because a notice lists up to 16. */
+export type ListedGrant = [shard: number, jobId: string, chunk: number, grantId: string];
+
+/** Tells an owner VM which of its chunks the sender has in work. */
+export interface ProgressNotice {
+  kind: DatagramKind.ProgressNotice;
+  /** Entry VM id of the executor. */
+  from: string;
+  sequence: number;
+  /** Number of the list of grants; a changed list has a new number. */
+  list: number;
+  /** Left out once the owner has answered for this list. */
+  grants?: ListedGrant[];
+}
+
+/** Answers a progress notice; grants that are not named continue. */
+export interface ProgressAnswer {
+  kind: DatagramKind.ProgressAnswer;
+  from: string;
+  sequence: number;
+  /** Set when the owner doesn't have the list; nothing was judged then. */
+  isListMissing?: true;
+  /** Positions in the list of the grants that must stop. */
+  stopped?: number[];
+  /** Positions of the grants for whose shard the receiver is not ready. */
+  unjudged?: number[];
+}
+
+/** Tells an executor to stop chunks at once; a lost one is made up for by the next answer. */
+export interface GrantStop {
+  kind: DatagramKind.GrantStop;
+  from: string;
+  grantIds: string[];
+}
+
+export type Datagram =
+  | Probe
+  | ProbeReply
+  | ProbeRequest
+  | OnlineNotice
+  | WorkerTotals
+  | LimitRequest
+  | LimitAnswer
+  | ProgressNotice
+  | ProgressAnswer
+  | GrantStop;
