Keep naming unreachable copies until there are enough others

Cause: an owner cut off from all named holders for 30 s found a copy on a reachable VM and replaced the whole list by it, so the record named one copy although two good ones came back, and nothing added a second.

The list now keeps lost holders until enough present ones are named.

--- a/packages/batch-jobs/src/copy-repair.ts
+++ b/packages/batch-jobs/src/copy-repair.ts
@@ -208,8 +208,14 @@
         holders.push(target);
       }
     }
-    const copies = [...new Set([...good, ...holders.map(({ entryVmId }) => entryVmId)])];
-    // With no new copy the record keeps naming the lost VM, which may still come back.
-    return copies.length > good.length ? { ...segment, copies } : undefined;
+    const present = [...new Set([...good, ...holders.map(({ entryVmId }) => entryVmId)])];
+    // A lost VM may still come back, so the record names it until there are enough other copies.
+    const missing = Math.max(0, settings.segmentCopies - present.length);
+    const copies = [
+      ...present,
+      ...segment.copies.filter((copy) => lost.has(copy)).slice(0, missing),
+    ];
+    const isSame = copies.every((copy) => segment.copies.includes(copy));
+    return isSame ? undefined : { ...segment, copies };
   }
 }
