Run the fleet as processes under real faults

Cause: the soak uses the decision modules with stand-ins in one process, so it could not see that the pool of watch connections ran out in real daemons. npm run faults starts four entry VMs, three model engines and a service that counts its executions as processes, keeps online, batch and order load on them, and pauses, kills, stops and cuts them off for 9 s each.

--- /dev/null
+++ b/packages/fault-run/src/fault-run.ts
@@ -0,0 +1,143 @@
+/** Puts a fleet under load, causes the faults one after the other, and checks the outcomes. */
+import { LocalFleet, Session, TEAM_KEY } from '@jujubelanding/quickstart';
+import { EntryPointList, sleep } from './callers.js';
+import { Fault, FAULT_HANDLERS } from './fault.js';
+import { OnlineLoad } from './online-load.js';
+import { ORDER_SERVICE, OrderDesk } from './order-desk.js';
+import { OrderLoad } from './order-load.js';
+
+export interface FaultRunOptions {
+  /** Folder with the built programs. */
+  programs: string;
+  faults: readonly Fault[];
+  print: (line: string) => void;
+}
+
+const ENTRY_VMS = 4;
+
+const ENGINES = 3;
+
+const ITEMS = 400;
+
+/** Target for a configuration change, once the key-value service answers again. */
+const IN_FORCE_LIMIT_MS = 4000;
+
+/** A VM that comes back is heard again within this time; the limit above counts from then. */
+const SETTLE_MS = 3000;
+
+const ORDER_RECORD = {
+  kind: 'service',
+  name: ORDER_SERVICE,
+  schemaVersion: 2,
+  spec: {
+    kind: 'plainService',
+    fencing: 'checked',
+    slotsPerWorker: 8,
+    requestTimeoutMs: 5000,
+    nonIdempotentPaths: ['/orders'],
+  },
+};
+
+interface SubmittedJob {
+  id: string;
+  fault: Fault;
+}
+
+export class FaultRun {
+  private readonly fleet: LocalFleet;
+
+  private readonly entryPoints: EntryPointList;
+
+  private readonly online: OnlineLoad;
+
+  private readonly orders: OrderLoad;
+
+  private readonly desk = new OrderDesk();
+
+  private readonly jobs: SubmittedJob[] = [];
+
+  private readonly problems: string[] = [];
+
+  constructor(private readonly options: FaultRunOptions) {
+    const { programs } = options;
+    this.fleet = new LocalFleet({ programs, entryVms: ENTRY_VMS, engines: ENGINES });
+    this.entryPoints = new EntryPointList(() => this.fleet.entryVms);
+    this.online = new OnlineLoad(this.entryPoints);
+    this.orders = new OrderLoad(this.entryPoints, TEAM_KEY);
+  }
+
+  /** Runs all faults; resolves with the wrong outcomes. */
+  async run(): Promise<string[]> {
+    try {
+      await this.start();
+      const stops = [this.online.start(), this.orders.start()];
+      for (const fault of this.options.faults) await this.runFault(fault);
+      await Promise.all(stops.map((stop) => stop()));
+      for (const job of this.jobs) await this.checkJob(job);
+    } catch (thrown) {
+      this.problems.push(String(thrown));
+    }
+    await this.fleet.stop();
+    this.desk.stop();
+    const { problems, orders, online, desk } = this;
+    return [...problems, ...online.problems, ...orders.check(desk.executions)];
+  }
+
+  private async start(): Promise<void> {
+    await this.fleet.start();
+    await this.fleet.listBackendServer('order-desk-0', ORDER_SERVICE, await this.desk.start());
+    const session = this.createSession();
+    await session.awaitReady();
+    await session.applyRecords();
+    await session.applyRecord(ORDER_RECORD);
+    await session.awaitInForce();
+  }
+
+  private async runFault(fault: Fault): Promise<void> {
+    const { fleet, entryPoints, online, orders } = this;
+    const before = { ...online.counts };
+    const job = await this.createSession().submitJob(ITEMS, `job-${fault}`);
+    this.jobs.push({ id: job, fault });
+    await FAULT_HANDLERS[fault]({ fleet, entryPoints });
+    await sleep(SETTLE_MS);
+    const inForceMs = await this.measureInForce(fault);
+    const counts = Object.entries(online.counts)
+      .map(([name, count]) => `${name}=${count - before[name as keyof typeof before]}`)
+      .join(' ');
+    this.options.print(
+      `fault=${fault} ${counts} orders.answered=${orders.answered.size} ` +
+        `orders.refused=${orders.refused.size} inForceMs=${inForceMs}`,
+    );
+  }
+
+  /** Writes a record and waits until it is in force on all live entry VMs. */
+  private async measureInForce(fault: Fault): Promise<number> {
+    const session = this.createSession();
+    await session.applyRecord({ ...ORDER_RECORD, name: `service-${fault.toLowerCase()}` });
+    const writtenAt = Date.now();
+    await session.awaitInForce();
+    const inForceMs = Date.now() - writtenAt;
+    if (inForceMs > IN_FORCE_LIMIT_MS) {
+      this.problems.push(`${fault}: in force after ${inForceMs} ms`);
+    }
+    return inForceMs;
+  }
+
+  private async checkJob({ id, fault }: SubmittedJob): Promise<void> {
+    const session = this.createSession();
+    const first = await session.collectJob(id);
+    const second = await session.collectJob(id);
+    const { items, succeeded, failed, digest } = first;
+    this.options.print(`job=${fault} items=${items} succeeded=${succeeded} failed=${failed}`);
+    if (items !== ITEMS || succeeded !== ITEMS || failed !== 0) {
+      this.problems.push(
+        `job of ${fault}: ${items} items, ${succeeded} succeeded, ${failed} failed`,
+      );
+    }
+    if (digest !== second.digest) this.problems.push(`job of ${fault}: its results changed`);
+  }
+
+  private createSession(): Session {
+    return new Session(this.fleet.callerAddresses());
+  }
+}
--- /dev/null
+++ b/packages/fault-run/src/fault.ts
@@ -0,0 +1,84 @@
+/** The faults of a run, as a table of what starts and what ends each. */
+import type { LocalFleet } from '@jujubelanding/quickstart';
+import { type EntryPointList, sleep } from './callers.js';
+
+export enum Fault {
+  None = 'none',
+  Pause = 'pause',
+  KeyValueOutage = 'keyValueOutage',
+  LostReplies = 'lostReplies',
+  WorkerCrash = 'workerCrash',
+  EntryVmCrash = 'entryVmCrash',
+  PlannedStop = 'plannedStop',
+}
+
+export interface FaultContext {
+  fleet: LocalFleet;
+  entryPoints: EntryPointList;
+}
+
+type Handler = (context: FaultContext) => Promise<void>;
+
+/** Longer than a lease of an entry VM (6 s), so that ownership moves. */
+const FAULT_MS = 9000;
+
+const LOST_REPLY_CHANCE = 0.3;
+
+/** Callers of a killed VM keep its address for this long. */
+const ENTRY_POINT_LIFETIME_MS = 1000;
+
+const pause: Handler = async ({ fleet, entryPoints }) => {
+  const entryVm = fleet.entryVms[1]!;
+  entryPoints.affected.add(entryVm.name);
+  process.kill(entryVm.processId, 'SIGSTOP');
+  await sleep(FAULT_MS);
+  process.kill(entryVm.processId, 'SIGCONT');
+  await sleep(ENTRY_POINT_LIFETIME_MS);
+  entryPoints.affected.delete(entryVm.name);
+};
+
+const cutKeyValue: Handler = async ({ fleet }) => {
+  await fleet.setKeyValueFaults({ reachability: 'cut' });
+  await sleep(FAULT_MS);
+  await fleet.setKeyValueFaults({ reachability: 'up' });
+};
+
+const loseReplies: Handler = async ({ fleet }) => {
+  await fleet.setKeyValueFaults({ lostReplyChance: LOST_REPLY_CHANCE });
+  await sleep(FAULT_MS);
+  await fleet.setKeyValueFaults({ lostReplyChance: 0 });
+};
+
+const crashWorker: Handler = async ({ fleet }) => {
+  fleet.engines[0]!.kill();
+  await sleep(FAULT_MS);
+};
+
+const crashEntryVm: Handler = async ({ fleet, entryPoints }) => {
+  const [entryVm] = fleet.entryVms.splice(2, 1);
+  entryPoints.affected.add(entryVm!.name);
+  entryVm!.kill();
+  await sleep(FAULT_MS);
+  await fleet.startEntryVm(fleet.entryVms.length + 1);
+};
+
+const stopEntryVm: Handler = async ({ fleet, entryPoints }) => {
+  const entryVm = fleet.entryVms[0]!;
+  const stopped = entryVm.stop();
+  // Callers ask again after the lifetime of their answer; the VM serves until then.
+  await sleep(ENTRY_POINT_LIFETIME_MS / 2);
+  fleet.entryVms.shift();
+  const code = await stopped;
+  if (code !== 0) throw new Error(`${entryVm.name} ended with code ${code}`);
+  entryPoints.affected.add(entryVm.name);
+};
+
+export const FAULT_HANDLERS: Record<Fault, Handler> = {
+  [Fault.None]: () => sleep(FAULT_MS),
+  [Fault.Pause]: pause,
+  [Fault.KeyValueOutage]: cutKeyValue,
+  [Fault.LostReplies]: loseReplies,
+  [Fault.WorkerCrash]: crashWorker,
+  [Fault.EntryVmCrash]: crashEntryVm,
+  [Fault.PlannedStop]: stopEntryVm,
+};
--- /dev/null
+++ b/packages/fault-run/src/order-desk.ts
@@ -0,0 +1,52 @@
+/** Plain service of this process that counts how often it ran each order. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+export const ORDER_SERVICE = 'order-desk';
+
+const WORK_MS = 20;
+
+/** Share of answers whose connection is closed after the order has run: 1 of this number. */
+const LOST_ANSWERS = 10;
+
+export class OrderDesk {
+  readonly executions = new Map<string, number>();
+
+  private readonly server: Server = createServer((request, response) => {
+    void this.answer(request, response);
+  });
+
+  private received = 0;
+
+  /** Listens and returns host:port. */
+  start(): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const order = Buffer.concat(chunks).toString('utf8');
+    if (request.method === 'POST') {
+      this.executions.set(order, (this.executions.get(order) ?? 0) + 1);
+      this.received += 1;
+    }
+    setTimeout(() => {
+      if (this.received % LOST_ANSWERS === 0) {
+        request.socket.destroy();
+        return;
+      }
+      response.setHeader('x-request-id', request.headers['x-request-id'] ?? '');
+      response.end(order);
+    }, WORK_MS);
+  }
+}
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -44,6 +44,8 @@
 export class LocalFleet {
   private readonly standIns: Program[] = [];
 
+  readonly engines: Program[] = [];
+
   readonly entryVms: Program[] = [];
 
   /** Address of each model engine, by worker id. */
@@ -64,15 +66,25 @@
     ]);
     this.platform = { keyValue, vmList, weightStore };
     await put(`http://${weightStore}/v1/weights/advisor-1`, { bytes: WEIGHT_BYTES });
-    const engines = Array.from({ length: this.options.engines }, (_, index) =>
-      this.startEngine(index),
-    );
-    await Promise.all([...engines, this.startPlainService()]);
+    const indexes = Array.from({ length: this.options.engines }, (_, index) => index);
+    await Promise.all([
+      ...indexes.map((index) => this.startEngine(index)),
+      this.startPlainService(),
+    ]);
     for (let index = 0; index < this.options.entryVms; index += 1) {
       await this.startEntryVm(index);
     }
   }
 
+  /** Changes the faults of the key-value service; see its `PUT /faults`. */
+  setKeyValueFaults(faults: Record<string, unknown>): Promise<void> {
+    return put(`http://${this.platform.keyValue}/faults`, faults);
+  }
+
+  listBackendServer(id: string, service: string, address: string): Promise<void> {
+    return this.listVm(id, 'backendServer', AVAILABILITY_ZONES[0]!, address, service);
+  }
+
   /** Addresses for callers. */
   callerAddresses(): string[] {
     return this.entryVms.map(({ listening }) => listening.callerAddress!);
@@ -113,19 +125,26 @@
   }
 
   private async startStandIn(name: string, parameters: string[]): Promise<string> {
+    const program = await this.startProgram(name, parameters);
+    return program.listening.address!;
+  }
+
+  private async startProgram(name: string, parameters: string[]): Promise<Program> {
     const script = path.join(this.options.programs, 'stand-ins.js');
     const program = new Program(name, script, [name, '--port', '0', ...parameters]);
     this.standIns.push(program);
     await program.awaitListening();
-    return program.listening.address!;
+    return program;
   }
 
   private async startEngine(index: number): Promise<void> {
     const id = `advisor-${index}`;
-    const address = await this.startStandIn('model-engine', [
+    const engine = await this.startProgram('model-engine', [
       ...['--worker-id', id, '--weight-store', this.platform.weightStore],
       ...['--settings', JSON.stringify(ENGINE_SETTINGS)],
     ]);
+    this.engines.push(engine);
+    const address = engine.listening.address!;
     this.engineAddresses.set(id, address);
     const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
     await this.listVm(id, 'backendServer', zone, address, SERVICE);
@@ -133,7 +152,7 @@
 
   private async startPlainService(): Promise<void> {
     const address = await this.startStandIn('plain-service', ['--worker-id', 'ledger-0']);
-    await this.listVm('ledger-0', 'backendServer', AVAILABILITY_ZONES[0]!, address, PLAIN_SERVICE);
+    await this.listBackendServer('ledger-0', PLAIN_SERVICE, address);
   }
 
   private listVm(
--- a/packages/quickstart/src/program.ts
+++ b/packages/quickstart/src/program.ts
@@ -59,6 +59,10 @@
     });
   }
 
+  get isListening(): boolean {
+    return this.values !== undefined;
+  }
+
   /** Values of the line `listening key=value ...`. */
   get listening(): Listening {
     if (this.values === undefined) throw new Error(`${this.name} is not listening yet`);
--- a/packages/quickstart/src/session.ts
+++ b/packages/quickstart/src/session.ts
@@ -1,4 +1,5 @@
 /** What the quickstart does as an operator and as a caller. */
+import { computeChecksum } from '@jujubelanding/random';
 import { createParser } from 'eventsource-parser';
 import { request } from 'undici';
 import { MODEL, OPERATOR_TOKEN } from './local-fleet.js';
@@ -12,6 +13,8 @@
 
 const JSON_TYPE = { 'content-type': 'application/json' };
 
+const OPERATOR_HEADERS = { ...JSON_TYPE, authorization: `Bearer ${OPERATOR_TOKEN}` };
+
 const sleep = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, delayMs);
@@ -36,8 +39,17 @@
   isWhole: boolean;
 }
 
+export interface OperatorRecord {
+  kind: string;
+  name: string;
+  schemaVersion: number;
+  spec: object;
+}
+
 export interface JobSummary {
   id: string;
+  /** Of the results as they were read. */
+  digest: string;
   /** Different items that have a result. */
   items: number;
   succeeded: number;
@@ -63,20 +75,27 @@
     }
   }
 
-  /** Writes the records and waits until they are in force on all entry VMs. */
+  /** Writes the records of the local fleet and waits until they are in force on all entry VMs. */
   async applyRecords(): Promise<void> {
-    const headers = { ...JSON_TYPE, authorization: `Bearer ${OPERATOR_TOKEN}` };
-    for (const { kind, name, schemaVersion, spec } of RECORDS) {
-      const response = await request(this.url(`/admin/v1/records/${kind}/${name}`), {
-        method: 'PUT',
-        headers,
-        body: JSON.stringify({ schemaVersion, spec, expectedRevision: 0 }),
-      });
-      const text = await response.body.text();
-      if (response.statusCode >= 300) throw new Error(`record ${kind}/${name}: ${text}`);
-    }
-    await waitFor('records in force everywhere', READY_LIMIT_MS, async () => {
-      const { body } = await request(this.url('/admin/v1/status'), { headers });
+    for (const record of RECORDS) await this.applyRecord(record);
+    await this.awaitInForce();
+  }
+
+  /** Creates a record. */
+  async applyRecord({ kind, name, schemaVersion, spec }: OperatorRecord): Promise<void> {
+    const response = await request(this.url(`/admin/v1/records/${kind}/${name}`), {
+      method: 'PUT',
+      headers: OPERATOR_HEADERS,
+      body: JSON.stringify({ schemaVersion, spec, expectedRevision: 0 }),
+    });
+    const text = await response.body.text();
+    if (response.statusCode >= 300) throw new Error(`record ${kind}/${name}: ${text}`);
+  }
+
+  /** Waits until all accepted records are in force on all entry VMs. */
+  awaitInForce(): Promise<void> {
+    return waitFor('records in force everywhere', READY_LIMIT_MS, async () => {
+      const { body } = await request(this.url('/admin/v1/status'), { headers: OPERATOR_HEADERS });
       const status = (await body.json()) as { inForceEverywhere: boolean };
       return status.inForceEverywhere;
     });
@@ -146,13 +165,15 @@
       return statusCode === 200 && (JSON.parse(text) as JobView).status === 'completed';
     });
     const { body } = await this.get(`/v1/batches/${id}/results`);
-    const results = (await body.text())
+    const text = await body.text();
+    const results = text
       .split('\n')
       .filter((line) => line !== '')
       .map((line) => JSON.parse(line) as { index: number; status: string });
     const succeeded = results.filter(({ status }) => status === 'succeeded').length;
     const items = new Set(results.map(({ index }) => index)).size;
-    return { id, items, succeeded, failed: results.length - succeeded };
+    const digest = computeChecksum(text);
+    return { id, digest, items, succeeded, failed: results.length - succeeded };
   }
 
   private get(path: string) {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,6 +10,7 @@
   'stand-ins': 'packages/stand-ins/src/main.ts',
   quickstart: 'packages/quickstart/src/main.ts',
   overhead: 'packages/quickstart/src/overhead.ts',
+  faults: 'packages/fault-run/src/main.ts',
 };
 
 const entryPoints = Object.fromEntries(
