--- a/packages/fault-run/src/fault.ts
+++ b/packages/fault-run/src/fault.ts
@@ -9,6 +9,12 @@
   LostReplies = 'lostReplies',
   WorkerCrash = 'workerCrash',
   EntryVmCrash = 'entryVmCrash',
+  /** A killed entry VM starts at once under its id and with its data folder. */
+  Restart = 'restart',
+  /** Two entry VMs are killed together. */
+  DoubleCrash = 'doubleCrash',
+  /** An entry VM is killed and replaced while the key-value service is cut off. */
+  CrashInOutage = 'crashInOutage',
   PlannedStop = 'plannedStop',
 }
 
@@ -54,12 +60,41 @@
   await sleep(FAULT_MS);
 };
 
-const crashEntryVm: Handler = async ({ fleet, entryPoints }) => {
-  const [entryVm] = fleet.entryVms.splice(2, 1);
+/** Kills an entry VM and returns its number. */
+const killEntryVm = ({ fleet, entryPoints }: FaultContext, position: number): number => {
+  const [entryVm] = fleet.entryVms.splice(position, 1);
   entryPoints.affected.add(entryVm!.name);
   entryVm!.kill();
+  return Number(entryVm!.name.split('-')[1]);
+};
+
+const crashEntryVm: Handler = async (context) => {
+  killEntryVm(context, 2);
+  await sleep(FAULT_MS);
+  await context.fleet.startNextEntryVm();
+};
+
+const restartEntryVm: Handler = async (context) => {
+  const number = killEntryVm(context, 2);
+  await context.fleet.startEntryVm(number);
+  await sleep(FAULT_MS);
+  context.entryPoints.affected.delete(`entry-${number}`);
+};
+
+const crashTwoEntryVms: Handler = async (context) => {
+  killEntryVm(context, 2);
+  killEntryVm(context, 1);
+  await sleep(FAULT_MS);
+  await context.fleet.startNextEntryVm();
+  await context.fleet.startNextEntryVm();
+};
+
+const crashInOutage: Handler = async (context) => {
+  await context.fleet.setKeyValueFaults({ reachability: 'cut' });
+  killEntryVm(context, 2);
+  await context.fleet.startNextEntryVm();
   await sleep(FAULT_MS);
-  await fleet.startEntryVm(fleet.entryVms.length + 1);
+  await context.fleet.setKeyValueFaults({ reachability: 'up' });
 };
 
 const stopEntryVm: Handler = async ({ fleet, entryPoints }) => {
@@ -80,5 +115,8 @@
   [Fault.LostReplies]: loseReplies,
   [Fault.WorkerCrash]: crashWorker,
   [Fault.EntryVmCrash]: crashEntryVm,
+  [Fault.Restart]: restartEntryVm,
+  [Fault.DoubleCrash]: crashTwoEntryVms,
+  [Fault.CrashInOutage]: crashInOutage,
   [Fault.PlannedStop]: stopEntryVm,
 };
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -55,6 +55,8 @@
 
   private dataFolder = '';
 
+  private nextEntryVm = 0;
+
   constructor(private readonly options: LocalFleetOptions) {}
 
   async start(): Promise<void> {
@@ -71,8 +73,8 @@
       ...indexes.map((index) => this.startEngine(index)),
       this.startPlainService(),
     ]);
-    for (let index = 0; index < this.options.entryVms; index += 1) {
-      await this.startEntryVm(index);
+    for (let count = 0; count < this.options.entryVms; count += 1) {
+      await this.startNextEntryVm();
     }
   }
 
@@ -98,7 +100,13 @@
     return codes;
   }
 
-  /** Starts one more entry VM; all of them have a data folder. */
+  /** Starts an entry VM under an id that was not used before. */
+  startNextEntryVm(): Promise<Program> {
+    this.nextEntryVm += 1;
+    return this.startEntryVm(this.nextEntryVm - 1);
+  }
+
+  /** Starts an entry VM with its data folder, which an earlier process may have left. */
   async startEntryVm(index: number): Promise<Program> {
     const id = `entry-${index}`;
     const zone = AVAILABILITY_ZONES[index % AVAILABILITY_ZONES.length]!;
