Ask only job owners that say that they have chunks to grant

Cause: a VM with idle batch slots asked all job owners at a bounded rate, 8 calls/s and 6.2 KB/s with 8 VMs however little work there was, and with many owners so rarely that a new job waited for seconds.

The member entry now says whether the VM has chunks to grant. Owners that say no are asked every 15 to 30 s in case the entry is out of date; entries of earlier versions say nothing and are asked as before. A change of the field is spread like a change of shards.

--- a/packages/batch-execution/src/chunk-poller.ts
+++ b/packages/batch-execution/src/chunk-poller.ts
@@ -1,10 +1,15 @@
-/** Asks job owners for chunks while slots are idle, at a low rate when there is no work. */
+/**
+ * Asks job owners for chunks while slots are idle: those that say that they have open chunks, and
+ * the others now and then, in case their member entry is out of date.
+ */
 import type { EntryVmIo } from '@jujubelanding/interfaces';
 import type { ChunkGrant } from '@jujubelanding/peer-protocol';
 import type { OwnerCalls } from './owner-calls.js';
 
 const FIRST_BACK_OFF_MS = 50;
 const MAX_BACK_OFF_MS = 1000;
+/** Gossip repairs a lost change of an entry within seconds, so that this is rarely needed. */
+const CLOSED_BACK_OFF_MS = 30_000;
 /** An owner that does not answer within this time must not keep slots idle. */
 const SLOW_REQUEST_MS = 100;
 /** With more owners than this, each is asked less often, so that the rate of requests is bounded. */
@@ -16,9 +21,17 @@
   requestedAt: number;
   /** Slots named in the request in progress; 0 when there is none. */
   requested: number;
+  /** What the owner last said of its chunks. */
+  hasOpenChunks: boolean | undefined;
 }
 
-const IDLE_OWNER: OwnerState = { backOffMs: 0, nextAt: 0, requestedAt: 0, requested: 0 };
+const IDLE_OWNER: OwnerState = {
+  backOffMs: 0,
+  nextAt: 0,
+  requestedAt: 0,
+  requested: 0,
+  hasOpenChunks: undefined,
+};
 
 export interface ChunkPollerOptions {
   io: Pick<EntryVmIo, 'timer' | 'random'>;
@@ -51,8 +64,14 @@
   }
 
   private isDue(owner: string, now: number): boolean {
-    const state = this.owners.get(owner);
-    return state === undefined || (state.requested === 0 && state.nextAt <= now);
+    const state = this.owners.get(owner) ?? { ...IDLE_OWNER };
+    this.owners.set(owner, state);
+    const hasOpenChunks = this.options.calls.hasOpenChunks(owner);
+    if (hasOpenChunks === true && state.hasOpenChunks !== true) {
+      Object.assign(state, { backOffMs: 0, nextAt: now });
+    }
+    state.hasOpenChunks = hasOpenChunks;
+    return state.requested === 0 && state.nextAt <= now;
   }
 
   private async request(
@@ -62,8 +81,7 @@
     slots: number,
   ): Promise<void> {
     const { io, calls, executorId, onGrants } = this.options;
-    const state = this.owners.get(owner) ?? { ...IDLE_OWNER };
-    this.owners.set(owner, state);
+    const state = this.owners.get(owner)!;
     state.requested = slots;
     const requestedAt = io.timer.now();
     state.requestedAt = requestedAt;
@@ -83,8 +101,11 @@
 
   private backOff(state: OwnerState): void {
     const { timer, random } = this.options.io;
-    const maximum = MAX_BACK_OFF_MS * Math.max(1, this.owners.size / OWNERS_AT_FULL_RATE);
-    state.backOffMs = Math.min(maximum, Math.max(FIRST_BACK_OFF_MS, state.backOffMs * 2));
+    const spread = Math.max(1, this.owners.size / OWNERS_AT_FULL_RATE);
+    state.backOffMs =
+      state.hasOpenChunks === false
+        ? CLOSED_BACK_OFF_MS * spread
+        : Math.min(MAX_BACK_OFF_MS * spread, Math.max(FIRST_BACK_OFF_MS, state.backOffMs * 2));
     state.nextAt = timer.now() + state.backOffMs * (0.5 + 0.5 * random.next());
   }
 }
--- a/packages/batch-execution/src/owner-calls.ts
+++ b/packages/batch-execution/src/owner-calls.ts
@@ -47,6 +47,14 @@
     return owners;
   }
 
+  /** Whether an owner has chunks to grant, as it says itself; undefined when it doesn't say. */
+  hasOpenChunks(ownerId: string): boolean | undefined {
+    const { membership } = this.options;
+    // A request in this process costs nothing.
+    if (ownerId === membership.self().entryVmId) return undefined;
+    return membership.find(ownerId)?.openChunks;
+  }
+
   /** Groups chunks by the VM that owns their jobs; those without known owner are left out. */
   groupByOwner(chunks: readonly ChunkWork[]): Map<string, OwnedChunks> {
     const { entryVmId } = this.options.membership.self();
--- a/packages/batch-jobs/src/index.ts
+++ b/packages/batch-jobs/src/index.ts
@@ -7,6 +7,7 @@
 export * from './job-owner.js';
 export * from './job-records.js';
 export * from './keys.js';
+export * from './open-chunks.js';
 export * from './progress-answers.js';
 export * from './reference-reader.js';
 export * from './schedule.js';
--- a/packages/batch-jobs/src/job-owner.ts
+++ b/packages/batch-jobs/src/job-owner.ts
@@ -25,11 +25,13 @@
 import type { Subscription } from '@jujubelanding/timer';
 import { JobControl, JobStatus } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
+import { answerFromRecord } from './completion-answer.js';
 import { CopyRepair, type OrderCopy } from './copy-repair.js';
 import { refuse } from './faults.js';
 import { createGrant } from './grant.js';
 import { JobRecords } from './job-records.js';
 import { updateJob } from './job-writer.js';
+import { OpenChunks } from './open-chunks.js';
 import { ProgressAnswers } from './progress-answers.js';
 import { removeExpired } from './retention.js';
 import { createSchedulePolicy } from './schedule-policy.js';
@@ -64,6 +66,8 @@
 
   private readonly progress: ProgressAnswers;
 
+  private readonly openChunks: OpenChunks;
+
   private readonly policy: SchedulePolicy;
 
   private readonly shardJobs = new Map<number, ShardJobs>();
@@ -76,6 +80,12 @@
     this.log = options.io.createLog('job-owner');
     this.records = new JobRecords(options.io);
     this.policy = createSchedulePolicy(options.configuration);
+    this.openChunks = new OpenChunks({
+      timer: options.io.timer,
+      membership: options.membership,
+      policy: this.policy,
+      listJobs: () => this.openJobs(),
+    });
     this.progress = new ProgressAnswers({
       ...options,
       judge: (executorId, grant) => this.judge(executorId, grant),
@@ -100,6 +110,7 @@
       this.options.shards.onChange(() => this.followShards()),
       this.options.configuration.onChange(() => this.applyControls()),
       timer.every(CONTROL_INTERVAL_MS, () => this.applyControls()),
+      this.openChunks.start(),
       timer.every(RETENTION_INTERVAL_MS, () => {
         void removeExpired({ ...this.options, log: this.log, shards: this.listLoaded() });
       }),
@@ -150,7 +161,7 @@
     }
     const job = jobs.open.get(jobId);
     const queue = jobs.getCommits(jobId);
-    if (job === undefined || queue === undefined) return this.answerFromRecord(completion);
+    if (job === undefined || queue === undefined) return answerFromRecord(this.records, completion);
     if (job.record.chunks[chunk] === undefined) {
       return refuse(FaultCode.InvalidInput, 'complete-chunk', `no chunk ${chunk}`);
     }
@@ -191,19 +202,6 @@
     return ok({});
   }
 
-  private async answerFromRecord({
-    jobId,
-    chunk,
-  }: ChunkCompletion): Reply<{ status: CompletionStatus }> {
-    const stored = await this.records.read(jobId);
-    if (stored.isErr()) return err(stored.error);
-    const isCommitted = stored.value?.record.chunks[chunk]?.result !== undefined;
-    if (!isCommitted && stored.value?.record.status === JobStatus.Open) {
-      return refuse(FaultCode.Unavailable, 'complete-chunk', 'the job is not loaded yet');
-    }
-    return ok({ status: isCommitted ? CompletionStatus.Committed : CompletionStatus.Rejected });
-  }
-
   private grant({ job, chunk }: ChunkChoice, executorId: string): ChunkGrant {
     const { timer, random } = this.options.io;
     const { record } = job;
@@ -291,6 +289,7 @@
         fence,
         getFence: () => this.findFence(jobs),
         onCancelled: (job) => this.progress.stopJob(job),
+        onOpened: () => this.openChunks.update(),
       });
       this.shardJobs.set(shard, jobs);
       void jobs.run();
--- /dev/null
+++ b/packages/batch-jobs/src/open-chunks.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava';
+import { JobControl, RecordKind } from '@jujubelanding/types';
+import {
+  MODEL,
+  createItems,
+  createJobFleet,
+  createSubmission,
+  type JobFleet,
+} from './fixtures/job-fleet.js';
+import { getValue, runFor } from './fixtures/segment-fleet.js';
+import { CLOSE_DELAY_MS, GRANT_TIMEOUT_MS } from './index.js';
+
+const CONTROL_MS = 1000;
+
+const setUp = async (change: object = {}) => {
+  const fleet = createJobFleet();
+  fleet.shards.move('vm-0');
+  await fleet.timer.advance(5000);
+  const submitted = fleet.vms[1]!.jobs.submit(createSubmission(createItems(3), change));
+  const { job } = getValue(await runFor(fleet.timer, submitted, 50));
+  return { fleet, job };
+};
+
+const isOpen = (fleet: JobFleet): boolean | undefined => fleet.members.all.get('vm-0')!.openChunks;
+
+const requestChunks = async (fleet: JobFleet) => {
+  const request = { shard: 0, executorId: 'vm-2', models: [MODEL], slots: 10 };
+  const reply = fleet.vms[0]!.owner.requestChunk(request);
+  return getValue(await runFor(fleet.timer, reply, 10)).grants;
+};
+
+test('a new job opens the entry at once, and a grant of its last chunk closes it', async (t) => {
+  const { fleet } = await setUp();
+  t.true(isOpen(fleet));
+  t.is((await requestChunks(fleet)).length, 1);
+  await fleet.timer.advance(CLOSE_DELAY_MS + CONTROL_MS);
+  t.false(isOpen(fleet));
+});
+
+// Guards against chunks of a lost executor that nobody asks for.
+test('a chunk whose grant has timed out opens the entry again', async (t) => {
+  const { fleet } = await setUp();
+  await requestChunks(fleet);
+  await fleet.timer.advance(CLOSE_DELAY_MS + CONTROL_MS - 20);
+  t.false(isOpen(fleet));
+  await fleet.timer.advance(GRANT_TIMEOUT_MS - CLOSE_DELAY_MS + 20);
+  t.true(isOpen(fleet));
+});
+
+test('a paused class closes the entry until it runs again', async (t) => {
+  const { fleet } = await setUp({ jobClass: 'nightly' });
+  const spec = { team: 'team-a', model: MODEL, dueInMs: 1, maxAttempts: 1 };
+  fleet.configuration.set(RecordKind.Job, 'nightly', { ...spec, control: JobControl.Paused });
+  await fleet.timer.advance(CLOSE_DELAY_MS + CONTROL_MS);
+  t.false(isOpen(fleet));
+  fleet.configuration.set(RecordKind.Job, 'nightly', { ...spec, control: JobControl.Running });
+  await fleet.timer.advance(CONTROL_MS);
+  t.true(isOpen(fleet));
+});
+
+test('an owner that lost its shards closes its entry, and the next one opens its own', async (t) => {
+  const { fleet } = await setUp();
+  fleet.shards.move('vm-1');
+  await fleet.timer.advance(CLOSE_DELAY_MS + CONTROL_MS);
+  t.false(isOpen(fleet));
+  t.true(fleet.members.all.get('vm-1')!.openChunks);
+});
--- /dev/null
+++ b/packages/batch-jobs/src/open-chunks.ts
@@ -0,0 +1,34 @@
+/** Says in this VM's member entry whether it has chunks to grant. */
+import type { Membership } from '@jujubelanding/interfaces';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { hasOpenChunk, type OpenJob, type SchedulePolicy } from './schedule.js';
+
+/** The entry changes this long after the last chunk was granted, since each change is gossip. */
+export const CLOSE_DELAY_MS = 2000;
+const UPDATE_INTERVAL_MS = 1000;
+
+export interface OpenChunksOptions {
+  timer: Timer;
+  membership: Membership;
+  policy: SchedulePolicy;
+  listJobs: () => OpenJob[];
+}
+
+export class OpenChunks {
+  private openUntil = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: OpenChunksOptions) {}
+
+  start(): Subscription {
+    return this.options.timer.every(UPDATE_INTERVAL_MS, () => this.update());
+  }
+
+  update(): void {
+    const { timer, membership, policy, listJobs } = this.options;
+    const now = timer.now();
+    if (listJobs().some((job) => hasOpenChunk(job, policy, now))) {
+      this.openUntil = now + CLOSE_DELAY_MS;
+    }
+    membership.updateSelf({ openChunks: now < this.openUntil });
+  }
+}
--- a/packages/batch-jobs/src/schedule.ts
+++ b/packages/batch-jobs/src/schedule.ts
@@ -57,6 +57,12 @@
       !isGranted(job, chunk.index, now),
   );
 
+/** True while a chunk of the job could be granted. */
+export const hasOpenChunk = (job: OpenJob, policy: SchedulePolicy, now: number): boolean =>
+  !job.isSuspended &&
+  policy.controlOf(job.record.jobClass) === JobControl.Running &&
+  findFreeChunk(job, new Set(), now) !== undefined;
+
 const countItemsInWork = (job: OpenJob, now: number): number =>
   [...job.grants]
     .filter(([chunk, grant]) => grant.deadline > now && !job.finished.has(chunk))
--- a/packages/batch-jobs/src/shard-jobs.ts
+++ b/packages/batch-jobs/src/shard-jobs.ts
@@ -34,6 +34,8 @@
   getFence: () => number | undefined;
   /** Called when an open job turns out to be cancelled, with its grants. */
   onCancelled: (job: OpenJob) => void;
+  /** Called when an open job appears after the shard was loaded. */
+  onOpened: () => void;
 }
 
 /** Returns the VMs that hold copies of a job's segments. */
@@ -101,6 +103,7 @@
     }
     if (known === undefined) {
       this.add(stored);
+      if (this.isLoaded) this.options.onOpened();
       return;
     }
     known.record = record;
--- a/packages/interfaces/src/state.ts
+++ b/packages/interfaces/src/state.ts
@@ -30,7 +30,7 @@
 
 /** What this VM says about itself in gossip; the rest is set by membership. */
 export type SelfUpdate = Partial<
-  Pick<Member, 'state' | 'heldRevision' | 'activeRevision' | 'onlineLoad' | 'shards'>
+  Pick<Member, 'state' | 'heldRevision' | 'activeRevision' | 'onlineLoad' | 'shards' | 'openChunks'>
 >;
 
 export interface Membership {
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -130,6 +130,7 @@
     const isEager =
       keys.includes('state') ||
       keys.includes('shards') ||
+      keys.includes('openChunks') ||
       (keys.includes('heldRevision') && this.liveCount() <= EAGER_REVISION_MEMBERS);
     this.setSelf({ ...this.self, ...Object.fromEntries(changed), incarnation }, isEager, now);
   }
@@ -184,6 +185,7 @@
     const isEager =
       !isSameState ||
       held.member.bootId !== member.bootId ||
+      held.member.openChunks !== member.openChunks ||
       JSON.stringify(held.member.shards) !== JSON.stringify(member.shards) ||
       (held.member.heldRevision !== member.heldRevision &&
         this.liveCount() <= EAGER_REVISION_MEMBERS);
--- a/packages/membership/src/membership-controller.ts
+++ b/packages/membership/src/membership-controller.ts
@@ -37,6 +37,7 @@
   activeRevision: 0,
   onlineLoad: 0,
   shards: [],
+  openChunks: false,
 });
 
 /** Connects the failure detector to timer and network. */
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -32,6 +32,20 @@
   for (const { membership } of cluster.nodes.values()) t.is(membership.members().length, 8);
 });
 
+// Guards against new jobs that wait for the random sample of gossip.
+test('a VM with open chunks is known as such to 32 VMs within 2 s, with 5% loss', async (t) => {
+  const cluster = await startCluster(32, 12);
+  await cluster.timer.advance(60_000);
+  cluster.loss = 0.05;
+  for (const openChunks of [true, false]) {
+    cluster.get('vm-3').membership.updateSelf({ openChunks });
+    await cluster.timer.advance(2000);
+    for (const { membership } of cluster.nodes.values()) {
+      t.is(membership.find('vm-3')!.openChunks, openChunks);
+    }
+  }
+});
+
 test('a crashed VM is dead everywhere within seconds and its old entry does not return', async (t) => {
   const cluster = await startCluster(6, 2);
   cluster.get('vm-3').process.isCrashed = true;
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -37,6 +37,8 @@
   /** Online requests in progress. */
   onlineLoad: number;
   shards: ShardClaim[];
+  /** True while the VM has chunks to grant; undefined on VMs of earlier versions. */
+  openChunks?: boolean;
 }
 
 export enum VmRole {
