Write event streams to the Node response and read bodies without a web stream

Cause, from timestamps at each step of one request on the daemon (p50 of 550 requests, machine at a load of 23 on 10 cores): reading the body as a web stream 0.85 ms, the response as a web stream 0.52 ms (its headers left in a packet of their own), routing and notices up to the dispatch 0.51 ms, parsing and admission 0.30 ms, the rest 0.30 ms. The wait for the engine is the same with and without the daemon. Nagle, log formatting, the overload gate and connection reuse take no measurable part: connections are kept, and each write is below 0.1 ms.

Bodies with a stated length are now read whole, which the Node server ends at that length. Events are written to the Node response, headers with the first one; without a Node server (tests, simulation) a web response is used as before.

The tests compare a served stream with the web one and guard against a stream that ends as whole after a fault or a throw, a lost request id, and bodies over the limit without a stated length.

--- a/packages/caller-api/src/chat.ts
+++ b/packages/caller-api/src/chat.ts
@@ -13,6 +13,7 @@
 import {
   createRefusal,
   release,
+  REQUEST_ID_HEADER,
   respondFault,
   type CallerApiOptions,
   type Exchange,
@@ -23,6 +24,8 @@
 import { chatSchema, type ChatRequest } from './schemas.js';
 import { openEventStream, type EventStream } from './event-stream.js';
 
+const decoder = new TextDecoder();
+
 /** Applies to models whose service has no record yet. */
 const DEFAULT_TIMEOUT_MS = 60_000;
 
@@ -81,8 +84,7 @@
   options: CallerApiOptions,
   exchange: Exchange,
 ): Result<PreparedChat, Fault> => {
-  const text = new TextDecoder().decode(exchange.get('body'));
-  const parsed = parseInput(text, chatSchema);
+  const parsed = parseInput(decoder.decode(exchange.get('body')), chatSchema);
   if (parsed.isErr()) return err(parsed.error);
   const chat = parsed.value;
   const resolved = resolveModel(options, chat);
@@ -185,7 +187,11 @@
   generation: OnlineGeneration,
   shape: ChatShape,
 ): Promise<Response> => {
-  const stream = openEventStream(exchange.req.raw.signal);
+  const stream = openEventStream({
+    outgoing: exchange.env?.outgoing,
+    callerSignal: exchange.req.raw.signal,
+    headers: { [REQUEST_ID_HEADER]: generation.generation.requestId },
+  });
   let announceToken = (): void => {};
   const started = new Promise<void>((resolve) => {
     announceToken = resolve;
@@ -213,7 +219,7 @@
     (answer) => finishStream(stream, shape, answer, requestId),
     (thrown) => stream.fail(thrown),
   );
-  return stream.response;
+  return stream.createResponse();
 };
 
 const answerWhole = async (
--- a/packages/caller-api/src/event-stream.ts
+++ b/packages/caller-api/src/event-stream.ts
@@ -1,48 +1,122 @@
-/** Server-sent events as a response body. */
+/** Server-sent events as the body of a response. */
+import type { ServerResponse } from 'node:http';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+
+export interface EventStreamOptions {
+  /** Response of the Node server, where there is one. */
+  outgoing: ServerResponse | undefined;
+  /** Aborted when the caller goes away; used where there is no Node server. */
+  callerSignal: AbortSignal;
+  /** Headers besides those of all event streams. */
+  headers: Record<string, string>;
+}
+
+const HEADERS = {
+  'content-type': 'text/event-stream; charset=utf-8',
+  'cache-control': 'no-cache',
+};
+
+const STATUS_OK = 200;
+
+const formatEvent = (data: string, event: string | undefined): string =>
+  `${event === undefined ? '' : `event: ${event}\n`}data: ${data}\n\n`;
+
+/** Where events are written to. */
+interface Sink {
+  write(text: string): void;
+  end(): void;
+  destroy(thrown: unknown): void;
+  createResponse(): Response;
+}
+
+/** A response that consists of events; its status and headers are sent with the first one. */
+export class EventStream {
+  private readonly abort = new AbortController();
+
+  private isOpen = true;
+
+  constructor(private readonly sink: Sink) {}
 
-export interface EventStream {
-  response: Response;
   /** Aborted when the caller goes away. */
-  signal: AbortSignal;
-  send(data: string, event?: string): void;
-  close(): void;
+  get signal(): AbortSignal {
+    return this.abort.signal;
+  }
+
+  /** Sends an event; drops it when the stream has ended or the caller has gone. */
+  send(data: string, event?: string): void {
+    if (this.isOpen) this.sink.write(formatEvent(data, event));
+  }
+
+  close(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.sink.end();
+  }
+
   /** Breaks the response off, so that it can't be taken for complete. */
-  fail(thrown: unknown): void;
+  fail(thrown: unknown): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.sink.destroy(thrown);
+  }
+
+  /** Ends the stream from the caller's side. */
+  leave(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.abort.abort();
+  }
+
+  /** Returns the response for the server; called after the first event was sent. */
+  createResponse(): Response {
+    return this.sink.createResponse();
+  }
 }
 
-/** Opens a stream; events sent after the caller has gone are dropped. */
-export const openEventStream = (callerSignal: AbortSignal): EventStream => {
-  const abort = new AbortController();
+/**
+ * Writes to the Node response. A web stream in between costs about 0.5 ms per request and sends the
+ * headers in a packet of their own.
+ */
+const openNodeStream = (outgoing: ServerResponse, headers: Record<string, string>): EventStream => {
+  const stream = new EventStream({
+    write: (text) => {
+      if (!outgoing.headersSent) outgoing.writeHead(STATUS_OK, { ...HEADERS, ...headers });
+      outgoing.write(text);
+    },
+    end: () => outgoing.end(),
+    destroy: () => outgoing.destroy(),
+    // A copy, because filters set headers on the response.
+    createResponse: () => RESPONSE_ALREADY_SENT.clone(),
+  });
+  if (outgoing.destroyed) stream.leave();
+  else outgoing.once('close', () => stream.leave());
+  return stream;
+};
+
+const openWebStream = ({ callerSignal, headers }: EventStreamOptions): EventStream => {
   const encoder = new TextEncoder();
   let controller!: ReadableStreamDefaultController<Uint8Array>;
-  let isOpen = true;
-  const leave = (): void => {
-    isOpen = false;
-    abort.abort();
-  };
+  let leave = (): void => {};
   const body = new ReadableStream<Uint8Array>({
     start: (opened) => {
       controller = opened;
     },
-    cancel: leave,
+    cancel: () => leave(),
+  });
+  const stream = new EventStream({
+    write: (text) => controller.enqueue(encoder.encode(text)),
+    end: () => controller.close(),
+    destroy: (thrown) => controller.error(thrown),
+    createResponse: () => new Response(body, { headers: { ...HEADERS, ...headers } }),
   });
+  leave = () => stream.leave();
   if (callerSignal.aborted) leave();
   else callerSignal.addEventListener('abort', leave, { once: true });
-  const end = (run: () => void): void => {
-    callerSignal.removeEventListener('abort', leave);
-    if (isOpen) run();
-    isOpen = false;
-  };
-  return {
-    response: new Response(body, {
-      headers: { 'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-cache' },
-    }),
-    signal: abort.signal,
-    send: (data, event) => {
-      const name = event === undefined ? '' : `event: ${event}\n`;
-      if (isOpen) controller.enqueue(encoder.encode(`${name}data: ${data}\n\n`));
-    },
-    close: () => end(() => controller.close()),
-    fail: (thrown) => end(() => controller.error(thrown)),
-  };
+  return stream;
 };
+
+/** Opens a stream on the Node server's response, or as a web response where there is none. */
+export const openEventStream = (options: EventStreamOptions): EventStream =>
+  options.outgoing === undefined
+    ? openWebStream(options)
+    : openNodeStream(options.outgoing, options.headers);
--- a/packages/caller-api/src/exchange.ts
+++ b/packages/caller-api/src/exchange.ts
@@ -13,8 +13,11 @@
 } from '@jujubelanding/interfaces';
 import type { OverloadGate } from '@jujubelanding/limits';
 import type { Idempotency, RecordKind } from '@jujubelanding/types';
+import type { HttpBindings } from '@hono/node-server';
 import type { Context, Hono, MiddlewareHandler } from 'hono';
 
+export const REQUEST_ID_HEADER = 'x-request-id';
+
 export interface CallerApiOptions {
   io: Pick<EntryVmIo, 'timer' | 'random' | 'createLog' | 'metrics'>;
   dispatcher: OnlineDispatcher;
@@ -51,6 +54,8 @@
 }
 
 export interface ExchangeEnvironment {
+  /** Given by the Node server; requests that are passed in otherwise have none. */
+  Bindings: Partial<HttpBindings> | undefined;
   Variables: ExchangeVariables;
 }
 
--- a/packages/caller-api/src/filters.ts
+++ b/packages/caller-api/src/filters.ts
@@ -5,6 +5,7 @@
 import {
   createRefusal,
   release,
+  REQUEST_ID_HEADER,
   respondFault,
   type CallerApiOptions,
   type Filter,
@@ -12,8 +13,6 @@
 import { readBounded } from './request-body.js';
 import { TeamKeys } from './team-keys.js';
 
-export const REQUEST_ID_HEADER = 'x-request-id';
-
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 
 export const IDEMPOTENT_HEADER = 'idempotent';
--- a/packages/caller-api/src/http-server.test.ts
+++ b/packages/caller-api/src/http-server.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { request } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { serve } from '@hono/node-server';
@@ -8,6 +8,12 @@
 
 const FAULT = { code: FaultCode.Cancelled, outcome: Outcome.OutcomeUnknown, step: '', message: '' };
 
+const PATH = '/v1/chat/completions';
+
+const HEADERS = { authorization: 'Bearer key-a', 'content-type': 'application/json' };
+
+const CHAT = { model: 'base', messages: [{ role: 'user', content: 'hello' }] };
+
 for (const stream of [true, false]) {
   test(`a closed connection cancels the dispatch and frees its permits, stream ${stream}`, async (t) => {
     const api = new ApiUnderTest();
@@ -25,12 +31,10 @@
       server.once('listening', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    const headers = { authorization: 'Bearer key-a', 'content-type': 'application/json' };
-    const path = '/v1/chat/completions';
-    const call = request({ host: '127.0.0.1', port, path, method: 'POST', headers });
+    const target = { host: '127.0.0.1', port, path: PATH, method: 'POST', headers: HEADERS };
+    const call = request(target);
     call.on('error', () => {});
-    const messages = [{ role: 'user', content: 'hello' }];
-    call.end(JSON.stringify({ model: 'base', stream, messages }));
+    call.end(JSON.stringify({ ...CHAT, stream }));
     const signal = await begun;
     const aborted = new Promise((resolve) => {
       signal.addEventListener('abort', resolve);
@@ -42,3 +46,74 @@
     server.close();
   });
 }
+
+const serveApi = async (t: ExecutionContext, api: ApiUnderTest): Promise<string> => {
+  const server = serve({ fetch: api.fetch, port: 0, hostname: '127.0.0.1' });
+  await new Promise((resolve) => {
+    server.once('listening', resolve);
+  });
+  t.teardown(() => server.close());
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}${PATH}`;
+};
+
+const post = (url: string, body: unknown) =>
+  fetch(url, { method: 'POST', headers: HEADERS, body: JSON.stringify(body) });
+
+test('a streamed answer over HTTP equals the one of the web interface, id included', async (t) => {
+  const api = new ApiUnderTest();
+  const url = await serveApi(t, api);
+  const served = await post(url, { ...CHAT, stream: true });
+  const direct = await new ApiUnderTest().post(PATH, { ...CHAT, stream: true });
+  t.is(served.status, 200);
+  t.is(served.headers.get('content-type'), direct.headers.get('content-type'));
+  t.is(served.headers.get('cache-control'), direct.headers.get('cache-control'));
+  t.is(served.headers.get('x-request-id'), api.generations[0]!.generation.requestId);
+  t.is(await served.text(), await direct.text());
+  t.is(api.held, 0);
+});
+
+test('a fault in mid-stream over HTTP is an error event and no [DONE]', async (t) => {
+  const api = new ApiUnderTest();
+  api.generate = async (_request, send) => {
+    send('one');
+    return err(FAULT);
+  };
+  const text = await (await post(await serveApi(t, api), { ...CHAT, stream: true })).text();
+  t.true(text.includes('event: error\n'));
+  t.false(text.includes('[DONE]'));
+});
+
+test('a fault before the first token over HTTP has its own status', async (t) => {
+  const api = new ApiUnderTest();
+  api.generate = async () => err({ ...FAULT, code: FaultCode.Interrupted });
+  const response = await post(await serveApi(t, api), { ...CHAT, stream: true });
+  t.is(response.status, 502);
+  t.is(response.headers.get('content-type'), 'application/problem+json');
+});
+
+test('an answer whose dispatch throws is cut off and not taken for whole', async (t) => {
+  const api = new ApiUnderTest();
+  api.generate = async (_request, send) => {
+    send('one');
+    await Promise.resolve();
+    throw new Error('broken');
+  };
+  const url = await serveApi(t, api);
+  await t.throwsAsync(async () => (await post(url, { ...CHAT, stream: true })).text());
+});
+
+test('a body over the limit is refused, with a stated length and without one', async (t) => {
+  const api = new ApiUnderTest();
+  const url = await serveApi(t, api);
+  const body = JSON.stringify({ ...CHAT, messages: [{ role: 'user', content: 'x'.repeat(3000) }] });
+  t.is((await fetch(url, { method: 'POST', headers: HEADERS, body })).status, 413);
+  const parts = new ReadableStream<Uint8Array>({
+    start: (controller) => {
+      controller.enqueue(new TextEncoder().encode(body));
+      controller.close();
+    },
+  });
+  const init = { method: 'POST', headers: HEADERS, body: parts, duplex: 'half' } as RequestInit;
+  t.is((await fetch(url, init)).status, 413);
+  t.is(api.generations.length, 0);
+});
--- a/packages/caller-api/src/request-body.ts
+++ b/packages/caller-api/src/request-body.ts
@@ -31,27 +31,40 @@
     maxBytes: String(maxBytes),
   });
 
+type Read = (request: Request, maxBytes: number) => Promise<Result<Uint8Array, Fault>>;
+
+const readWhole: Read = async (request, maxBytes) => {
+  const body = new Uint8Array(await request.arrayBuffer());
+  return body.byteLength > maxBytes ? err(createTooLarge(maxBytes)) : ok(body);
+};
+
+const readInParts: Read = async (request, maxBytes) => {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of readChunks(request)) {
+    size += chunk.byteLength;
+    if (size > maxBytes) return err(createTooLarge(maxBytes));
+    chunks.push(chunk);
+  }
+  return ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+};
+
 /** Reads a whole body up to a size; a larger one is refused before it is held in memory. */
 export const readBounded = async (
   request: Request,
   maxBytes: number,
 ): Promise<Result<Uint8Array, Fault>> => {
-  if (Number(request.headers.get('content-length') ?? 0) > maxBytes) {
-    return err(createTooLarge(maxBytes));
-  }
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const stated = request.headers.get('content-length');
+  if (stated !== null && Number(stated) > maxBytes) return err(createTooLarge(maxBytes));
+  // The Node server ends a body at its stated length. Reading it whole avoids a web stream, which
+  // costs about 0.7 ms per request.
+  const read = stated === null ? readInParts : readWhole;
   try {
-    for await (const chunk of readChunks(request)) {
-      size += chunk.byteLength;
-      if (size > maxBytes) return err(createTooLarge(maxBytes));
-      chunks.push(chunk);
-    }
+    return await read(request, maxBytes);
   } catch (thrown) {
     const message = `the body could not be read: ${describeThrown(thrown)}`;
     return err(createRefusal(FaultCode.InvalidInput, 'body', message));
   }
-  return ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
 };
 
 /** Returns where in the body a part stands, as the start of a message. */
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -1,12 +1,12 @@
 /** HTTP server for callers and operators. */
 import type { AddressInfo } from 'node:net';
 import type { Server } from 'node:http';
-import { serve } from '@hono/node-server';
+import { serve, type HttpBindings } from '@hono/node-server';
 import { describeThrown, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
 import { formatAddress, parseAddress } from '@jujubelanding/settings';
 import { err, ok } from 'neverthrow';
 
-type Fetch = (request: Request) => Response | Promise<Response>;
+type Fetch = (request: Request, bindings: HttpBindings) => Response | Promise<Response>;
 
 /** Idle connections are closed before a planned stop waits for the others. */
 const IDLE_CLOSE_INTERVAL_MS = 200;
@@ -27,7 +27,7 @@
     return new Promise((resolve) => {
       const server = serve(
         {
-          fetch: (request) => this.fetch(request),
+          fetch: (request, bindings) => this.fetch(request, bindings as HttpBindings),
           hostname: wanted.host,
           port: wanted.port,
           overrideGlobalObjects: false,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -83,7 +83,7 @@
     this.entryVm = createEntryVm({ ...this.settings, ...listening }, io);
     this.entryVm.start();
     const { app } = this.entryVm;
-    this.server.setApplication((request) => app.fetch(request));
+    this.server.setApplication((request, bindings) => app.fetch(request, bindings));
     return ok(listening);
   }
 
