Add metrics of the time between tokens and of key-value calls

online.inter_token and online.inter_token_longest: mean and longest gap of each answer, over all its attempts, so that the gap of a resumption counts. Not one sample per token: at design size that is about 4,400 datagrams/s per VM, above the control budget.

key_value.call: duration of each call by method, purpose (first part of the key, 'leases' for lease calls) and outcome (succeeded, conflict, or that of the fault). Keys are no tags, since their number has no bound.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
   createKeyValueClient,
   createVmListClient,
   createWeightStoreClient,
+  measureKeyValueStore,
 } from '@jujubelanding/platform-clients';
 import { createSystemRandom } from '@jujubelanding/random';
 import { NodeDisk } from '@jujubelanding/segments';
@@ -28,16 +29,17 @@
 const createConnections = (settings: DaemonSettings) => {
   const timer = new SystemTimer();
   const { entryVmId, availabilityZone, statsdAddress, keyValueAddress } = settings;
+  const metrics =
+    statsdAddress === undefined
+      ? silentMetrics
+      : createMetrics(statsdAddress, { entryVm: entryVmId, availabilityZone });
+  const keyValue = createKeyValueClient({ address: keyValueAddress, timer });
   const clients = {
-    store: createKeyValueClient({ address: keyValueAddress, timer }),
+    store: measureKeyValueStore(keyValue, timer, metrics),
     vmList: createVmListClient({ address: settings.vmListAddress, timer }),
     weightStore: createWeightStoreClient({ address: settings.weightStoreAddress, timer }),
     backendServers: createBackendServersClient({ timer }),
   };
-  const metrics =
-    statsdAddress === undefined
-      ? silentMetrics
-      : createMetrics(statsdAddress, { entryVm: entryVmId, availabilityZone });
   const transport = createPeerNetwork({
     address: settings.peerAddress,
     fleetKey: settings.fleetKey,
--- /dev/null
+++ b/packages/metrics/src/metrics.ts
@@ -0,0 +1,42 @@
+/** The metrics of a program and their StatsD client. */
+import { StatsD } from 'hot-shots';
+
+export type Tags = Record<string, string>;
+
+export interface Metrics {
+  increment(name: string, tags?: Tags, value?: number): void;
+  gauge(name: string, value: number, tags?: Tags): void;
+  /** Records a duration in milliseconds. */
+  timing(name: string, valueMs: number, tags?: Tags): void;
+  close(): Promise<void>;
+}
+
+/** Metrics that are not sent anywhere. */
+export const silentMetrics: Metrics = {
+  increment: () => {},
+  gauge: () => {},
+  timing: () => {},
+  close: () => Promise.resolve(),
+};
+
+/** Creates metrics for a StatsD server at host:port. */
+export const createMetrics = (address: string, globalTags: Tags): Metrics => {
+  const separator = address.lastIndexOf(':');
+  const client = new StatsD({
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+    prefix: 'jujubelanding.',
+    globalTags,
+    // A metrics server that is down must not affect requests.
+    errorHandler: () => {},
+  });
+  return {
+    increment: (name, tags, value = 1) => client.increment(name, value, tags),
+    gauge: (name, value, tags) => client.gauge(name, value, tags),
+    timing: (name, valueMs, tags) => client.timing(name, valueMs, tags),
+    close: () =>
+      new Promise((resolve) => {
+        client.close(() => resolve());
+      }),
+  };
+};
--- a/packages/online/src/online-dispatch.test.ts
+++ b/packages/online/src/online-dispatch.test.ts
@@ -3,6 +3,7 @@
 import { computeAnswer, Reachability, type StreamFaults } from '@jujubelanding/stand-ins';
 import { Idempotency } from '@jujubelanding/types';
 import type { Result } from 'neverthrow';
+import { STALL_TIMEOUT_MS } from './attempt.js';
 import { Fleet } from './fixtures/fleet.js';
 
 const getFault = <T>(result: Result<T, Fault>): Fault | undefined =>
@@ -194,3 +195,32 @@
   t.true((await stream.answer).isOk());
   t.true(isDrained);
 });
+
+test('the time between tokens is recorded per answer, and the gap of a resumption counts', async (t) => {
+  const fleet = new Fleet(7);
+  const whole = fleet.generate({ maxTokens: 20 });
+  await fleet.timer.advance(5000);
+  t.true((await whole.answer).isOk());
+  const [mean] = fleet.metrics.of('online.inter_token');
+  const [longest] = fleet.metrics.of('online.inter_token_longest');
+  t.deepEqual(mean!.tags, { model: 'base' });
+  // A stream alone on an engine has a step of 32 ms.
+  t.true(Math.abs(mean!.value - 32) < 1, `${mean!.value}`);
+  t.true(longest!.value >= mean!.value && longest!.value < 40, `${longest!.value}`);
+
+  const resumed = fleet.generate({ maxTokens: 20 });
+  await fleet.timer.advance(100);
+  fleet.engines.find((engine) => engine.runningCount() > 0)!.pause();
+  await fleet.timer.advance(20_000);
+  t.true((await resumed.answer).isOk());
+  const gap = fleet.metrics.of('online.inter_token_longest')[1]!.value;
+  t.true(gap >= STALL_TIMEOUT_MS, `${gap}`);
+});
+
+test('an answer of one token has no time between tokens', async (t) => {
+  const fleet = new Fleet(8);
+  const single = fleet.generate({ maxTokens: 1 });
+  await fleet.timer.advance(5000);
+  t.true((await single.answer).isOk());
+  t.is(fleet.metrics.of('online.inter_token').length, 0);
+});
--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -23,6 +23,7 @@
 import { Attempt } from './attempt.js';
 import { AttemptLoop } from './attempt-loop.js';
 import { ServiceAttempt } from './service-attempt.js';
+import { TokenPace } from './token-pace.js';
 
 export interface OnlineDispatchOptions {
   io: Pick<EntryVmIo, 'timer' | 'random' | 'backendServers' | 'createLog' | 'metrics'>;
@@ -93,12 +94,22 @@
     }
     const prefixes = computePrefixHashes(generation.messages);
     const delivered: string[] = [];
+    const pace = new TokenPace();
+    const deliver = (token: Token): void => {
+      pace.addToken(this.options.io.timer.now());
+      onToken(token);
+    };
     const run = (worker: Worker, number: number, attemptSignal: AbortSignal) =>
-      this.runGeneration({ request, worker, number, delivered, prefixes, onToken }, attemptSignal);
+      this.runGeneration(
+        { request, worker, number, delivered, prefixes, onToken: deliver },
+        attemptSignal,
+      );
     const target = `${generation.model}|${generation.adapter ?? ''}`;
     const { requestId } = generation;
     const route = { requestId, service: model.spec.service, target, prefixes };
-    return this.track(() => this.createLoop(route, request, signal).run(run));
+    const answer = await this.track(() => this.createLoop(route, request, signal).run(run));
+    this.recordPace(pace, generation.model);
+    return answer;
   }
 
   async call(request: OnlineCall, signal: AbortSignal): Reply<ServiceResponse> {
@@ -143,6 +154,15 @@
     return ok({ ...answer.value, requestId: generation.requestId });
   }
 
+  /** Two samples per answer, because one per token would exceed the control budget of a VM. */
+  private recordPace(pace: TokenPace, model: string): void {
+    const read = pace.read();
+    if (read === undefined) return;
+    const { metrics } = this.options.io;
+    metrics.timing('online.inter_token', read.meanMs, { model });
+    metrics.timing('online.inter_token_longest', read.longestMs, { model });
+  }
+
   private createLoop(
     route: { requestId: string; service: string; target: string; prefixes: readonly string[] },
     request: { idempotency: Idempotency; deadline: number },
--- a/packages/platform-clients/src/index.ts
+++ b/packages/platform-clients/src/index.ts
@@ -13,6 +13,7 @@
   createBackendServersClient,
   type BackendServersClientOptions,
 } from './backend-servers-client.js';
+export { CALL_METRIC, CallOutcome, measureKeyValueStore } from './measured-store.js';
 export { ConnectionPools, type ConnectionLimits } from './connection-pools.js';
 export { exchange, TimeoutKind, type Answer, type ExchangeRequest } from './exchange.js';
 export { expectSuccess, OUTCOME_HEADER, toFault } from './answers.js';
--- /dev/null
+++ b/packages/platform-clients/src/measured-store.ts
@@ -0,0 +1,63 @@
+/** Records the calls to the key-value service as metrics. */
+import type { Reply } from '@jujubelanding/errors';
+import type { Metrics } from '@jujubelanding/metrics';
+import { WriteStatus, type KeyValueStore } from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+
+export const CALL_METRIC = 'key_value.call';
+
+/** Outcomes besides those of faults. */
+export enum CallOutcome {
+  Succeeded = 'succeeded',
+  /** A write or removal that met another revision than the expected one. */
+  Conflict = 'conflict',
+}
+
+const LEASE_PURPOSE = 'leases';
+
+/** Returns the first part of a key, such as "jobs" or "claims"; the rest has no bounded number. */
+const findPurpose = (key: string): string => key.split('/', 1)[0]!;
+
+const isConflict = (value: unknown): boolean =>
+  typeof value === 'object' &&
+  value !== null &&
+  (value as { status?: unknown }).status === WriteStatus.Conflict;
+
+/**
+ * Records each call with its duration, method, purpose and outcome. A watch counts as one call, as it
+ * does at the service; its duration contains its wait.
+ */
+export const measureKeyValueStore = <S extends KeyValueStore>(
+  store: S,
+  timer: Timer,
+  metrics: Pick<Metrics, 'timing'>,
+): S => {
+  const measure = async <T>(
+    method: keyof KeyValueStore,
+    purpose: string,
+    call: Reply<T>,
+  ): Reply<T> => {
+    const startedAt = timer.now();
+    const reply = await call;
+    const outcome = reply.match<string>(
+      (value) => (isConflict(value) ? CallOutcome.Conflict : CallOutcome.Succeeded),
+      (fault) => fault.outcome,
+    );
+    metrics.timing(CALL_METRIC, timer.now() - startedAt, { method, purpose, outcome });
+    return reply;
+  };
+  const measured: KeyValueStore = {
+    get: (key) => measure('get', findPurpose(key), store.get(key)),
+    list: (prefix, limit, afterKey) =>
+      measure('list', findPurpose(prefix), store.list(prefix, limit, afterKey)),
+    write: (write) => measure('write', findPurpose(write.key), store.write(write)),
+    remove: (key, expectedRevision) =>
+      measure('remove', findPurpose(key), store.remove(key, expectedRevision)),
+    grantLease: (ttlMs) => measure('grantLease', LEASE_PURPOSE, store.grantLease(ttlMs)),
+    renewLease: (leaseId) => measure('renewLease', LEASE_PURPOSE, store.renewLease(leaseId)),
+    revokeLease: (leaseId) => measure('revokeLease', LEASE_PURPOSE, store.revokeLease(leaseId)),
+    watch: (prefix, afterRevision, waitMs) =>
+      measure('watch', findPurpose(prefix), store.watch(prefix, afterRevision, waitMs)),
+  };
+  return { ...store, ...measured };
+};
