Warn entry VMs at once of workers that fill up

Owners answered only the sender of a notice; other entry VMs got the total at the next interval of 500 ms, so that in a burst of 20 to 90 ms each VM placed requests by its own counts, and prefix affinity and zones drew several VMs to the same last slots. No lost notice was involved.

Owners now push a total at once when others have taken a quarter of the free slots that a VM knows of, within a budget. The last free slots of a worker count as more loaded in routing, and prefix affinity does not apply to them.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,15 +7,14 @@
 import { runTasks } from './run-pool.js';
 import { Samples } from './statistics.js';
 
-const SEED_COUNT = 3;
-
 const cli = meow(
   `
   Usage
     $ npm run bench -- [options]
 
   Options
-    --seed N      first of ${SEED_COUNT} seeds (default 1)
+    --seed N      first seed (default 1)
+    --seeds N     number of consecutive seeds (default 3)
     --seconds N   measured virtual seconds of each run (default 90)
     --case NAME   one of: ${Object.keys(CASES).join(', ')} (default: all)
     --json FILE   also write the lines as JSON
@@ -24,6 +23,7 @@
     importMeta: import.meta,
     flags: {
       seed: { type: 'number', default: 1 },
+      seeds: { type: 'number', default: 3 },
       seconds: { type: 'number', default: 90 },
       case: { type: 'string', choices: Object.keys(CASES) },
       json: { type: 'string' },
@@ -31,8 +31,8 @@
   },
 );
 
-const { seed: firstSeed, seconds, json, case: chosen } = cli.flags;
-const seeds = Array.from({ length: SEED_COUNT }, (_, index) => firstSeed + index);
+const { seed: firstSeed, seeds: seedCount, seconds, json, case: chosen } = cli.flags;
+const seeds = Array.from({ length: seedCount }, (_, index) => firstSeed + index);
 
 /** Runs of a variant; tasks are ordered by variant, then by seed. */
 const selectRuns = (runs: readonly Run[], variant: number): readonly Run[] =>
--- a/packages/routing/src/chooser.test.ts
+++ b/packages/routing/src/chooser.test.ts
@@ -43,6 +43,19 @@
   t.is(choose([createCandidate('l', 9), cached(10)])?.workerId, 'l');
 });
 
+// Guards against queues in bursts: several entry VMs took a worker's last slot at the same time.
+test('a last free slot is left for other zones and attracts no prefix', (t) => {
+  const remote = createCandidate('r', 8, { availabilityZone: 'b' });
+  t.like(choose([createCandidate('l', 9), remote]), {
+    workerId: 'r',
+    reason: ChoiceReason.Spillover,
+  });
+  const cached = createCandidate('c', 9, { prefixMatch: 3 });
+  t.is(choose([createCandidate('l', 8), cached])?.workerId, 'l');
+  const full = createCandidate('f', 10, { availabilityZone: 'b' });
+  t.is(choose([createCandidate('l', 9), full])?.workerId, 'l');
+});
+
 test('batch work only breaks ties, so that online goes where nothing must be preempted', (t) => {
   const batch = (online: number, count: number) => {
     const load = { workerId: 'b', slots: 10, online, batch: count, ageMs: 0 };
--- a/packages/routing/src/chooser.ts
+++ b/packages/routing/src/chooser.ts
@@ -52,6 +52,10 @@
   fullScanLimit: number;
   /** Added to the score of a worker without a free slot, where a request would wait in a queue. */
   queuePenalty: number;
+  /** Added to the score of a worker whose last free slots others may take at the same time. */
+  lastSlotsPenalty: number;
+  /** Share of the slots that counts as the last free ones, at least one slot. */
+  lastSlotsShare: number;
   /** Utilization by which a worker in another zone must be better. */
   zoneSpillover: number;
   /** Utilization by which a worker with a cached prefix may be worse. */
@@ -69,6 +73,9 @@
   fullScanLimit: 64,
   // Larger than the spillover bound, so that a free slot in another zone goes before a local queue.
   queuePenalty: 1,
+  // With 0.3 online load was spread so far that batch used 0.8998 of the idle slots on one seed.
+  lastSlotsPenalty: 0.2,
+  lastSlotsShare: 0.125,
   zoneSpillover: 0.25,
   prefixSkew: 0.25,
   // Batch yields to online, so it counts only as a tie-breaker that saves preemptions.
@@ -89,6 +96,13 @@
 /** Largest load assumed of a worker without fresh load; when all known ones are full, it is tried. */
 const MAX_ASSUMED_UTILIZATION = 0.75;
 
+/** Penalty for the risk of waiting in a queue. */
+const measureCrowding = ({ slots, online }: WorkerLoad, bounds: ChooserBounds): number => {
+  if (online >= slots) return bounds.queuePenalty;
+  const lastSlots = Math.max(1, Math.floor(slots * bounds.lastSlotsShare));
+  return slots - online <= lastSlots ? bounds.lastSlotsPenalty : 0;
+};
+
 /** A worker without fresh load is taken to be as loaded as the others on average. */
 const scoreAll = (
   candidates: readonly Candidate[],
@@ -107,9 +121,8 @@
     const measured = measureUtilization(candidate.load, bounds.batchWeight);
     const utilization = isFresh(candidate) ? measured : Math.max(assumed, measured);
     const penalty = candidate.availabilityZone === zone ? 0 : bounds.zoneSpillover;
-    const isFull = candidate.load.online >= candidate.load.slots;
-    const queueing = isFull ? bounds.queuePenalty : 0;
-    return { candidate, utilization, score: utilization + penalty + queueing };
+    const crowding = measureCrowding(candidate.load, bounds);
+    return { candidate, utilization, score: utilization + penalty + crowding };
   });
 };
 
--- a/packages/worker-load/src/notice-budget.ts
+++ b/packages/worker-load/src/notice-budget.ts
@@ -11,10 +11,17 @@
 
 /** Counts notices against the bound; times are passed in. */
 export class NoticeBudget {
-  private saved = BURST;
+  private saved: number;
 
   private refilledAt = 0;
 
+  constructor(
+    private readonly perSecond = NOTICES_PER_SECOND,
+    private readonly burst = BURST,
+  ) {
+    this.saved = burst;
+  }
+
   /** Counts a notice that has to be sent in any case. */
   spend(now: number): void {
     this.refill(now);
@@ -30,8 +37,15 @@
   }
 
   private refill(now: number): void {
-    const gained = ((now - this.refilledAt) / 1000) * NOTICES_PER_SECOND;
-    this.saved = Math.min(BURST, this.saved + gained);
+    const gained = ((now - this.refilledAt) / 1000) * this.perSecond;
+    this.saved = Math.min(this.burst, this.saved + gained);
     this.refilledAt = now;
   }
 }
+
+/** Bounds the warnings of one owner in the long run; the burst covers today's fleets. */
+const WARNINGS_PER_SECOND = 10;
+const WARNING_BURST = 200;
+
+export const createWarningBudget = (): NoticeBudget =>
+  new NoticeBudget(WARNINGS_PER_SECOND, WARNING_BURST);
--- a/packages/worker-load/src/owned-workers.ts
+++ b/packages/worker-load/src/owned-workers.ts
@@ -12,8 +12,9 @@
 import { findShard } from '@jujubelanding/random';
 import type { Subscription } from '@jujubelanding/timer';
 import { MemberState, RecordKind, type CacheEvent, type LoadReport } from '@jujubelanding/types';
+import { createWarningBudget } from './notice-budget.js';
 import { NoticeLedger, SENDER_SILENCE_MS } from './notice-ledger.js';
-import { ToldTotals } from './told-totals.js';
+import { ToldTotals, type SharedTotal } from './told-totals.js';
 
 /** Interval of load polls, of full notices and of pushed totals. */
 export const NOTICE_INTERVAL_MS = 500;
@@ -30,6 +31,12 @@
  */
 const MAX_OFFERED_WORKERS = 4;
 
+/**
+ * An entry VM is warned of workers that fill up for this long after its last notice. Bursts often
+ * follow some seconds without any request, in which no totals are pushed.
+ */
+const INTEREST_MEMORY_MS = 60_000;
+
 /** Receives the cache events of a poll; `askedAfter` is the sequence number that was sent. */
 export type CacheEventHandler = (
   workerId: string,
@@ -74,6 +81,8 @@
   /** Entry VMs that sent notices recently; only these get totals. */
   private readonly interests = new Map<string, Interest>();
 
+  private readonly warnings = createWarningBudget();
+
   private readonly handlers = new Set<(workerId: string) => void>();
 
   private readonly subscriptions: Subscription[] = [];
@@ -155,7 +164,28 @@
 
   /** Counts a notice; called directly by the own VM and through datagrams by others. */
   accept(notice: OnlineNotice): void {
-    this.announce(this.ledger.apply(notice, this.options.io.timer.now()));
+    const changed = this.ledger.apply(notice, this.options.io.timer.now());
+    this.announce(changed);
+    this.warnOthers(notice.from, changed);
+  }
+
+  /** Tells other entry VMs at once where online requests have taken much of the room. */
+  private warnOthers(senderId: string, changed: readonly string[]): void {
+    const owned = changed.filter((id) => this.isOwned(id));
+    if (owned.length === 0) return;
+    const now = this.options.io.timer.now();
+    for (const [entryVmId, interest] of this.interests) {
+      if (entryVmId === senderId) continue;
+      const urgent = interest.told.selectUrgent(this.shareTotals(entryVmId, owned), now);
+      if (urgent.length > 0 && this.warnings.trySpend(now)) this.send(entryVmId, urgent);
+    }
+  }
+
+  private shareTotals(entryVmId: string, workerIds: readonly string[]): SharedTotal[] {
+    return workerIds.map((id) => ({
+      total: this.total(id),
+      own: this.ledger.onlineOf(entryVmId, id),
+    }));
   }
 
   private answer(notice: OnlineNotice): void {
@@ -174,30 +204,25 @@
       known.heardAt = now;
       return known;
     }
-    const interest = {
-      bootId,
-      heardAt: now,
-      used: new Map<string, number>(),
-      told: new ToldTotals(),
-    };
+    const interest: Interest = { bootId, heardAt: now, used: new Map(), told: new ToldTotals() };
     this.interests.set(from, interest);
     return interest;
   }
 
   /** Sends totals that the entry VM does not know well enough. */
   private sendTotals(entryVmId: string, interest: Interest, workerIds: readonly string[]): void {
+    const shared = this.shareTotals(entryVmId, workerIds);
+    this.send(entryVmId, interest.told.selectDue(shared, this.options.io.timer.now()));
+  }
+
+  private send(entryVmId: string, totals: readonly WorkerTotal[]): void {
     const member = this.options.membership.find(entryVmId);
     if (member === undefined) return;
-    const shared = workerIds.map((id) => ({
-      total: this.total(id),
-      own: this.ledger.onlineOf(entryVmId, id),
-    }));
-    const due = interest.told.selectDue(shared, this.options.io.timer.now());
-    for (let start = 0; start < due.length; start += MAX_TOTALS_PER_DATAGRAM) {
+    for (let start = 0; start < totals.length; start += MAX_TOTALS_PER_DATAGRAM) {
       this.options.io.network.send(member.peerAddress, {
         kind: DatagramKind.WorkerTotals,
         from: this.options.entryVmId,
-        totals: due.slice(start, start + MAX_TOTALS_PER_DATAGRAM),
+        totals: totals.slice(start, start + MAX_TOTALS_PER_DATAGRAM),
         includedSequence: this.ledger.highestSequence(entryVmId),
       });
     }
@@ -210,7 +235,7 @@
     for (const [entryVmId, interest] of this.interests) {
       if (now - interest.heardAt < SENDER_SILENCE_MS) {
         this.sendTotals(entryVmId, interest, this.selectTotals(entryVmId, interest, owned));
-      } else this.interests.delete(entryVmId);
+      } else if (now - interest.heardAt >= INTEREST_MEMORY_MS) this.interests.delete(entryVmId);
     }
     this.pollAll();
   }
--- a/packages/worker-load/src/told-totals.ts
+++ b/packages/worker-load/src/told-totals.ts
@@ -13,6 +13,12 @@
 /** Batch yields to online requests and is only a tie-breaker in routing. */
 const BATCH_SHARE = 0.25;
 
+/** Totals are valid this long at the receiver. */
+const VALID_MS = 3000;
+
+/** Growth of load, as a share of the free slots that the receiver knows of, that can't wait. */
+const URGENT_SHARE = 0.25;
+
 interface Told {
   /** Online requests of other VMs; the receiver knows its own ones better. */
   others: number;
@@ -41,13 +47,33 @@
     const joined = totals.filter(
       (shared) => due.includes(shared) || this.ageOf(shared, now) >= JOIN_AFTER_MS,
     );
-    joined.forEach(({ total, own }) => {
-      const { workerId, online, batch, slots } = total;
-      this.told.set(workerId, { others: online - own, batch, slots, at: now });
-    });
+    joined.forEach((shared) => this.note(shared, now));
     return joined.map(({ total }) => total);
   }
 
+  /** Returns the totals that the receiver needs before the next interval. */
+  selectUrgent(totals: readonly SharedTotal[], now: number): WorkerTotal[] {
+    const urgent = totals.filter((shared) => this.isUrgent(shared, now));
+    urgent.forEach((shared) => this.note(shared, now));
+    return urgent.map(({ total }) => total);
+  }
+
+  private isUrgent({ total, own }: SharedTotal, now: number): boolean {
+    const told = this.told.get(total.workerId);
+    if (told === undefined) return false;
+    // The receiver has dropped an old total and takes the worker to be nearly idle.
+    const known = now - told.at >= VALID_MS ? 0 : told.others;
+    const growth = total.online - own - known;
+    const room = total.slots - total.online + growth;
+    if (room <= 0) return false;
+    return growth >= Math.max(1, room * URGENT_SHARE, total.slots * ONLINE_SHARE);
+  }
+
+  private note({ total, own }: SharedTotal, now: number): void {
+    const { workerId, online, batch, slots } = total;
+    this.told.set(workerId, { others: online - own, batch, slots, at: now });
+  }
+
   private isDue(shared: SharedTotal, now: number): boolean {
     const { total, own } = shared;
     const told = this.told.get(total.workerId);
--- a/packages/worker-load/src/worker-load.test.ts
+++ b/packages/worker-load/src/worker-load.test.ts
@@ -208,6 +208,40 @@
   t.is(second.loads.get('w1').online, 2);
 });
 
+// Guards against bursts in which each entry VM sees only its own requests until the next interval.
+test('entry VMs learn at once that others fill a worker, also after some idle seconds', async (t) => {
+  const { group, second, third } = setUp();
+  second.loads.begin('w1');
+  await group.timer.advance(510);
+  second.loads.end('w1');
+  await group.timer.advance(10_000);
+  for (let index = 0; index < 5; index += 1) third.loads.begin('w1');
+  await group.timer.advance(2);
+  t.is(second.loads.get('w1').online, 5);
+});
+
+// Guards against a warning for each request to each entry VM when the fleet is overloaded.
+test('entry VMs that know that a worker is full get no warnings', async (t) => {
+  const { group, second, third } = setUp();
+  second.loads.begin('w1');
+  for (let index = 0; index < 30; index += 1) third.loads.begin('w1');
+  await group.timer.advance(510);
+  group.sent.length = 0;
+  for (let index = 0; index < 10; index += 1) third.loads.begin('w1');
+  await group.timer.advance(4);
+  t.false(group.sent.some(({ to }) => to === 'vm2'));
+});
+
+test('a small growth of load waits for the next interval', async (t) => {
+  const { group, second, third } = setUp();
+  second.loads.begin('w1');
+  await group.timer.advance(510);
+  group.sent.length = 0;
+  third.loads.begin('w1');
+  await group.timer.advance(2);
+  t.false(group.sent.some(({ to }) => to === 'vm2'));
+});
+
 test('cache events are asked from the start after a failed poll', async (t) => {
   const group = new VmGroup(['vm1'], ['w1']);
   const cacheEvents = [{ sequence: 9, kind: 'stored' as never, prefixHash: 'a' }];
