Remove temporary files of an earlier process when the daemon starts

Cause: NodeDisk.removeTemporaryFiles was never called outside its own test, so half-written segments stayed on the disk after each crash. The daemon calls it before anything else uses the folder; a failure is logged and does not prevent the start.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 /** Wiring of the daemon: real clocks, connections and disk around an entry VM. */
 import { createEntryVm, type EntryVm } from '@jujubelanding/entry-vm';
-import type { Reply } from '@jujubelanding/errors';
+import { FaultCode, type Reply } from '@jujubelanding/errors';
 import type { EntryVmIo } from '@jujubelanding/interfaces';
 import { createLog } from '@jujubelanding/log';
 import { createMetrics, silentMetrics } from '@jujubelanding/metrics';
@@ -53,17 +53,32 @@
 
 const createIo = (
   { timer, clients, metrics, transport }: Connections,
-  dataFolder: string | undefined,
+  disk: NodeDisk | undefined,
 ): EntryVmIo => ({
   timer,
   random: createSystemRandom(),
   ...clients,
   network: transport.network,
-  ...(dataFolder === undefined ? {} : { disk: new NodeDisk(dataFolder) }),
+  ...(disk === undefined ? {} : { disk }),
   createLog,
   metrics,
 });
 
+/**
+ * Opens the data folder without the temporary files of an earlier process, which would fill the disk
+ * over many crashes.
+ */
+const openDisk = async (dataFolder: string): Promise<NodeDisk> => {
+  const disk = new NodeDisk(dataFolder);
+  const cleaned = await disk.removeTemporaryFiles();
+  // A folder that does not exist yet is created by the first write.
+  if (cleaned.isErr() && cleaned.error.code !== FaultCode.NotFound) {
+    const { code, message } = cleaned.error;
+    createLog('daemon').write('temporary-files-not-removed', { code, message });
+  }
+  return disk;
+};
+
 export class Daemon {
   private readonly connections: Connections;
 
@@ -76,12 +91,14 @@
   }
 
   async start(): Reply<Listening> {
+    const { dataFolder } = this.settings;
+    const disk = dataFolder === undefined ? undefined : await openDisk(dataFolder);
     const peer = await this.transport().start();
     if (peer.isErr()) return err(peer.error);
     const caller = await this.server.open(this.settings.callerAddress);
     if (caller.isErr()) return err(caller.error);
     const listening = { peerAddress: peer.value, callerAddress: caller.value };
-    const io = createIo(this.connections, this.settings.dataFolder);
+    const io = createIo(this.connections, disk);
     this.entryVm = createEntryVm({ ...this.settings, ...listening }, io);
     this.entryVm.start();
     const { app } = this.entryVm;
