Ask for team limits per owner in datagrams, and only where a share is needed

Now a VM below a tenth of its fallback share asks for nothing; owners keep that part back. The other teams of one owner are asked for in one datagram, grants hold 5 s, and requests are bounded to about 10 per second and VM. Requests of refused teams are not bounded.

Cause (admission): demand was averaged over 1 s intervals, a VM whose demand ended kept its share for a second or more, rates were divided but tokens were not, and a bucket of one token refilled only at the VM's small rate. Now demand is measured over 16 requests or 250 ms, shares are given back or recalled within 250 ms, and owners count reported requests in a token bucket for the whole fleet and hand out the tokens that are left.

The test of a lost owner waits for the validity of a grant (5 s) instead of 2 s, which is what it is about. The tests count requests instead of calls, with the same bounds. The limits.calls series is replaced by limits.bytes, which the cost model uses. The heap of shares is measured with 50 holders per team; 20,000 holders of one team took minutes and do not occur. RequestGrant is removed from the calls.

--- a/packages/bench/src/cases/limits.ts
+++ b/packages/bench/src/cases/limits.ts
@@ -1,11 +1,12 @@
 /** Rates of teams over all entry VMs against their limits, under skewed and moving demand. */
-import { PeerMethod } from '@jujubelanding/peer-protocol';
+import { DatagramKind } from '@jujubelanding/peer-protocol';
 import type { Random } from '@jujubelanding/random';
 import type { TeamRecord } from '@jujubelanding/types';
 import { BenchFleet } from '../bench-fleet.js';
 import { SVEPPASMIDJAN } from '../deployments.js';
 import { drawExponential } from '../distributions.js';
 import { mergeFigures, type Figures } from '../report.js';
+import { CentralBucket } from '../central-bucket.js';
 import { createPart } from '../seeds.js';
 import { isWithin } from '../window.js';
 import type { BenchCase } from './bench-case.js';
@@ -60,17 +61,31 @@
 
 const nameTeam = (team: number): string => `team-${team}`;
 
+interface Reference {
+  /** Gets all requests. */
+  ideal: CentralBucket;
+  /** Gets the requests that the limits admitted. */
+  check: CentralBucket;
+}
+
 /** Requests of one run; counts what the limits admit. */
 class LimitRun {
-  requests = 0;
+  private requests = 0;
+
+  private admitted = 0;
+
+  private idealAdmitted = 0;
+
+  /** Largest number of requests above rate and burst in any interval of the whole run. */
+  private largestExcess = 0;
 
-  admitted = 0;
+  private readonly references: Reference[];
 
   private readonly random: Random;
 
   private readonly fleet: BenchFleet;
 
-  private callsBefore = 0;
+  private datagramsBefore = 0;
 
   constructor(
     private readonly demand: Demand,
@@ -79,6 +94,10 @@
   ) {
     this.random = createPart(seed, 'demand');
     const { teams, limitPerSecond } = demand;
+    this.references = Array.from({ length: teams }, () => ({
+      ideal: new CentralBucket(limitPerSecond, limitPerSecond),
+      check: new CentralBucket(limitPerSecond, limitPerSecond),
+    }));
     const records = Array.from({ length: teams }, (_, team) => [
       nameTeam(team),
       createTeam(limitPerSecond),
@@ -95,22 +114,26 @@
     const { teams, limitPerSecond } = this.demand;
     for (let team = 0; team < teams; team += 1) this.scheduleNext(team);
     await this.fleet.runUntil(this.window.from);
-    this.callsBefore = this.countCalls();
+    this.datagramsBefore = this.countDatagrams();
     await this.fleet.runUntil(this.window.to);
     const seconds = (this.window.to - this.window.from) / 1000;
-    const calls = this.countCalls() - this.callsBefore;
+    const datagrams = this.countDatagrams() - this.datagramsBefore;
     return {
       requests: this.requests,
       admittedOverLimit: this.admitted / (teams * limitPerSecond * seconds),
       admittedOverDemand: this.admitted / this.requests,
-      callsPerRequest: calls / this.requests,
-      callsPerSecondAndVm: calls / seconds / DEPLOYMENT.entryVms,
+      admittedOverCentral: this.admitted / this.idealAdmitted,
+      excessInSeconds: this.largestExcess / limitPerSecond,
+      datagramsPerRequest: datagrams / this.requests,
+      datagramsPerSecondAndVm: datagrams / seconds / DEPLOYMENT.entryVms,
     };
   }
 
-  /** Calls over the network; a VM that owns the team's shard needs none. */
-  private countCalls(): number {
-    return this.fleet.medium.traffic.calls.get(PeerMethod.RequestGrant) ?? 0;
+  /** Requests and answers; a VM that owns the team's shard needs none. */
+  private countDatagrams(): number {
+    const { datagrams } = this.fleet.medium.traffic;
+    const count = (kind: DatagramKind): number => datagrams.get(kind) ?? 0;
+    return count(DatagramKind.LimitRequest) + count(DatagramKind.LimitAnswer);
   }
 
   private scheduleNext(team: number): void {
@@ -128,8 +151,12 @@
     const node = nodes[this.demand.choose(this.random, team, now) % nodes.length]!;
     const answer = node.limits.admit(nameTeam(team));
     if (answer.isOk()) timer.after(HOLD_MS, () => answer.value.release());
+    const { ideal, check } = this.references[team]!;
+    const isIdeal = ideal.admit(now);
+    if (answer.isOk()) this.largestExcess = Math.max(this.largestExcess, check.force(now));
     if (!isWithin(this.window, now)) return;
     this.requests += 1;
+    if (isIdeal) this.idealAdmitted += 1;
     if (answer.isOk()) this.admitted += 1;
   }
 }
--- /dev/null
+++ b/packages/bench/src/central-bucket.ts
@@ -0,0 +1,33 @@
+/** One token bucket for the whole fleet, as a team without shares would have it. */
+
+export class CentralBucket {
+  private tokens: number;
+
+  private refilledAt = 0;
+
+  constructor(
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.tokens = burst;
+  }
+
+  admit(now: number): boolean {
+    const isAdmitted = this.refill(now) >= 1;
+    if (isAdmitted) this.tokens -= 1;
+    return isAdmitted;
+  }
+
+  /** Takes a token that may be missing; returns by how many requests the limit is exceeded. */
+  force(now: number): number {
+    this.tokens = this.refill(now) - 1;
+    return Math.max(0, -this.tokens);
+  }
+
+  private refill(now: number): number {
+    const gained = ((now - this.refilledAt) / 1000) * this.perSecond;
+    this.tokens = Math.min(this.burst, this.tokens + gained);
+    this.refilledAt = now;
+    return this.tokens;
+  }
+}
--- a/packages/capacity/src/charts.ts
+++ b/packages/capacity/src/charts.ts
@@ -12,7 +12,7 @@
   { id: 'membership.processor', budget: 3.5 },
   { id: 'notices.bytes', budget: 6000 },
   { id: 'notices.ownerBytes', budget: 6000 },
-  { id: 'limits.calls' },
+  { id: 'limits.bytes', budget: 6000 },
   { id: 'routing.choice' },
   { id: 'proxy.request' },
   { id: 'jobs.grant' },
--- a/packages/capacity/src/costs.ts
+++ b/packages/capacity/src/costs.ts
@@ -39,7 +39,7 @@
 
 const POLLS_PER_SECOND = 2;
 
-/** JSON of a grant request and its answer beyond the empty push that `call.bytes` starts from. */
+/** JSON of a short request and its answer beyond the empty push that `call.bytes` starts from. */
 const GRANT_JSON_BYTES = 40;
 
 export class CostModel {
@@ -106,8 +106,12 @@
     this.add(role, 'online notices', Resource.Processor, this.at('notices.processor', entryVms), [
       'notices.processor',
     ]);
-    const teams = countActiveTeams(this.scenario);
-    this.addCalls(role, 'limit grants', this.at('limits.calls', teams), GRANT_JSON_BYTES);
+    this.add(role, 'limit shares', Resource.Bytes, this.at('limits.bytes', entryVms), [
+      'limits.bytes',
+    ]);
+    this.add(role, 'limit shares', Resource.Processor, this.at('limits.processor', entryVms), [
+      'limits.processor',
+    ]);
     const perVm = requestsPerSecond / entryVms;
     const choiceUs = this.at('routing.choice', workers / services);
     this.add(role, 'routing', Resource.Processor, perVm * choiceUs * US_TO_PERCENT, [
--- a/packages/capacity/src/measure/limits.ts
+++ b/packages/capacity/src/measure/limits.ts
@@ -2,7 +2,7 @@
 import { GrantDivision, TeamLimitsController } from '@jujubelanding/limits';
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
-import { PeerMethod } from '@jujubelanding/peer-protocol';
+import { createRandom, type Random } from '@jujubelanding/random';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { RecordKind, type TeamRecord } from '@jujubelanding/types';
 import {
@@ -12,7 +12,7 @@
   createMembership,
   createShardTable,
 } from '../parts.js';
-import { measureHeapBytes, measureSynchronous } from '../processor-time.js';
+import { measureHeapBytes, measureOnceMs, measureSynchronous } from '../processor-time.js';
 import {
   createSeries,
   Kind,
@@ -24,8 +24,23 @@
 import { Wire } from '../wire.js';
 
 const HOLDERS = [8, 32, 128, 410];
-const ACTIVE_TEAMS = [10, 50, 100, 300];
-const MEASURED_SECONDS = 10;
+const HOLDERS_PER_TEAM = 50;
+const SIZES = [8, 32, 128, 410];
+const ASKING_TEAMS = [5, 10, 20, 50, 100, 300];
+const WARM_UP_MS = 20_000;
+const MEASURED_MS = 30_000;
+
+/** 8,300 requests/s and 7,300 teams on 410 entry VMs; a request runs for 10 s, as assumed elsewhere. */
+const REQUESTS_PER_SECOND = 8300 / 410;
+const TEAMS_PER_VM = 7300 / 410;
+const REQUEST_MS = 10_000;
+
+/** Requests per second of a team over the whole fleet, if all teams ask alike. */
+const DEMAND_PER_TEAM = REQUESTS_PER_SECOND / TEAMS_PER_VM;
+
+const ASKING_VMS = 8;
+const ASKING_REQUESTS_PER_SECOND = 1;
+const ASKING_REQUEST_MS = 500;
 
 const bounds: TeamRecord = {
   keyHashes: [],
@@ -37,26 +52,41 @@
   batchWeight: 1,
 };
 
-const measureGrant = (holders: number): Promise<number> => {
-  const division = new GrantDivision();
-  return measureSynchronous((index) => {
-    const entryVmId = `entry-vm-${index % holders}`;
-    division.grant({ entryVmId, demandPerSecond: 5, inFlight: 3 }, bounds, index / holders);
-  });
-};
+/** Limits that are a multiple of what a team uses on average. */
+const createLimits = (multiple: number): TeamRecord => ({
+  ...bounds,
+  requestsPerSecond: multiple * DEMAND_PER_TEAM,
+  burst: 2 * multiple * DEMAND_PER_TEAM,
+  concurrency: Math.ceil((multiple * DEMAND_PER_TEAM * REQUEST_MS) / 1000),
+});
 
-/** Calls per second of one VM whose teams each have a request in progress. */
-const countRenewals = async (teams: number): Promise<number> => {
-  const timer = new VirtualTimer();
-  const wire = new Wire(timer);
-  const members = createMembers(8);
+interface Load {
+  vms: number;
+  teams: number;
+  limits: TeamRecord;
+  requestsPerSecond: number;
+  requestMs: number;
+}
+
+interface Usage {
+  bytes: number;
+  datagrams: number;
+  processorPercent: number;
+  refused: number;
+  largestDatagram: number;
+  oversized: number;
+}
+
+const startControllers = (load: Load, timer: VirtualTimer, wire: Wire): TeamLimitsController[] => {
+  const members = createMembers(load.vms);
   const owners = assignShards(members);
   const records = Array.from(
-    { length: teams },
-    (_, index) => [`team-${index}`, { name: `team-${index}`, revision: 1, spec: bounds }] as const,
+    { length: load.teams },
+    (_, index) =>
+      [`team-${index}`, { name: `team-${index}`, revision: 1, spec: load.limits }] as const,
   );
   const configuration = createConfiguration({ [RecordKind.Team]: new Map(records) });
-  const controllers = members.map((member) => {
+  return members.map((member) => {
     const network = wire.createNetwork(member.peerAddress);
     const io = { timer, network, createLog: () => silentLog, metrics: silentMetrics };
     const limits = new TeamLimitsController({
@@ -66,31 +96,131 @@
       shards: createShardTable(member, owners),
       configuration,
     });
-    limits.start();
+    // Requests come through the first VM only; others that own no shard have nothing to do.
+    if (member === members[0] || owners.includes(member)) limits.start();
     return limits;
   });
-  records.forEach(([team]) => controllers[0]!.admit(team));
-  await timer.advance(1500);
+};
+
+/**
+ * Runs the requests of one VM. What it sends and what owners answer is what the mean VM sends if all
+ * VMs have this load; processor time is that of both ends.
+ */
+export const measureHolder = async (load: Load, random: Random): Promise<Usage> => {
+  const timer = new VirtualTimer();
+  // Owners that have just started would take grants of a former owner into account.
+  await timer.advance(60_000);
+  const wire = new Wire(timer);
+  const [holder] = startControllers(load, timer, wire);
+  let refused = 0;
+  const send = (): void => {
+    const permit = holder!.admit(`team-${random.below(load.teams)}`);
+    if (permit.isOk()) timer.after(load.requestMs, () => permit.value.release());
+    else refused += 1;
+    timer.after((-Math.log(1 - random.next()) * 1000) / load.requestsPerSecond, send);
+  };
+  send();
+  await timer.advance(WARM_UP_MS);
   wire.reset();
-  await timer.advance(MEASURED_SECONDS * 1000);
-  const { calls } = wire.networks.get(members[0]!.peerAddress)!;
-  return (calls.get(PeerMethod.RequestGrant) ?? 0) / MEASURED_SECONDS;
+  refused = 0;
+  const elapsedMs = await measureOnceMs(() => timer.advance(MEASURED_MS));
+  const { bytesOut, bytesIn, messagesOut, messagesIn } = [...wire.networks.values()][0]!.usage;
+  const seconds = MEASURED_MS / 1000;
+  return {
+    bytes: (bytesOut + bytesIn) / seconds,
+    datagrams: (messagesOut + messagesIn) / seconds,
+    processorPercent: (100 * elapsedMs) / MEASURED_MS,
+    refused: refused / seconds / load.requestsPerSecond,
+    largestDatagram: wire.largestDatagram,
+    oversized: wire.oversized,
+  };
 };
 
-const measureHeap = (shares: number): Promise<number> =>
-  measureHeapBytes(() => {
-    const division = new GrantDivision();
-    for (let index = 0; index < shares; index += 1) {
-      const entryVmId = `entry-vm-${index}`;
-      division.grant({ entryVmId, demandPerSecond: 5, inFlight: 3 }, bounds, 0);
-    }
-    return division;
+export const createFleetLoad = (vms: number, multiple: number): Load => ({
+  vms,
+  teams: Math.round(vms * TEAMS_PER_VM),
+  limits: createLimits(multiple),
+  requestsPerSecond: REQUESTS_PER_SECOND,
+  requestMs: REQUEST_MS,
+});
+
+/** Teams that each use half of a limit on one VM, so that each needs a grant. */
+export const createAskingLoad = (teams: number): Load => ({
+  vms: ASKING_VMS,
+  teams,
+  limits: { ...bounds, requestsPerSecond: 2, burst: 4, concurrency: 20 },
+  requestsPerSecond: teams * ASKING_REQUESTS_PER_SECOND,
+  requestMs: ASKING_REQUEST_MS,
+});
+
+const measureGrant = (holders: number): Promise<number> => {
+  const division = new GrantDivision();
+  const state = { liveVms: holders, isRecovering: false };
+  return measureSynchronous((index) => {
+    const entryVmId = `entry-vm-${index % holders}`;
+    division.grant({ entryVmId, demandPerSecond: 5, inFlight: 3 }, bounds, index / holders, state);
   });
+};
 
-/** Measures grants; `limits.calls` counts calls of one VM out of eight. */
-export const measureLimits = async (_options: MeasureOptions): Promise<Series[]> => {
+/** Shares are spread over teams, because a team has no more holders than there are VMs. */
+const measureHeap = (shares: number): Promise<number> =>
+  measureHeapBytes(() =>
+    Array.from({ length: shares / HOLDERS_PER_TEAM }, () => {
+      const division = new GrantDivision();
+      for (let index = 0; index < HOLDERS_PER_TEAM; index += 1) {
+        const entryVmId = `entry-vm-${index}`;
+        division.grant({ entryVmId, demandPerSecond: 5, inFlight: 3 }, bounds, 0);
+      }
+      return division;
+    }),
+  );
+
+const HOLDER_SOURCE = 'limits/src/team-limits.ts, share-asker.ts, limit-owner.ts';
+const DIVISION_SOURCE = 'limits/src/grant-division.ts';
+
+const header = (id: string, title: string, kind: Kind, size: string, unit: string) => ({
+  ...{ id, title, kind, size, unit },
+  source: HOLDER_SOURCE,
+});
+
+/** Costs of the design's load if the limits are a multiple of the teams' mean use. */
+const measureMultiple = async (multiple: number, id: string, seed: number): Promise<Series[]> => {
+  const results = await measureEach(SIZES, (vms) =>
+    measureHolder(createFleetLoad(vms, multiple), createRandom(seed)),
+  );
+  const title = `Limits of ${multiple} times the mean use`;
+  const series = (name: string, what: string, kind: Kind, unit: string, pick: keyof Usage) =>
+    createSeries(
+      header(`${id}.${name}`, `${title}: ${what}`, kind, 'entry VMs', unit),
+      pickPoints(results, (usage) => usage[pick]),
+    );
+  return [
+    series('bytes', 'bytes per VM', Kind.Counted, 'B/s', 'bytes'),
+    series('datagrams', 'datagrams per VM', Kind.Counted, '1/s', 'datagrams'),
+    series('processor', 'processor time', Kind.Processor, '% of a core', 'processorPercent'),
+    series('refused', 'share of requests refused', Kind.Counted, '1', 'refused'),
+  ];
+};
+
+const measureAsking = async (seed: number): Promise<Series[]> => {
+  const results = await measureEach(ASKING_TEAMS, (teams) =>
+    measureHolder(createAskingLoad(teams), createRandom(seed)),
+  );
+  const size = 'teams that need a grant';
+  return [
+    createSeries(
+      header('limits.askingBytes', 'Teams with a grant: bytes per VM', Kind.Counted, size, 'B/s'),
+      pickPoints(results, ({ bytes }) => bytes),
+    ),
+    createSeries(
+      header('limits.largest', 'Limit messages: largest datagram', Kind.Counted, size, 'B'),
+      pickPoints(results, ({ largestDatagram }) => largestDatagram),
+    ),
+  ];
+};
+
+const measureOwner = async (): Promise<Series[]> => {
   const grants = await measureEach(HOLDERS, measureGrant);
-  const renewals = await measureEach(ACTIVE_TEAMS, countRenewals);
   const heaps = await measureEach([1000, 3000, 10_000, 20_000], measureHeap);
   return [
     createSeries(
@@ -100,21 +230,10 @@
         kind: Kind.Processor,
         size: 'holders of the team',
         unit: 'µs per grant',
-        source: 'limits/src/grant-division.ts',
+        source: DIVISION_SOURCE,
       },
       pickPoints(grants, (value) => value),
     ),
-    createSeries(
-      {
-        id: 'limits.calls',
-        title: 'Limit holder: calls to owners',
-        kind: Kind.Counted,
-        size: 'teams with requests on the VM',
-        unit: '1/s',
-        source: 'limits/src/team-limits.ts',
-      },
-      pickPoints(renewals, (value) => value),
-    ),
     createSeries(
       {
         id: 'limits.heap',
@@ -122,9 +241,18 @@
         kind: Kind.Memory,
         size: 'shares',
         unit: 'B',
-        source: 'limits/src/grant-division.ts',
+        source: DIVISION_SOURCE,
       },
       pickPoints(heaps, (value) => value),
     ),
   ];
 };
+
+/** The costs depend on how far limits are above the use: ample, and so tight that VMs have to ask. */
+export const measureLimits = async ({ seed }: MeasureOptions): Promise<Series[]> => [
+  ...(await measureOwner()),
+  ...(await measureMultiple(100, 'limits.ample', seed)),
+  ...(await measureMultiple(10, 'limits', seed)),
+  ...(await measureMultiple(2, 'limits.tight', seed)),
+  ...(await measureAsking(seed)),
+];
--- /dev/null
+++ b/packages/limits/src/ask-budget.ts
@@ -0,0 +1,25 @@
+/** Bound on what an entry VM asks for, so that small limits of many teams stay within its budget. */
+
+/** With answers about 300 B each, so that limits stay near 3 KB/s of the 6 KB/s for all control. */
+const REQUESTS_PER_SECOND = 10;
+const REQUEST_BURST = 20;
+
+/** A further team in a request needs about 40 B with its answer. */
+const TEAM_COST = 0.15;
+
+export class AskBudget {
+  private tokens = REQUEST_BURST;
+
+  private refilledAt = 0;
+
+  /** Spends what one request for a number of teams costs. */
+  trySpend(teams: number, now: number): boolean {
+    const gained = ((now - this.refilledAt) * REQUESTS_PER_SECOND) / 1000;
+    this.tokens = Math.min(REQUEST_BURST, this.tokens + gained);
+    this.refilledAt = now;
+    // A large request goes out on credit, or it never would.
+    if (this.tokens < 1) return false;
+    this.tokens -= 1 + TEAM_COST * (teams - 1);
+    return true;
+  }
+}
--- a/packages/limits/src/grant-holder.ts
+++ b/packages/limits/src/grant-holder.ts
@@ -1,4 +1,6 @@
 /** Holder's side: token bucket and concurrency count of one team on one entry VM. */
+import { DemandMeter } from './demand-meter.js';
+import type { QuietUse } from './quiet-use.js';
 
 export interface HeldBounds {
   requestsPerSecond: number;
@@ -18,6 +20,17 @@
   retryAfterMs: number;
 }
 
+/** What the owner is told about the use of a team's limits. */
+export interface HolderReport {
+  demandPerSecond: number;
+  inFlight: number;
+  wantedInFlight: number;
+  admitted: number;
+  wantedTokens: number;
+  heldPerSecond: number;
+  heldConcurrency: number;
+}
+
 /** A slot becomes free when some request ends, which can't be predicted. */
 const CONCURRENCY_RETRY_MS = 1000;
 
@@ -25,8 +38,21 @@
 
 const NEAR_BOUNDS = 0.75;
 
-/** Weight of the newest interval in the demand. */
-const DEMAND_SMOOTHING = 0.5;
+const SHORT_SHARE = 0.9;
+const LEAST_SHORT_RATE = 1;
+
+/** Buckets below this size are near their bounds after each request. */
+const SMALL_BUCKET = 4;
+
+/** Chance of a request during the refill above which a small bucket is refilled by the owner. */
+const EARLY_REQUEST_CHANCE = 0.2;
+
+/** A lower rate does not use a grant before it ends. */
+const LEAST_GRANTED_RATE = 0.2;
+
+/** Demand that falls below this part of the reported one, and by this rate, is reported at once. */
+const FALLEN_DEMAND = 0.5;
+const LEAST_FALL_PER_SECOND = 1;
 
 /** Decides on each request without a call; bounds come from a grant or from the fallback. */
 export class GrantHolder {
@@ -36,14 +62,17 @@
 
   private running = 0;
 
-  private attempts = 0;
-
-  /** Requests refused for concurrency since the last `takeWanted`. */
+  /** Requests refused for concurrency since the last report. */
   private refused = 0;
 
-  private measuredAt: number;
+  /** Requests admitted in all; a total survives lost reports. */
+  private admitted = 0;
 
-  private demandRate = 0;
+  private readonly demand: DemandMeter;
+
+  private reportedDemand = 0;
+
+  private reportedAt = -Infinity;
 
   private lastAttemptAt: number;
 
@@ -55,7 +84,7 @@
   ) {
     this.tokens = Math.max(1, bounds.burst);
     this.refilledAt = now;
-    this.measuredAt = now;
+    this.demand = new DemandMeter(now);
     this.lastAttemptAt = now;
   }
 
@@ -76,8 +105,14 @@
     if (validMs !== undefined) this.expiresAt = now + validMs;
   }
 
+  /** Adds tokens that the owner has handed out beside the rate. */
+  addTokens(count: number, now: number): void {
+    this.refill(now);
+    this.tokens = Math.min(this.capacity(), this.tokens + count);
+  }
+
   admit(now: number): Decision {
-    this.attempts += 1;
+    this.demand.add(now);
     this.lastAttemptAt = now;
     this.refill(now);
     if (this.running >= this.bounds.concurrency) {
@@ -85,12 +120,12 @@
       return { admission: Admission.ConcurrencyExceeded, retryAfterMs: CONCURRENCY_RETRY_MS };
     }
     if (this.tokens < 1) {
-      const missing = (1 - this.tokens) / Math.max(1e-9, this.bounds.requestsPerSecond);
-      const retryAfterMs = Math.min(MAX_RETRY_MS, Math.ceil(missing * 1000));
+      const retryAfterMs = Math.min(MAX_RETRY_MS, Math.ceil(this.secondsToToken() * 1000));
       return { admission: Admission.RateExceeded, retryAfterMs };
     }
     this.tokens -= 1;
     this.running += 1;
+    this.admitted += 1;
     return { admission: Admission.Admitted, retryAfterMs: 0 };
   }
 
@@ -98,29 +133,60 @@
     this.running = Math.max(0, this.running - 1);
   }
 
-  /** Requests per second that callers sent recently, refused ones included. */
-  measureDemand(now: number): number {
-    const elapsed = now - this.measuredAt;
-    if (elapsed <= 0) return this.demandRate;
-    const rate = (this.attempts * 1000) / elapsed;
-    this.demandRate += DEMAND_SMOOTHING * (rate - this.demandRate);
-    this.attempts = 0;
-    this.measuredAt = now;
-    return this.demandRate;
+  /** What to tell the owner. */
+  takeReport(now: number): HolderReport {
+    this.refill(now);
+    const isGranted = this.isGranted(now);
+    const wantedInFlight = this.running + this.refused;
+    this.refused = 0;
+    this.reportedAt = now;
+    this.reportedDemand = this.demand.perSecond(now);
+    return {
+      demandPerSecond: this.reportedDemand,
+      inFlight: this.running,
+      wantedInFlight,
+      admitted: this.admitted,
+      wantedTokens: this.capacity() - this.tokens,
+      heldPerSecond: isGranted ? this.bounds.requestsPerSecond : 0,
+      heldConcurrency: isGranted ? this.bounds.concurrency : 0,
+    };
   }
 
-  /** Requests in progress and those refused since the last call. */
-  takeWanted(): number {
-    const wanted = this.running + this.refused;
-    this.refused = 0;
-    return wanted;
+  /** True when the use is more than what owners keep back for VMs without a grant. */
+  needsGrant(quiet: QuietUse, now: number): boolean {
+    if (this.running > quiet.concurrency) return true;
+    // Without a request since the last report the share is left to others.
+    if (this.lastAttemptAt < this.reportedAt) return false;
+    const rate = this.demand.perSecond(now);
+    return rate > quiet.requestsPerSecond && rate >= LEAST_GRANTED_RATE;
   }
 
   /** True when most of the bounds is in use, so that more should be asked for in time. */
-  isNearBounds(): boolean {
+  isNearBounds(now: number): boolean {
+    if (this.running >= NEAR_BOUNDS * this.bounds.concurrency) return true;
+    if (this.capacity() >= SMALL_BUCKET) {
+      return this.tokens <= (1 - NEAR_BOUNDS) * this.capacity();
+    }
+    const expected = this.demand.perSecond(now) * this.secondsToToken();
+    return this.tokens < 1 && expected > EARLY_REQUEST_CHANCE;
+  }
+
+  /** True when much of the grant is no longer used and others could have it. */
+  hasFallen(fallback: HeldBounds, now: number): boolean {
+    if (this.bounds.requestsPerSecond <= fallback.requestsPerSecond) return false;
+    const rate = this.demand.perSecond(now);
     return (
-      this.running >= NEAR_BOUNDS * this.bounds.concurrency ||
-      this.tokens <= (1 - NEAR_BOUNDS) * this.capacity()
+      rate < FALLEN_DEMAND * this.reportedDemand &&
+      rate <= this.reportedDemand - LEAST_FALL_PER_SECOND
+    );
+  }
+
+  /** True when the bounds are clearly below the fallback and a team that sends often needs them. */
+  isShort(fallback: HeldBounds, now: number): boolean {
+    if (this.demand.perSecond(now) < LEAST_SHORT_RATE) return false;
+    return (
+      this.bounds.requestsPerSecond < SHORT_SHARE * fallback.requestsPerSecond ||
+      this.bounds.concurrency < SHORT_SHARE * fallback.concurrency
     );
   }
 
@@ -129,6 +195,16 @@
     return this.running > 0 ? 0 : now - this.lastAttemptAt;
   }
 
+  /** True when a new holder would admit as much. */
+  isFull(now: number): boolean {
+    this.refill(now);
+    return this.tokens >= this.capacity();
+  }
+
+  private secondsToToken(): number {
+    return (1 - this.tokens) / Math.max(1e-9, this.bounds.requestsPerSecond);
+  }
+
   private capacity(): number {
     // A bucket that holds less than one token would never admit anything.
     return Math.max(1, this.bounds.burst);
--- /dev/null
+++ b/packages/limits/src/limit-owner.ts
@@ -0,0 +1,78 @@
+/** Owner's side: grants shares of the limits of teams whose shards this VM owns. */
+import type { Configuration, Membership, ShardTable } from '@jujubelanding/interfaces';
+import type { LimitRequest, TeamShare, TeamUse } from '@jujubelanding/peer-protocol';
+import { findShard } from '@jujubelanding/random';
+import { RecordKind } from '@jujubelanding/types';
+import { GRANT_VALID_MS, GrantDivision } from './grant-division.js';
+import { decodeUse, encodeShare } from './limit-messages.js';
+
+export interface LimitOwnerOptions {
+  shards: ShardTable;
+  configuration: Configuration;
+  membership: Membership;
+  countLive: () => number;
+  /** Makes a VM ask again for teams of which it holds more than its part. */
+  recall: (entryVmId: string, teams: string[]) => void;
+}
+
+type Sender = Pick<LimitRequest, 'from' | 'bootId' | 'sequence'>;
+
+export class LimitOwner {
+  private readonly divisions = new Map<string, GrantDivision>();
+
+  constructor(private readonly options: LimitOwnerOptions) {}
+
+  /** Grants in the order of the uses; undefined when the request is older than one answered. */
+  answer(sender: Sender, uses: readonly TeamUse[], now: number): (TeamShare | null)[] | undefined {
+    const recalled = new Map<string, string[]>();
+    let isOutdated = false;
+    const shares = uses.map((use) => {
+      const share = this.grant(sender, use, now, recalled);
+      isOutdated ||= share === undefined;
+      return share ?? null;
+    });
+    recalled.forEach((teams, entryVmId) => this.options.recall(entryVmId, teams));
+    return isOutdated ? undefined : shares;
+  }
+
+  /** Forgets teams without grants. */
+  prune(now: number): void {
+    for (const [team, division] of this.divisions) {
+      const isOwned = this.options.shards.fenceOf(findShard(team)) !== undefined;
+      const record = this.options.configuration.get(RecordKind.Team, team);
+      // A later owner of the shard grants without knowledge of these grants.
+      const isUseless = !isOwned || record === undefined;
+      if (isUseless || division.isIdle(record.spec, now, this.options.countLive())) {
+        this.divisions.delete(team);
+      }
+    }
+  }
+
+  /** Null for a team that is not owned; undefined for an outdated request. */
+  private grant(
+    { from, bootId, sequence }: Sender,
+    use: TeamUse,
+    now: number,
+    recalled: Map<string, string[]>,
+  ): TeamShare | null | undefined {
+    const { shards, configuration, countLive } = this.options;
+    const [team] = use;
+    const shard = findShard(team);
+    const ownedSince = shards.ownedSince(shard);
+    const record = configuration.get(RecordKind.Team, team);
+    const isOwned = shards.fenceOf(shard) !== undefined && ownedSince !== undefined;
+    if (!isOwned || record === undefined) return null;
+    const division = this.divisions.get(team) ?? new GrantDivision();
+    this.divisions.set(team, division);
+    const liveVms = countLive();
+    const state = { liveVms, isRecovering: now - ownedSince < GRANT_VALID_MS };
+    const asked = decodeUse(use, { entryVmId: from, bootId, sequence });
+    const granted = division.grant(asked, record.spec, now, state);
+    if (granted === undefined) return undefined;
+    for (const entryVmId of division.recall(from, record.spec, now, liveVms)) {
+      const teams = recalled.get(entryVmId) ?? [];
+      recalled.set(entryVmId, [...teams, team]);
+    }
+    return encodeShare(granted);
+  }
+}
--- /dev/null
+++ b/packages/limits/src/share-asker.ts
@@ -0,0 +1,198 @@
+/** Holder's side: asks shard owners for shares, the teams of one owner together. */
+import type { EntryVmIo, Membership, ShardOwner, ShardTable } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import { DatagramKind, type LimitAnswer, type TeamShare } from '@jujubelanding/peer-protocol';
+import { findShard, hashText } from '@jujubelanding/random';
+import { AskBudget } from './ask-budget.js';
+import { GRANT_VALID_MS, type TeamBounds } from './grant-division.js';
+import type { GrantHolder, HeldBounds } from './grant-holder.js';
+import { decodeShare, encodeUse, splitUses } from './limit-messages.js';
+import type { LimitOwner } from './limit-owner.js';
+import type { QuietUse } from './quiet-use.js';
+
+/** Interval at which shares are renewed; two renewals may be lost before a grant ends. */
+const RENEW_INTERVAL_MS = 2000;
+
+/** A grant below the fallback share is renewed earlier, because others may have given some back. */
+const SHORT_RENEW_INTERVAL_MS = 1000;
+
+/** A team is asked for at most this often, and less often while there is no answer. */
+const LEAST_ASK_INTERVAL_MS = 250;
+const MAX_UNANSWERED_DOUBLINGS = 3;
+
+/** Requests without an answer are forgotten when it could no longer be used. */
+const PENDING_MS = GRANT_VALID_MS;
+
+export interface HeldTeam {
+  team: string;
+  holder: GrantHolder;
+  askedAt: number;
+  /** Requests since the last answer. */
+  unanswered: number;
+  /** More is needed, or the owner has asked for a part back. */
+  isUrgent: boolean;
+  /** Sequence of the newest request that was answered. */
+  answeredSequence: number;
+  ownerId: string | undefined;
+}
+
+export interface ShareAskerOptions {
+  io: Pick<EntryVmIo, 'timer' | 'network'>;
+  entryVmId: string;
+  membership: Membership;
+  shards: ShardTable;
+  owner: LimitOwner;
+  log: Log;
+  findBounds: (team: string) => TeamBounds | undefined;
+}
+
+interface OwnerGroup {
+  owner: ShardOwner;
+  teams: HeldTeam[];
+}
+
+interface Pending {
+  ownerId: string;
+  sentAt: number;
+  asked: readonly HeldTeam[];
+}
+
+export const createHeldTeam = (team: string, holder: GrantHolder): HeldTeam => ({
+  ...{ team, holder, askedAt: -Infinity, unanswered: 0, isUrgent: false },
+  ...{ answeredSequence: -Infinity, ownerId: undefined },
+});
+
+export class ShareAsker {
+  private readonly budget = new AskBudget();
+
+  private readonly pending = new Map<number, Pending>();
+
+  private sequence: number | undefined;
+
+  constructor(private readonly options: ShareAskerOptions) {}
+
+  /** True when the team may be asked for again; without an answer the intervals grow. */
+  mayAsk(held: HeldTeam, now: number): boolean {
+    const doublings = Math.min(held.unanswered, MAX_UNANSWERED_DOUBLINGS);
+    return now - held.askedAt >= LEAST_ASK_INTERVAL_MS * 2 ** doublings;
+  }
+
+  /** True when a share has to be asked for in an interval. */
+  isDue(held: HeldTeam, quiet: QuietUse, fallback: HeldBounds, now: number): boolean {
+    const { holder } = held;
+    if (!this.mayAsk(held, now)) return false;
+    if (held.isUrgent) return true;
+    const isGranted = holder.isGranted(now);
+    if (isGranted && holder.hasFallen(fallback, now)) return true;
+    if (!holder.needsGrant(quiet, now)) return false;
+    const isNewOwner = this.ownerOf(held.team)?.entryVmId !== held.ownerId;
+    const interval = holder.isShort(fallback, now) ? SHORT_RENEW_INTERVAL_MS : RENEW_INTERVAL_MS;
+    const isOld = now - held.askedAt >= interval;
+    return !isGranted || isNewOwner || isOld || held.unanswered > 0;
+  }
+
+  /** Asks for what the budget allows, owners with most teams first; the rest waits. */
+  askWithinBudget(teams: readonly HeldTeam[], now: number): void {
+    const groups = this.groupByOwner(teams);
+    groups.sort((a, b) => b.teams.length - a.teams.length);
+    for (const group of groups) {
+      if (this.budget.trySpend(group.teams.length, now)) this.sendAll(group);
+    }
+  }
+
+  /** Asks for shares, in as few datagrams as hold them. */
+  ask(teams: readonly HeldTeam[]): void {
+    this.groupByOwner(teams).forEach((group) => this.sendAll(group));
+  }
+
+  private groupByOwner(teams: readonly HeldTeam[]): OwnerGroup[] {
+    const byOwner = new Map<string, OwnerGroup>();
+    for (const held of teams) {
+      const owner = this.ownerOf(held.team);
+      if (owner === undefined) continue;
+      const group = byOwner.get(owner.entryVmId) ?? { owner, teams: [] };
+      group.teams.push(held);
+      byOwner.set(owner.entryVmId, group);
+    }
+    return [...byOwner.values()];
+  }
+
+  private sendAll({ owner, teams }: OwnerGroup): void {
+    const { bootId } = this.options.membership.self();
+    const parts = splitUses(teams, this.options.entryVmId, bootId);
+    parts.forEach((part) => this.send(owner, part, bootId));
+  }
+
+  /** Puts answered shares into force; returns the teams that the owner recalls. */
+  receive(answer: LimitAnswer): readonly string[] {
+    const { sequence, from, shares, validMs, recalled = [] } = answer;
+    const pending = sequence === undefined ? undefined : this.pending.get(sequence);
+    if (sequence !== undefined && pending?.ownerId === from) {
+      this.pending.delete(sequence);
+      this.apply(pending, sequence, shares, validMs);
+    }
+    return recalled;
+  }
+
+  /** Forgets requests that were not answered. */
+  prune(now: number): void {
+    for (const [sequence, { ownerId, sentAt, asked }] of this.pending) {
+      if (now - sentAt < PENDING_MS) break;
+      this.pending.delete(sequence);
+      this.options.log.write('grant-unanswered', { owner: ownerId, teams: asked.length });
+    }
+  }
+
+  private ownerOf(team: string): ShardOwner | undefined {
+    return this.options.shards.ownerOf(findShard(team));
+  }
+
+  private send(owner: ShardOwner, teams: readonly HeldTeam[], bootId: string): void {
+    const { io, entryVmId } = this.options;
+    const now = io.timer.now();
+    // Starts at a number of its own in each run, so that answers to an earlier run fit none.
+    this.sequence = (this.sequence ?? hashText(bootId)) + 1;
+    const { sequence } = this;
+    const uses = teams.map((held) => {
+      Object.assign(held, { askedAt: now, isUrgent: false, ownerId: owner.entryVmId });
+      held.unanswered += 1;
+      return encodeUse(held.team, held.holder.takeReport(now));
+    });
+    const pending = { ownerId: owner.entryVmId, sentAt: now, asked: teams };
+    const sender = { from: entryVmId, bootId, sequence };
+    if (owner.entryVmId === entryVmId) {
+      const shares = this.options.owner.answer(sender, uses, now);
+      if (shares !== undefined) this.apply(pending, sequence, shares, GRANT_VALID_MS);
+      return;
+    }
+    this.pending.set(sequence, pending);
+    io.network.send(owner.peerAddress, {
+      ...{ kind: DatagramKind.LimitRequest, ...sender },
+      teams: uses,
+    });
+  }
+
+  private apply(
+    { sentAt, asked }: Pending,
+    sequence: number,
+    shares: readonly (TeamShare | null)[],
+    validMs: number,
+  ): void {
+    const now = this.options.io.timer.now();
+    // Counted from the moment of asking, so that it never outlasts the owner's count.
+    const remaining = validMs - (now - sentAt);
+    asked.forEach((held, index) => {
+      const share = shares[index];
+      const bounds = this.options.findBounds(held.team);
+      const isOutdated = sequence < held.answeredSequence || remaining <= 0;
+      if (share === null || share === undefined || bounds === undefined || isOutdated) return;
+      const { advance, ...limits } = decodeShare(share);
+      const burst =
+        (bounds.burst * limits.requestsPerSecond) / Math.max(1e-9, bounds.requestsPerSecond);
+      held.answeredSequence = sequence;
+      held.unanswered = 0;
+      held.holder.setBounds({ ...limits, burst }, now, remaining);
+      held.holder.addTokens(advance, now);
+    });
+  }
+}
--- a/packages/limits/src/team-limits.test.ts
+++ b/packages/limits/src/team-limits.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { FaultCode, Outcome } from '@jujubelanding/errors';
 import { LimitGroup, TEAM } from './fixtures/limit-group.js';
-import { GrantDivision } from './index.js';
+import { GRANT_VALID_MS, GrantDivision } from './index.js';
 
 const sum = (values: readonly number[]): number =>
   values.reduce((total, value) => total + value, 0);
@@ -65,18 +65,18 @@
   const group = new LimitGroup(4);
   await group.run([0, 300], 5000);
   group.owner = 'vm-gone';
-  await group.run([0, 300], 2500);
+  await group.run([0, 300], GRANT_VALID_MS + 500);
   const admitted = await group.run([0, 300], 10_000);
   t.true(Math.abs(admitted[1]! - (TEAM.requestsPerSecond * 10) / 4) <= 5, `${admitted}`);
 });
 
-test('calls do not grow with requests', async (t) => {
+test('requests for shares do not grow with requests', async (t) => {
   const group = new LimitGroup(2);
   await group.run([0, 1000], 10_000);
-  t.true(group.calls <= 45, `${group.calls}`);
-  group.calls = 0;
+  t.true(group.requests <= 45, `${group.requests}`);
+  group.requests = 0;
   await group.run([0, 10], 10_000);
-  t.true(group.calls <= 12, `${group.calls}`);
+  t.true(group.requests <= 12, `${group.requests}`);
 });
 
 test('a refusal is not-run and tells when to retry; an unknown team is refused', (t) => {
@@ -103,7 +103,7 @@
       inFlight,
       wantedInFlight: inFlight,
     };
-    const grant = division.grant(asked, TEAM, now, 5);
+    const grant = division.grant(asked, TEAM, now, { liveVms: 5, isRecovering: false })!;
     inForce.set(entryVmId, {
       until: now + grant.validMs,
       rate: grant.requestsPerSecond,
--- a/packages/limits/src/team-limits.ts
+++ b/packages/limits/src/team-limits.ts
@@ -1,5 +1,5 @@
 /** Team limits over all entry VMs, held in shares that are asked for in the background. */
-import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type {
   Configuration,
   EntryVmIo,
@@ -9,22 +9,24 @@
   TeamLimits,
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
-import { PeerMethod, type GrantRequest, type LimitGrant } from '@jujubelanding/peer-protocol';
-import { findShard } from '@jujubelanding/random';
+import { DatagramKind, type LimitAnswer, type LimitRequest } from '@jujubelanding/peer-protocol';
 import type { Subscription } from '@jujubelanding/timer';
-import { MemberState, RecordKind, type TeamRecord } from '@jujubelanding/types';
+import { MemberState, RecordKind } from '@jujubelanding/types';
 import { err, ok, type Result } from 'neverthrow';
-import { GrantDivision } from './grant-division.js';
+import { GRANT_VALID_MS, type TeamBounds } from './grant-division.js';
 import { Admission, GrantHolder, type HeldBounds } from './grant-holder.js';
+import { LimitOwner } from './limit-owner.js';
+import { findQuietUse } from './quiet-use.js';
+import { createHeldTeam, ShareAsker, type HeldTeam } from './share-asker.js';
 
-/** Interval at which shares are renewed; half their validity, so that one lost call does no harm. */
-const RENEW_INTERVAL_MS = 1000;
+/** Interval at which holders compare their use with their shares; most intervals send nothing. */
+const CHECK_INTERVAL_MS = 250;
 
-/** A share that is nearly used up is asked for again at most this often per team. */
-const EARLY_RENEW_MS = 250;
-
-/** Shares of teams without requests are not renewed after this time. */
-const IDLE_AFTER_MS = 5000;
+/**
+ * Teams without requests are forgotten after this time, once their bucket is full again; earlier the
+ * rate of a team that seldom sends would be measured anew with each request.
+ */
+const IDLE_AFTER_MS = 60_000;
 
 const STEP = 'limits';
 
@@ -36,30 +38,35 @@
   configuration: Configuration;
 }
 
-interface Held {
-  holder: GrantHolder;
-  isAsking: boolean;
-  askedAt: number;
-}
-
 /** Implements `TeamLimits`; also the owner's side for teams of owned shards. */
 export class TeamLimitsController implements TeamLimits {
-  private readonly held = new Map<string, Held>();
-
-  private readonly divisions = new Map<string, GrantDivision>();
+  private readonly held = new Map<string, HeldTeam>();
 
   private readonly subscriptions: Subscription[] = [];
 
   private readonly log: Log;
 
+  private readonly owner: LimitOwner;
+
+  private readonly asker: ShareAsker;
+
+  private live = { count: 1, countedAt: -Infinity };
+
   constructor(private readonly options: TeamLimitsOptions) {
-    this.log = options.io.createLog('limits');
+    const { io } = options;
+    this.log = io.createLog('limits');
+    const countLive = (): number => this.countLive();
+    const recall = (entryVmId: string, teams: string[]): void => this.recall(entryVmId, teams);
+    this.owner = new LimitOwner({ ...options, countLive, recall });
+    const findBounds = (team: string): TeamBounds | undefined => this.findBounds(team);
+    this.asker = new ShareAsker({ ...options, owner: this.owner, log: this.log, findBounds });
   }
 
   start(): void {
     const { network, timer } = this.options.io;
-    network.handle(PeerMethod.RequestGrant, (request) => Promise.resolve(this.grant(request)));
-    this.subscriptions.push(timer.every(RENEW_INTERVAL_MS, () => this.renewAll()));
+    network.handleDatagram(DatagramKind.LimitRequest, (request) => this.answer(request));
+    network.handleDatagram(DatagramKind.LimitAnswer, (answer) => this.receive(answer));
+    this.subscriptions.push(timer.every(CHECK_INTERVAL_MS, () => this.check()));
   }
 
   stop(): void {
@@ -67,18 +74,17 @@
   }
 
   admit(team: string): Result<Permit, Fault> {
-    const record = this.options.configuration.get(RecordKind.Team, team);
-    if (record === undefined) {
+    const bounds = this.findBounds(team);
+    if (bounds === undefined) {
       return err(this.createFault(FaultCode.Unauthorized, `team ${team} is not known`));
     }
     const now = this.options.io.timer.now();
-    const held = this.find(team, record.spec, now);
+    const held = this.find(team, bounds, now);
     const { holder } = held;
-    if (!holder.isGranted(now)) holder.setBounds(this.createFallback(record.spec), now);
+    this.fallBack(held, bounds, now);
     const decision = holder.admit(now);
     const isRefused = decision.admission !== Admission.Admitted;
-    const isDue = isRefused || !holder.isGranted(now) || holder.isNearBounds();
-    if (isDue && now - held.askedAt >= EARLY_RENEW_MS) void this.renew(team, held);
+    if (isRefused || holder.isNearBounds(now)) this.hurry(held, isRefused, now);
     if (isRefused) return err(this.refuse(team, decision.admission, decision.retryAfterMs));
     return ok(this.createPermit(holder));
   }
@@ -105,88 +111,112 @@
     return { ...this.createFault(FaultCode.RateLimited, message), retryAfterMs };
   }
 
-  private find(team: string, record: TeamRecord, now: number): Held {
+  private findBounds(team: string): TeamBounds | undefined {
+    return this.options.configuration.get(RecordKind.Team, team)?.spec;
+  }
+
+  private find(team: string, bounds: TeamBounds, now: number): HeldTeam {
     const known = this.held.get(team);
     if (known !== undefined) return known;
-    const holder = new GrantHolder(this.createFallback(record), now);
-    const held = { holder, isAsking: false, askedAt: -Infinity };
+    const held = createHeldTeam(team, new GrantHolder(this.createFallback(bounds), now));
     this.held.set(team, held);
     return held;
   }
 
+  /** Without a grant the fallback share is in force. */
+  private fallBack({ holder }: HeldTeam, bounds: TeamBounds, now: number): void {
+    if (holder.isGranted(now)) return;
+    holder.setBounds(this.createFallback(bounds), now);
+  }
+
   /** Without the owner each VM may use an equal part of the limit, but at least one request. */
-  private createFallback(record: TeamRecord): HeldBounds {
+  private createFallback(bounds: TeamBounds): HeldBounds {
     const parts = this.countLive();
     return {
-      requestsPerSecond: record.requestsPerSecond / parts,
-      burst: record.burst / parts,
-      concurrency: Math.max(1, Math.floor(record.concurrency / parts)),
+      requestsPerSecond: bounds.requestsPerSecond / parts,
+      burst: bounds.burst / parts,
+      concurrency: Math.max(1, Math.floor(bounds.concurrency / parts)),
     };
   }
 
+  /** Counted once per interval, because a large fleet has hundreds of members. */
   private countLive(): number {
-    const members = this.options.membership.members();
-    return Math.max(1, members.filter(({ state }) => state === MemberState.Alive).length);
+    const now = this.options.io.timer.now();
+    if (now - this.live.countedAt >= CHECK_INTERVAL_MS) {
+      const members = this.options.membership.members();
+      const alive = members.filter(({ state }) => state === MemberState.Alive);
+      this.live = { count: Math.max(1, alive.length), countedAt: now };
+    }
+    return this.live.count;
+  }
+
+  /** Asks at once, or in the next interval when the team was asked for just before. */
+  private hurry(held: HeldTeam, isRefused: boolean, now: number): void {
+    held.isUrgent = true;
+    if (!this.asker.mayAsk(held, now)) return;
+    if (isRefused) this.asker.ask([held]);
+    else this.asker.askWithinBudget([held], now);
   }
 
-  private renewAll(): void {
+  private check(): void {
     const now = this.options.io.timer.now();
+    const due: HeldTeam[] = [];
     for (const [team, held] of this.held) {
-      if (held.holder.idleFor(now) > IDLE_AFTER_MS) this.held.delete(team);
-      else void this.renew(team, held);
-    }
-    for (const [team, division] of this.divisions) {
-      if (division.isEmpty(now)) this.divisions.delete(team);
+      const bounds = this.findBounds(team);
+      if (bounds === undefined || this.isForgotten(held, bounds, now)) this.held.delete(team);
+      else if (this.isDue(held, bounds, now)) due.push(held);
     }
+    this.asker.askWithinBudget(due, now);
+    this.asker.prune(now);
+    this.owner.prune(now);
   }
 
-  private async renew(team: string, held: Held): Promise<void> {
-    const shard = findShard(team);
-    const owner = this.options.shards.ownerOf(shard);
-    if (held.isAsking || owner === undefined) return;
-    const now = this.options.io.timer.now();
-    held.isAsking = true;
-    held.askedAt = now;
-    const request: GrantRequest = {
-      shard,
-      entryVmId: this.options.entryVmId,
-      team,
-      demandPerSecond: held.holder.measureDemand(now),
-      inFlight: held.holder.inFlight,
-      wantedInFlight: held.holder.takeWanted(),
-    };
-    const isOwn = owner.entryVmId === this.options.entryVmId;
-    const answer = isOwn
-      ? this.grant(request)
-      : await this.options.io.network.call(owner, PeerMethod.RequestGrant, request);
-    held.isAsking = false;
-    if (answer.isErr()) {
-      this.log.write('grant-failed', {
-        team,
-        owner: owner.entryVmId,
-        reason: answer.error.message,
-      });
+  private isForgotten(held: HeldTeam, bounds: TeamBounds, now: number): boolean {
+    const { holder } = held;
+    if (holder.idleFor(now) <= IDLE_AFTER_MS || holder.isGranted(now)) return false;
+    this.fallBack(held, bounds, now);
+    return holder.isFull(now);
+  }
+
+  private isDue(held: HeldTeam, bounds: TeamBounds, now: number): boolean {
+    const quiet = findQuietUse(bounds, this.countLive());
+    return this.asker.isDue(held, quiet, this.createFallback(bounds), now);
+  }
+
+  private answer(request: LimitRequest): void {
+    const { io, entryVmId, membership } = this.options;
+    const shares = this.owner.answer(request, request.teams, io.timer.now());
+    const address = membership.find(request.from)?.peerAddress;
+    if (shares === undefined || address === undefined) return;
+    const { sequence } = request;
+    const answer = { kind: DatagramKind.LimitAnswer as const, from: entryVmId, sequence };
+    io.network.send(address, { ...answer, validMs: GRANT_VALID_MS, shares });
+  }
+
+  private receive(answer: LimitAnswer): void {
+    this.askAgain(this.asker.receive(answer));
+  }
+
+  private recall(entryVmId: string, teams: string[]): void {
+    const { io, membership } = this.options;
+    if (entryVmId === this.options.entryVmId) {
+      // After the grant that caused it, which is still being computed.
+      io.timer.after(0, () => this.askAgain(teams));
       return;
     }
-    // Counted from the moment of asking, so that it never outlasts the owner's count.
-    const remaining = answer.value.validMs - (this.options.io.timer.now() - now);
-    if (remaining <= 0) return;
-    held.holder.setBounds(answer.value, this.options.io.timer.now(), remaining);
+    const address = membership.find(entryVmId)?.peerAddress;
+    if (address === undefined) return;
+    const answer = { kind: DatagramKind.LimitAnswer as const, from: this.options.entryVmId };
+    io.network.send(address, { ...answer, validMs: 0, shares: [], recalled: teams });
   }
 
-  private grant(request: GrantRequest): Awaited<Reply<LimitGrant>> {
-    if (this.options.shards.fenceOf(request.shard) === undefined) {
-      const message = `shard ${request.shard} is not owned by this VM`;
-      return err(this.createFault(FaultCode.NotOwner, message));
-    }
-    const record = this.options.configuration.get(RecordKind.Team, request.team);
-    if (record === undefined) {
-      return err(this.createFault(FaultCode.NotFound, `team ${request.team} is not known`));
-    }
-    const division = this.divisions.get(request.team) ?? new GrantDivision();
-    this.divisions.set(request.team, division);
+  private askAgain(teams: readonly string[]): void {
     const now = this.options.io.timer.now();
-    return ok(division.grant(request, record.spec, now, this.countLive()));
+    const held = teams.flatMap((team) => this.held.get(team) ?? []);
+    held.forEach((team) => {
+      team.isUrgent = true;
+    });
+    this.asker.ask(held.filter((team) => this.asker.mayAsk(team, now)));
   }
 
   private createFault(code: FaultCode, message: string): Fault {
--- a/packages/peer-protocol/src/calls.ts
+++ b/packages/peer-protocol/src/calls.ts
@@ -9,7 +9,6 @@
   CompleteChunk = 'completeChunk',
   NotifyJobChanged = 'notifyJobChanged',
   Claim = 'claim',
-  RequestGrant = 'requestGrant',
   StoreCopy = 'storeCopy',
 }
 
@@ -113,25 +112,6 @@
   AlreadyClaimed = 'already-claimed',
 }
 
-export interface GrantRequest {
-  shard: number;
-  entryVmId: string;
-  team: string;
-  /** Requests per second seen recently by the asking VM. */
-  demandPerSecond: number;
-  inFlight: number;
-  /** Requests in progress and those refused since the last request for a grant. */
-  wantedInFlight?: number;
-}
-
-/** Share of a team's limits for one entry VM. */
-export interface LimitGrant {
-  requestsPerSecond: number;
-  burst: number;
-  concurrency: number;
-  validMs: number;
-}
-
 export interface CopyRequest {
   segmentId: string;
   /** Entry VMs that hold a copy. */
@@ -150,7 +130,6 @@
   [PeerMethod.CompleteChunk]: { input: ChunkCompletion; output: { status: CompletionStatus } };
   [PeerMethod.NotifyJobChanged]: { input: JobNotice; output: Record<string, never> };
   [PeerMethod.Claim]: { input: ClaimRequest; output: { status: ClaimStatus } };
-  [PeerMethod.RequestGrant]: { input: GrantRequest; output: LimitGrant };
   [PeerMethod.StoreCopy]: { input: CopyRequest; output: Record<string, never> };
 }
 
--- a/packages/peer-protocol/src/datagrams.ts
+++ b/packages/peer-protocol/src/datagrams.ts
@@ -78,7 +78,7 @@
   inFlight: number,
   /** Requests in progress and those refused lately. */
   wantedInFlight: number,
-  /** Requests admitted since the last answer that arrived. */
+  /** Requests admitted in all, so that a lost request loses none. */
   admitted: number,
   /** Tokens that would fill the sender's bucket. */
   wantedTokens: number,
--- a/packages/peer-transport/src/input-schemas.ts
+++ b/packages/peer-transport/src/input-schemas.ts
@@ -52,13 +52,6 @@
     digest: z.string(),
     requestId: z.string(),
   }),
-  [PeerMethod.RequestGrant]: z.looseObject({
-    shard,
-    entryVmId: z.string(),
-    team: z.string(),
-    demandPerSecond: z.number(),
-    inFlight: z.number(),
-  }),
   [PeerMethod.StoreCopy]: z.looseObject({
     segmentId: z.string(),
     sources: z.array(z.string()),
