Give a request up when the receiver of a token throws

Cause: a token was counted as delivered before its receiver ran. When the receiver threw, the attempt ended as interrupted, the next one resumed behind the missing token, and the answer ended with [DONE] and no text. Seen in a scratch build with mismatched packages, where every token's receiver threw: all answers were empty and looked whole. The attempt now cancels the worker's stream and rejects, so that the response is broken off.

--- a/packages/online/src/attempt-loop.ts
+++ b/packages/online/src/attempt-loop.ts
@@ -52,10 +52,12 @@
       this.isTimedOut = true;
       abort();
     });
-    const result = await this.runAll(runAttempt);
-    timeout.cancel();
-    signal.removeEventListener('abort', abort);
-    return result;
+    try {
+      return await this.runAll(runAttempt);
+    } finally {
+      timeout.cancel();
+      signal.removeEventListener('abort', abort);
+    }
   }
 
   private async runAll<T>(runAttempt: RunAttempt<T>): Reply<T> {
--- a/packages/online/src/attempt.ts
+++ b/packages/online/src/attempt.ts
@@ -37,14 +37,17 @@
 
   private resolve!: (result: Result<StreamEnd, Fault>) => void;
 
+  private reject!: (thrown: unknown) => void;
+
   constructor(private readonly options: AttemptOptions) {
     this.check = new StreamCheck(options.generation.requestId, options.delivered);
   }
 
   async run(): Reply<StreamEnd> {
     const { signal, worker, generation, backendServers } = this.options;
-    const settled = new Promise<Result<StreamEnd, Fault>>((resolve) => {
+    const settled = new Promise<Result<StreamEnd, Fault>>((resolve, reject) => {
       this.resolve = resolve;
+      this.reject = reject;
     });
     const abort = (): void => this.settle(err(this.createFault(FaultCode.Cancelled, 'cancelled')));
     signal.addEventListener('abort', abort, { once: true });
@@ -55,10 +58,13 @@
         .generate(worker, generation, (token) => this.receive(token), this.controller.signal)
         .then((answer) => this.settle(answer.andThen((end) => this.check.finish(end))));
     }
-    const result = await settled;
-    stalled.cancel();
-    signal.removeEventListener('abort', abort);
-    return result.mapErr((fault) => this.describe(fault));
+    try {
+      const result = await settled;
+      return result.mapErr((fault) => this.describe(fault));
+    } finally {
+      stalled.cancel();
+      signal.removeEventListener('abort', abort);
+    }
   }
 
   private receive(token: Token): void {
@@ -67,7 +73,22 @@
     this.isStarted = true;
     const checked = this.check.accept(token);
     if (checked.isErr()) this.settle(err(checked.error));
-    else if (checked.value === TokenVerdict.Deliver) this.options.onToken(token);
+    else if (checked.value === TokenVerdict.Deliver) this.deliver(token);
+  }
+
+  /**
+   * A token counts as delivered before its receiver runs. When the receiver throws, a further attempt
+   * would leave the token out and still end as whole, so the request is given up.
+   */
+  private deliver(token: Token): void {
+    try {
+      this.options.onToken(token);
+    } catch (thrown) {
+      if (this.isSettled) return;
+      this.isSettled = true;
+      this.cancelUpstream(this.createFault(FaultCode.Internal, 'the receiver failed'));
+      this.reject(thrown);
+    }
   }
 
   /** Checks for progress at intervals; a subscription per token would cost more. */
