Judge slow workers by first tokens as they arrive

Cause: the latency of a request counted only when its stream ended, and ten samples per entry VM were needed, which one VM gets from one worker within half a minute. Besides, the bound on ejections forgot the workers ejected before, because an ejection cleared the samples by which they were counted, and a smoothed mean kept one queued request in view for long.

First tokens now count on arrival (`Router.recordLatency`, called by online-dispatch). A worker is slow when three of its latest five samples (four at the start) are above three times the latest ones of the other workers, samples of the others from before its slowness are left out, and at most a third of a service is ejected for latency at once, ejected ones included.

Sharing latency among entry VMs is not built.

Tried: comparing with the medians of the others; a fleet that became slow as a whole then lost a third of its workers, as the test for it showed.

--- a/packages/bench/src/cases/fault.ts
+++ b/packages/bench/src/cases/fault.ts
@@ -71,6 +71,16 @@
   fleet.timer.after(findTime(window, SLOWNESS_AT), () => slowDown(fleet));
 };
 
+/** Counts online requests that the slow worker takes from its fault on. */
+const countSlowRequests = (fleet: BenchFleet, window: Window): (() => number) => {
+  const engine = fleet.engines[SLOW_WORKER]!;
+  let before = 0;
+  fleet.timer.after(findTime(window, SLOWNESS_AT), () => {
+    before = engine.onlineAttempts;
+  });
+  return () => engine.onlineAttempts - before;
+};
+
 const describeEjections = (meter: EjectionMeter, window: Window): Figures => {
   const dead = meter.measure(DEAD_WORKER, findTime(window, DEATH_AT));
   const slow = meter.measure(SLOW_WORKER, findTime(window, SLOWNESS_AT));
@@ -89,6 +99,7 @@
   variants: Object.values(Variant),
   run: async ({ variant, seed, seconds }) => {
     const meter = new EjectionMeter();
+    let readSlowRequests = (): number => 0;
     const { fleet, player, window } = await runOnline({
       deployment,
       seed,
@@ -98,12 +109,13 @@
       createLog: (entryVmId) => meter.createLog(entryVmId),
       prepare: (prepared, preparedWindow) => {
         meter.now = () => prepared.timer.now();
+        readSlowRequests = countSlowRequests(prepared, preparedWindow);
         if ((variant as Variant) === Variant.Faulty) scheduleFaults(prepared, preparedWindow);
       },
     });
     const resumed = fleet.engines.reduce((sum, engine) => sum + engine.resumedOnline, 0);
-    const ejections = describeEjections(meter, window);
-    return { figures: { ...describeOnline(player.record), resumed, ...ejections } };
+    const faults = { ...describeEjections(meter, window), slowRequests: readSlowRequests() };
+    return { figures: { ...describeOnline(player.record), resumed, ...faults } };
   },
   summarize: (results) => {
     const common = { deployment: deployment.name, workers: deployment.workers };
--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -119,7 +119,10 @@
       const sentAt = timer.now();
       const attempt = new ServiceAttempt(backendServers, worker, request.request, attemptSignal);
       const answer = await attempt.run();
-      if (answer.isOk()) this.options.router.recordSuccess(worker, timer.now() - sentAt);
+      if (answer.isOk()) {
+        this.options.router.recordSuccess(worker);
+        this.options.router.recordLatency(worker, timer.now() - sentAt);
+      }
       return answer;
     };
     const route = { requestId, service: request.service, target: '', prefixes: [] };
@@ -141,14 +144,18 @@
       generation: { ...generation, requestId, resumeTokens: [...delivered] },
       delivered,
       onToken: (token) => {
-        firstTokenMs ??= timer.now() - sentAt;
+        if (firstTokenMs === undefined) {
+          firstTokenMs = timer.now() - sentAt;
+          // At once, since answers of a slow worker take long to end.
+          this.options.router.recordLatency(worker, firstTokenMs);
+        }
         run.onToken({ ...token, requestId: generation.requestId });
       },
       signal,
     }).run();
     if (answer.isErr()) return err(answer.error);
     const latencyMs = firstTokenMs ?? timer.now() - sentAt;
-    this.options.router.recordSuccess(worker, latencyMs);
+    this.options.router.recordSuccess(worker);
     this.options.router.recordCompletion(worker.id, run.prefixes, answer.value.cachedTokens);
     metrics.timing('online.first_token', latencyMs, { model: generation.model });
     return ok({ ...answer.value, requestId: generation.requestId });
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -101,9 +101,15 @@
     });
   }
 
-  recordSuccess(worker: Worker, latencyMs: number): void {
+  /** Notes that an answer is complete. */
+  recordSuccess(worker: Worker): void {
+    this.health.recordSuccess(worker.service, worker.id, this.options.io.timer.now());
+  }
+
+  /** Notes the time until the first token, or until the answer of a plain service. */
+  recordLatency(worker: Worker, latencyMs: number): void {
     const now = this.options.io.timer.now();
-    if (this.health.recordSuccess(worker.service, worker.id, latencyMs, now)) {
+    if (this.health.recordLatency(worker.service, worker.id, latencyMs, now)) {
       this.logEjection(worker, 'latency');
     }
   }
--- a/packages/routing/src/worker-health.ts
+++ b/packages/routing/src/worker-health.ts
@@ -15,8 +15,11 @@
 /** A worker that has been healthy for this long starts again with the shortest ejection. */
 const FORGET_AFTER_MS = 60_000;
 
-/** Samples before latency can eject a worker; fewer say little. */
-const MIN_LATENCY_SAMPLES = 10;
+/** Latest first tokens of a worker by which it is judged. */
+const LATENCY_WINDOW = 5;
+
+/** Samples before latency can eject a worker; with the lower median three of them are slow. */
+const MIN_LATENCY_SAMPLES = 4;
 
 /** First-token latency relative to the median of the service at which a worker is ejected. */
 const LATENCY_FACTOR = 3;
@@ -24,23 +27,33 @@
 /** Latency below this never ejects; on fast workers a factor of 3 is noise. */
 const MIN_BAD_LATENCY_MS = 200;
 
-const LATENCY_SMOOTHING = 0.2;
-
-/** No worker is ejected for latency when a larger share of its service is already ejected. */
+/** Ejections for latency leave at least the other workers of a service in use. */
 const MAX_EJECTED_SHARE = 0.34;
 
+/** Samples within which a change for the worse shows. */
+const SLOW_SAMPLES = 3;
+
+interface Sample {
+  latencyMs: number;
+  at: number;
+}
+
 interface Health {
   service: string;
   faults: number;
   ejections: number;
   ejectedUntil: number;
-  latencyMs: number;
-  samples: number;
+  /** Latest first tokens, oldest first. */
+  samples: Sample[];
 }
 
 const median = (values: readonly number[]): number =>
   values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
 
+/** Median that takes the lower of two middle values, so that one slow sample of two says nothing. */
+const lowerMedian = (values: readonly number[]): number =>
+  values.toSorted((a, b) => a - b)[Math.floor((values.length - 1) / 2)] ?? 0;
+
 /** Health of all workers as seen by this VM; times are passed in. */
 export class WorkerHealth {
   private readonly states = new Map<string, Health>();
@@ -54,14 +67,20 @@
     return Math.min(1, REINSTATEMENT_START + (1 - REINSTATEMENT_START) * progress);
   }
 
-  /** Counts a success; returns true when its latency ejects the worker. */
-  recordSuccess(service: string, workerId: string, latencyMs: number, now: number): boolean {
+  /** Counts a success, which ends a row of faults. */
+  recordSuccess(service: string, workerId: string, now: number): void {
     const state = this.find(service, workerId);
     state.faults = 0;
     if (state.ejections > 0 && now - state.ejectedUntil > FORGET_AFTER_MS) state.ejections = 0;
-    state.samples += 1;
-    const weight = state.samples === 1 ? 1 : LATENCY_SMOOTHING;
-    state.latencyMs += weight * (latencyMs - state.latencyMs);
+  }
+
+  /** Counts a first token; returns true when its latency ejects the worker. */
+  recordLatency(service: string, workerId: string, latencyMs: number, now: number): boolean {
+    const state = this.find(service, workerId);
+    // Requests sent before the ejection say nothing about the worker after it.
+    if (now < state.ejectedUntil) return false;
+    state.samples.push({ latencyMs, at: now });
+    if (state.samples.length > LATENCY_WINDOW) state.samples.shift();
     if (!this.isSlow(service, state, now)) return false;
     this.eject(state, now);
     return true;
@@ -88,20 +107,30 @@
   private find(service: string, workerId: string): Health {
     const known = this.states.get(workerId);
     if (known !== undefined) return known;
-    const state = { service, faults: 0, ejections: 0, ejectedUntil: 0, latencyMs: 0, samples: 0 };
+    const state = { service, faults: 0, ejections: 0, ejectedUntil: 0, samples: [] };
     this.states.set(workerId, state);
     return state;
   }
 
   private isSlow(service: string, state: Health, now: number): boolean {
-    if (state.samples < MIN_LATENCY_SAMPLES || state.latencyMs < MIN_BAD_LATENCY_MS) return false;
-    if (now < state.ejectedUntil) return false;
-    const peers = [...this.states.values()].filter(
-      (peer) => peer.service === service && peer.samples >= MIN_LATENCY_SAMPLES,
-    );
-    const ejected = peers.filter((peer) => now < peer.ejectedUntil).length;
-    if ((ejected + 1) / peers.length > MAX_EJECTED_SHARE) return false;
-    return state.latencyMs > LATENCY_FACTOR * median(peers.map((peer) => peer.latencyMs));
+    if (state.samples.length < MIN_LATENCY_SAMPLES) return false;
+    const latencyMs = lowerMedian(state.samples.map((sample) => sample.latencyMs));
+    if (latencyMs < MIN_BAD_LATENCY_MS) return false;
+    const workers = [...this.states.values()].filter((other) => other.service === service);
+    const ejected = workers.filter((other) => now < other.ejectedUntil).length;
+    if ((ejected + 1) / workers.length > MAX_EJECTED_SHARE) return false;
+    const others = workers.filter((other) => other !== state && now >= other.ejectedUntil);
+    const present = this.listPresent(others, state.samples.at(-SLOW_SAMPLES)!.at);
+    if (present.length === 0 || present.length < others.length / 2) return false;
+    return latencyMs > LATENCY_FACTOR * median(present);
+  }
+
+  /** Latest latencies since a time; older ones are from before a slowness of the whole fleet. */
+  private listPresent(others: readonly Health[], since: number): number[] {
+    return others
+      .map((other) => other.samples.at(-1))
+      .filter((sample) => sample !== undefined && sample.at >= since)
+      .map((sample) => sample!.latencyMs);
   }
 
   private eject(state: Health, now: number): void {
@@ -110,7 +139,6 @@
     state.ejectedUntil = now + duration;
     state.faults = 0;
     // Latency before the ejection says nothing about the worker after it.
-    state.samples = 0;
-    state.latencyMs = 0;
+    state.samples = [];
   }
 }
--- a/packages/routing/src/worker-knowledge.test.ts
+++ b/packages/routing/src/worker-knowledge.test.ts
@@ -13,7 +13,7 @@
 test('faults in a row eject a worker; it returns gradually and leaves at the next fault', (t) => {
   const health = new WorkerHealth();
   t.false(health.recordFault(SERVICE, 'w', 0));
-  health.recordSuccess(SERVICE, 'w', 10, 0);
+  health.recordSuccess(SERVICE, 'w', 0);
   t.false(health.recordFault(SERVICE, 'w', 0));
   t.false(health.recordFault(SERVICE, 'w', 0));
   t.true(health.recordFault(SERVICE, 'w', 0));
@@ -30,7 +30,7 @@
   const record = (id: string, latencyMs: number): boolean => {
     let isEjected = false;
     for (let index = 0; index < 20; index += 1) {
-      if (health.recordSuccess(SERVICE, id, latencyMs, 0)) isEjected = true;
+      if (health.recordLatency(SERVICE, id, latencyMs, 0)) isEjected = true;
     }
     return isEjected;
   };
@@ -41,6 +41,51 @@
   t.is(health.admission('a', 0), 1);
 });
 
+/** Records rounds of one first token per worker; returns the ejected workers by round. */
+const recordRounds = (
+  health: WorkerHealth,
+  rounds: number,
+  findLatency: (worker: number) => number,
+): number[][] =>
+  Array.from({ length: rounds }, (_, round) =>
+    Array.from({ length: 10 }, (__, worker) => worker).filter((worker) =>
+      health.recordLatency(SERVICE, `w${worker}`, findLatency(worker), round),
+    ),
+  );
+
+// Guards against detection that needs so many samples that it takes half a minute.
+test('a worker that becomes slow is ejected after a few first tokens', (t) => {
+  const health = new WorkerHealth();
+  recordRounds(health, 20, () => 50);
+  const ejected = recordRounds(health, 3, (worker) => (worker === 4 ? 500 : 50));
+  t.deepEqual(ejected, [[], [], [4]]);
+});
+
+// Guards against ejecting for a long prompt or a short queue.
+test('single slow first tokens eject nothing', (t) => {
+  const health = new WorkerHealth();
+  for (let round = 0; round < 20; round += 1) {
+    const ejected = recordRounds(health, 1, (worker) => (worker === round % 3 ? 2000 : 50));
+    t.deepEqual(ejected, [[]]);
+  }
+});
+
+// Guards against the loss of capacity when all workers become slow together.
+test('a fleet that is slow as a whole loses no worker', (t) => {
+  const health = new WorkerHealth();
+  recordRounds(health, 20, () => 50);
+  const ejected = recordRounds(health, 20, () => 1000).flat();
+  t.deepEqual(ejected, []);
+});
+
+// Guards against a bound that forgets the workers ejected before.
+test('at most a third of a service is ejected for latency at once', (t) => {
+  const health = new WorkerHealth();
+  recordRounds(health, 20, () => 50);
+  const ejected = recordRounds(health, 20, (worker) => (worker < 5 ? 1000 : 50)).flat();
+  t.is(ejected.length, 3);
+});
+
 test('a gap in cache events drops what was known before it', (t) => {
   const index = new PrefixIndex();
   index.applyEvents('w', [createEvent(1, 'a'), createEvent(2, 'b')], 0);
