Count batch items by outcome and tokens

Cause: batch throughput, one of the two tracked measures, had no metric; it could only be derived from job records.

The executor sends `batch.items` with the outcome succeeded, failed or discarded and `batch.tokens`, summed up over a second, so that the samples do not grow with the items. Tokens are those received, by attempts that did not end too. Discarded are finished items of a chunk that is stopped while in work, which shows what planned stops and pauses cost.

--- a/packages/batch-execution/src/batch-executor.ts
+++ b/packages/batch-execution/src/batch-executor.ts
@@ -19,10 +19,12 @@
 import { ChunkPoller } from './chunk-poller.js';
 import { ChunkSet, MAX_CHUNKS } from './chunk-set.js';
 import { ChunkPhase, type ChunkWork } from './chunk-work.js';
+import { findDemand, type Demand } from './demand.js';
 import { chooseItem, type ItemChoice } from './item-choice.js';
 import { cancelIfStalled, createItemRunner, formatReason, type RunItem } from './item-runner.js';
 import { OwnerCalls } from './owner-calls.js';
 import { ProgressReporter } from './progress-reporter.js';
+import { ItemEnd, Throughput } from './throughput.js';
 import { cancelItem, type RunningItem, type WorkerLane } from './worker-lane.js';
 import { WorkerPool } from './worker-pool.js';
 
@@ -31,8 +33,6 @@
 /** A worker that refused an item is not asked again at once. */
 const REFUSAL_PAUSE_MS = 250;
 const DEFAULT_STALL_MS = 30_000;
-/** Chunks are requested before the last items have started, by this share of the limit. */
-const PREFETCH_SHARE = 0.25;
 
 export interface BatchExecutorOptions {
   io: Pick<EntryVmIo, 'timer' | 'random' | 'network' | 'backendServers' | 'createLog' | 'metrics'>;
@@ -58,6 +58,8 @@
 
   private readonly poller: ChunkPoller;
 
+  private readonly throughput: Throughput;
+
   private readonly runItem: RunItem;
 
   private readonly dispatcherId: string;
@@ -78,14 +80,10 @@
       calls,
       executorId: entryVmId,
       log: this.log,
-      onStop: (chunk) => this.cancelChunk(chunk),
-    });
-    this.progress = new ProgressReporter({
-      io,
-      calls,
-      executorId: entryVmId,
-      chunks: this.chunks,
+      onStop: (chunk, phase) => this.cancelChunk(chunk, phase),
     });
+    const { chunks } = this;
+    this.progress = new ProgressReporter({ io, calls, executorId: entryVmId, chunks });
     this.poller = new ChunkPoller({
       io,
       calls,
@@ -97,6 +95,7 @@
         });
       },
     });
+    this.throughput = new Throughput(io);
     this.runItem = createItemRunner(io);
   }
 
@@ -109,14 +108,15 @@
       directory.onChange(() => this.tick()),
       io.timer.every(TICK_MS, () => this.tick()),
       this.progress.start(),
+      this.throughput.start(),
     ];
   }
 
   /** Cancels all streams; the chunks are granted to other executors. */
   stop(): void {
     this.isRunning = false;
-    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
     this.chunks.list().forEach((chunk) => this.chunks.stop(chunk, 'shutdown'));
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
   }
 
   /** Batch items in progress on a worker. */
@@ -225,6 +225,7 @@
     const resumed = work.tokens.length;
     this.log.write('item-placed', { job: jobId, item: index, worker: workerId, resumed, fence });
     const end = await this.runItem(worker, running, fence);
+    this.throughput.countTokens(work.tokens.length - resumed);
     lane.running.delete(running);
     this.reportCount(lane);
     this.settle(lane, running, end);
@@ -234,8 +235,12 @@
   private settle(lane: WorkerLane, running: RunningItem, end: Result<unknown, Fault>): void {
     const { chunk, work } = running;
     if (chunk.phase !== ChunkPhase.Running) return;
-    if (end.isOk()) chunk.succeed(work);
-    else this.settleFault(lane, running, end.error);
+    if (end.isOk()) {
+      chunk.succeed(work);
+      this.throughput.countItems(ItemEnd.Succeeded);
+    } else {
+      this.settleFault(lane, running, end.error);
+    }
     if (chunk.isDone) {
       void this.chunks.finish(chunk);
       this.poller.poll();
@@ -257,15 +262,22 @@
       work.attempts += 1;
       work.failedOn.add(workerId);
     }
-    if (decision === AttemptDecision.Fail) chunk.fail(work, formatReason(fault));
-    else chunk.putBack(work);
+    if (decision === AttemptDecision.Fail) {
+      chunk.fail(work, formatReason(fault));
+      this.throughput.countItems(ItemEnd.Failed);
+    } else {
+      chunk.putBack(work);
+    }
   }
 
   private reportCount(lane: WorkerLane): void {
     this.options.workers.setBatch(lane.workerId, lane.running.size);
   }
 
-  private cancelChunk(chunk: ChunkWork): void {
+  private cancelChunk(chunk: ChunkWork, phase: ChunkPhase): void {
+    // A finishing chunk is also stopped when its result was committed before the answer arrived.
+    const discarded = phase === ChunkPhase.Running ? chunk.finishedCount : 0;
+    this.throughput.countItems(ItemEnd.Discarded, discarded);
     this.pool.list().forEach((lane) => {
       lane.running.forEach((running) => {
         if (running.chunk === chunk) cancelItem(running, CancelCause.ChunkStopped);
@@ -280,18 +292,8 @@
     if (this.pool.listWorkersFor(model, adapter).length === 0) this.chunks.stop(chunk, 'no worker');
   }
 
-  /** Idle slots that the items in hand will not fill. */
-  private measureDemand(): { models: string[]; slots: number } {
+  private measureDemand(): Demand {
     if (!this.isRunning || this.chunks.size >= MAX_CHUNKS) return { models: [], slots: 0 };
-    const pending = this.chunks.countPendingByTarget();
-    const models: string[] = [];
-    let slots = 0;
-    this.pool.measureCapacity().forEach(({ free, limit }, target) => {
-      const missing = free + Math.ceil(limit * PREFETCH_SHARE) - (pending.get(target) ?? 0);
-      if (missing <= 0) return;
-      models.push(target);
-      slots = Math.max(slots, missing);
-    });
-    return { models, slots };
+    return findDemand(this.pool.measureCapacity(), this.chunks.countPendingByTarget());
   }
 }
--- a/packages/batch-execution/src/chunk-set.ts
+++ b/packages/batch-execution/src/chunk-set.ts
@@ -17,8 +17,8 @@
   calls: OwnerCalls;
   executorId: string;
   log: Log;
-  /** Called when a chunk must no longer run. */
-  onStop: (chunk: ChunkWork) => void;
+  /** Called when a chunk must no longer run, with its phase before. */
+  onStop: (chunk: ChunkWork, phase: ChunkPhase) => void;
 }
 
 export class ChunkSet {
@@ -91,11 +91,12 @@
 
   stop(chunk: ChunkWork, reason: string): void {
     const { jobId, chunk: index, grantId } = chunk.grant;
-    if (chunk.phase === ChunkPhase.Stopped) return;
+    const { phase } = chunk;
+    if (phase === ChunkPhase.Stopped) return;
     chunk.phase = ChunkPhase.Stopped;
     this.chunks.delete(grantId);
     this.options.log.write('chunk-stopped', { job: jobId, chunk: index, reason });
-    this.options.onStop(chunk);
+    this.options.onStop(chunk, phase);
   }
 
   /** Stops a granted chunk, also one whose items are still being read. */
--- a/packages/batch-execution/src/chunk-work.ts
+++ b/packages/batch-execution/src/chunk-work.ts
@@ -55,6 +55,10 @@
     return this.results.size === this.itemCount;
   }
 
+  get finishedCount(): number {
+    return this.results.size;
+  }
+
   /** Notes that the job owner has judged the grant after this time. */
   confirmContact(at: number): void {
     this.lastContactAt = Math.max(this.lastContactAt, at);
--- /dev/null
+++ b/packages/batch-execution/src/throughput.ts
@@ -0,0 +1,50 @@
+/** Metrics of batch throughput, summed up over a second to keep the number of samples low. */
+import type { EntryVmIo } from '@jujubelanding/interfaces';
+import type { Subscription } from '@jujubelanding/timer';
+
+const FLUSH_INTERVAL_MS = 1000;
+
+export enum ItemEnd {
+  Succeeded = 'succeeded',
+  Failed = 'failed',
+  /** Finished before, but its chunk was stopped here and runs again elsewhere or not at all. */
+  Discarded = 'discarded',
+}
+
+export class Throughput {
+  private readonly items = new Map<ItemEnd, number>();
+
+  private tokens = 0;
+
+  constructor(private readonly io: Pick<EntryVmIo, 'timer' | 'metrics'>) {}
+
+  /** The subscription flushes once more when it is cancelled. */
+  start(): Subscription {
+    const flushing = this.io.timer.every(FLUSH_INTERVAL_MS, () => this.flush());
+    return {
+      cancel: () => {
+        flushing.cancel();
+        this.flush();
+      },
+    };
+  }
+
+  countItems(end: ItemEnd, count = 1): void {
+    this.items.set(end, (this.items.get(end) ?? 0) + count);
+  }
+
+  /** Tokens received from workers, those of attempts that did not end included. */
+  countTokens(count: number): void {
+    this.tokens += Math.max(0, count);
+  }
+
+  private flush(): void {
+    const { metrics } = this.io;
+    this.items.forEach((count, outcome) => {
+      if (count > 0) metrics.increment('batch.items', { outcome }, count);
+    });
+    if (this.tokens > 0) metrics.increment('batch.tokens', {}, this.tokens);
+    this.items.clear();
+    this.tokens = 0;
+  }
+}
