Acknowledge a cancel once the job owner knows of it or has lost its lease

Cause: an owner cut off from the key-value service and from the VM that cancels answers 'continue' until its lease ends, so new items started after an acknowledged cancel.

--- a/packages/batch-jobs/src/batch-job-service.ts
+++ b/packages/batch-jobs/src/batch-job-service.ts
@@ -28,6 +28,8 @@
 /** The owner also watches its jobs; notices only make changes known sooner. */
 const NOTICE_ATTEMPTS = 3;
 const NOTICE_RETRY_MS = 200;
+/** Longest time for which an owner without the key-value service still counts its lease as valid. */
+const OWNER_LEASE_MS = 4500;
 
 export interface BatchJobServiceOptions {
   io: Pick<EntryVmIo, 'timer' | 'random' | 'store' | 'network' | 'createLog'>;
@@ -100,7 +102,10 @@
     return ok(jobs);
   }
 
-  /** A job that has completed stays completed and is returned as such. */
+  /**
+   * A job that has completed stays completed and is returned as such. The cancel is acknowledged
+   * once the owner knows of it, or has lost its lease if it could not learn of it.
+   */
   async cancel(jobId: string): Reply<JobRecord> {
     const stored = await this.records.read(jobId);
     if (stored.isErr()) return err({ ...stored.error, outcome: Outcome.NotRun });
@@ -119,7 +124,7 @@
     }
     const { record } = cancelled.value;
     this.log.write('job-cancelled', { job: jobId, status: record.status });
-    void this.notifyOwner(jobId);
+    if (record.status === JobStatus.Cancelled) await this.awaitOwner(jobId);
     return ok(record);
   }
 
@@ -136,7 +141,16 @@
     }
   }
 
-  private async notifyOwner(jobId: string): Promise<void> {
+  private async awaitOwner(jobId: string): Promise<void> {
+    const { timer } = this.options.io;
+    const cancelledAt = timer.now();
+    if (await this.notifyOwner(jobId)) return;
+    const rest = cancelledAt + OWNER_LEASE_MS - timer.now();
+    if (rest > 0) await timer.sleep(rest);
+  }
+
+  /** Returns true when the owner has answered. */
+  private async notifyOwner(jobId: string): Promise<boolean> {
     const { shards, membership, io, owner } = this.options;
     const notice = { shard: findShard(jobId), jobId };
     for (let attempt = 0; attempt < NOTICE_ATTEMPTS; attempt += 1) {
@@ -146,9 +160,10 @@
         const notified = isSelf
           ? await owner.notifyJobChanged(notice)
           : await io.network.call(target, PeerMethod.NotifyJobChanged, notice);
-        if (notified.isOk()) return;
+        if (notified.isOk()) return true;
       }
       await io.timer.sleep(NOTICE_RETRY_MS);
     }
+    return false;
   }
 }
