Name version and weight in load orders, and restore the role of workers

Cause: an order named only the model, so an engine fetched a weight of the model's name and could not know which version to load; reports named no version either, so that a new placement owner took every loaded copy for current and left a half-finished change of version as it was.

Load orders now carry version and weight, reports carry versions by name, and the stand-in lets a newer order for a target win over an older load that ends later. Workers in another role than mixed are ordered back, once a minute at most.

--- a/packages/placement/src/placement-controller.test.ts
+++ b/packages/placement/src/placement-controller.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { RecordKind } from '@jujubelanding/types';
+import { OrderKind, RecordKind, WorkerRole } from '@jujubelanding/types';
 import { createPlacementFleet } from './fixtures/placement-fleet.js';
 
 const listOrders = ({ lines }: ReturnType<typeof createPlacementFleet>) =>
@@ -86,3 +86,43 @@
   t.is(fleet.countHolders('other'), 0);
   t.true(listOrders(fleet).some(({ result }) => result === 'stale-fence'));
 });
+
+test('a new owner finishes the change of version that the former one had begun', async (t) => {
+  const fleet = createPlacementFleet(3);
+  fleet.setModel('base', 3);
+  await fleet.timer.advance(90_000);
+  t.is(fleet.countHolders('base', 'base-v1'), 3);
+  fleet.setModel('base', 3, 'v2');
+  while (fleet.countHolders('base', 'base-v2') === 0) await fleet.timer.advance(1000);
+  t.is(fleet.countHolders('base', 'base-v2'), 1);
+  // The new owner has seen no worker and no order before.
+  fleet.state.fence = 2;
+  await fleet.timer.advance(150_000);
+  t.is(fleet.countHolders('base', 'base-v2'), 3);
+});
+
+test('a load fetches the weight of its version, and an older load that ends later is void', async (t) => {
+  const fleet = createPlacementFleet(1);
+  fleet.setModel('base', 1);
+  await fleet.timer.advance(20_000);
+  t.true(fleet.weights.includes('base-v1'));
+  t.false(fleet.weights.includes('base'));
+  fleet.state.fence = undefined;
+  const engine = fleet.engines.get('worker-0')!;
+  const load = { kind: OrderKind.LoadModel, target: 'base', fence: 1 };
+  engine.sendOrder({ ...load, version: 'slow', weight: 'slow' });
+  engine.sendOrder({ ...load, version: 'quick', weight: 'quick' });
+  await fleet.timer.advance(10_000);
+  t.is(engine.readLoad(0).versions?.base, 'quick');
+});
+
+test('a worker in another role is ordered back once, and again only if the order was lost', async (t) => {
+  const fleet = createPlacementFleet(2);
+  const [engine] = [...fleet.engines.values()];
+  engine!.sendOrder({ kind: OrderKind.ChangeRole, target: WorkerRole.Decode, fence: 1 });
+  await fleet.timer.advance(50_000);
+  t.is(engine!.readLoad(0).role, WorkerRole.Mixed);
+  const orders = listOrders(fleet).filter(({ kind }) => kind === OrderKind.ChangeRole);
+  t.is(orders.length, 1);
+  t.like(orders[0], { worker: 'worker-0', target: 'mixed', reason: 'other-role' });
+});
--- a/packages/placement/src/placement-controller.ts
+++ b/packages/placement/src/placement-controller.ts
@@ -8,14 +8,24 @@
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import type { Subscription } from '@jujubelanding/timer';
-import { OrderKind, RecordKind, VmState, type Worker } from '@jujubelanding/types';
+import {
+  OrderKind,
+  RecordKind,
+  VmState,
+  type LoadReport,
+  type Order,
+  type Worker,
+} from '@jujubelanding/types';
 import { LoadPace } from './load-pace.js';
 import {
   decidePlacement,
+  decideRoles,
   updateDemand,
   type Demand,
   type PlacementOrder,
+  type PlacementReason,
   type PlacementWorker,
+  type RoleOrder,
   type Target,
 } from './placement-decision.js';
 import { WorkerReports } from './worker-reports.js';
@@ -24,6 +34,8 @@
 const TICK_MS = 1000;
 /** An ordered load that does not show in reports after twice its duration is ordered again. */
 const MIN_LOAD_WAIT_MS = 60_000;
+/** An ordered change of role is ordered again when it does not show in reports by then. */
+const ROLE_WAIT_MS = 60_000;
 
 export interface PlacementControllerOptions {
   io: Pick<EntryVmIo, 'timer' | 'backendServers' | 'weightStore' | 'createLog'>;
@@ -33,6 +45,13 @@
   loads: WorkerLoads;
 }
 
+enum SendStatus {
+  NotSent = 'not-sent',
+  Accepted = 'accepted',
+  /** Refused, or without an answer. */
+  Failed = 'failed',
+}
+
 interface Loading {
   target: string;
   version: string;
@@ -51,7 +70,13 @@
   /** Loads that were ordered, by worker. */
   private readonly loading = new Map<string, Loading[]>();
 
-  /** Versions by worker and target, as ordered or as in force when first seen. */
+  /** Until when an ordered change of role is waited for, by worker. */
+  private readonly roleChanges = new Map<string, number>();
+
+  /**
+   * Versions by worker and target, as ordered or as in force when first seen; for engines that do not report
+   * their versions.
+   */
   private readonly versions = new Map<string, Map<string, string>>();
 
   private fence: number | undefined;
@@ -96,6 +121,7 @@
     this.demands.clear();
     this.loading.clear();
     this.versions.clear();
+    this.roleChanges.clear();
   }
 
   private async place(): Promise<void> {
@@ -106,6 +132,7 @@
       const demand = updateDemand(this.demands.get(target.name), workers, target, now);
       this.demands.set(target.name, demand);
     });
+    for (const order of decideRoles(workers)) await this.changeRole(order);
     for (const order of decidePlacement(workers, targets, this.demands, now)) {
       await this.execute(order);
     }
@@ -148,7 +175,10 @@
     [...versions.keys()]
       .filter((name) => !names.includes(name))
       .forEach((name) => versions.delete(name));
-    this.noteLoaded(worker.id, names, versions);
+    Object.entries(report?.versions ?? {}).forEach(([name, version]) =>
+      versions.set(name, version),
+    );
+    this.noteLoaded(worker.id, names, versions, report?.versions);
     targets.forEach(({ name, version }) => {
       if (names.includes(name) && !versions.has(name)) versions.set(name, version);
     });
@@ -161,56 +191,84 @@
       isBusy: load.online > 0 || (report?.running ?? 0) + (report?.waiting ?? 0) > 0,
       loaded: new Map(names.map((name) => [name, versions.get(name)])),
       loading: new Set((this.loading.get(worker.id) ?? []).map(({ target }) => target)),
+      role: this.isRoleChanging(worker.id) ? undefined : report?.role,
     };
   }
 
+  private isRoleChanging(workerId: string): boolean {
+    return (this.roleChanges.get(workerId) ?? 0) > this.options.io.timer.now();
+  }
+
   /** Ends the waits for loads that show in the report or took too long. */
-  private noteLoaded(workerId: string, names: string[], versions: Map<string, string>): void {
+  private noteLoaded(
+    workerId: string,
+    names: string[],
+    versions: Map<string, string>,
+    reported: LoadReport['versions'],
+  ): void {
     const now = this.options.io.timer.now();
     const waiting = this.loading.get(workerId) ?? [];
-    waiting
-      .filter(({ target }) => names.includes(target))
-      .forEach(({ target, version }) => versions.set(target, version));
-    const rest = waiting.filter(({ target, until }) => !names.includes(target) && until > now);
+    const isLoaded = ({ target, version }: Loading): boolean =>
+      names.includes(target) && (reported?.[target] ?? version) === version;
+    waiting.filter(isLoaded).forEach(({ target, version }) => versions.set(target, version));
+    const rest = waiting.filter((loading) => !isLoaded(loading) && loading.until > now);
     this.loading.set(workerId, rest);
   }
 
   private async execute({ workerId, kind, target, reason }: PlacementOrder): Promise<void> {
-    const { io, directory, shards } = this.options;
-    const isLoad = kind === target.load;
-    if (isLoad && !this.pace.isFree()) return;
-    const duration = isLoad ? await this.estimate(target) : 0;
-    const worker = directory.find(workerId);
-    const fence = shards.fenceOf(PLACEMENT_SHARD);
-    if (duration === undefined || worker === undefined) return;
-    if (fence === undefined || fence !== this.fence) return;
-    const sent = await io.backendServers.sendOrder(worker, { kind, target: target.name, fence });
-    const result = sent.isOk() ? 'ok' : sent.error.code;
     const { name, version } = target;
-    this.log.write('order', {
-      worker: workerId,
-      kind,
-      target: name,
-      version,
-      reason,
-      fence,
-      result,
-    });
-    if (!isLoad) return;
+    if (kind !== target.load) {
+      await this.send(workerId, { kind, target: name }, reason);
+      return;
+    }
+    if (!this.pace.isFree()) return;
+    const weight = this.findWeight(target);
+    const duration = weight === undefined ? undefined : await this.estimate(name, weight);
+    if (weight === undefined || duration === undefined) return;
+    const sent = await this.send(workerId, { kind, target: name, version, weight }, reason);
+    if (sent === SendStatus.NotSent) return;
     // A load whose order had no answer may have begun, so it uses up the rate too.
     this.pace.reserve(duration);
-    if (sent.isErr()) return;
-    const until = io.timer.now() + Math.max(MIN_LOAD_WAIT_MS, 2 * duration);
+    if (sent === SendStatus.Failed) return;
+    const until = this.options.io.timer.now() + Math.max(MIN_LOAD_WAIT_MS, 2 * duration);
     const waiting = this.loading.get(workerId) ?? [];
     this.loading.set(workerId, [...waiting, { target: name, version, until }]);
   }
 
-  private async estimate({ name, version }: Target): Promise<number | undefined> {
+  private async changeRole({ workerId, role, reason }: RoleOrder): Promise<void> {
+    const { timer } = this.options.io;
+    this.roleChanges.set(workerId, timer.now() + ROLE_WAIT_MS);
+    await this.send(workerId, { kind: OrderKind.ChangeRole, target: role }, reason);
+  }
+
+  /** Sends an order under the own fencing number, unless the lease has ended in the meantime. */
+  private async send(
+    workerId: string,
+    order: Omit<Order, 'fence'>,
+    reason: PlacementReason,
+  ): Promise<SendStatus> {
+    const { io, directory, shards } = this.options;
+    const worker = directory.find(workerId);
+    const fence = shards.fenceOf(PLACEMENT_SHARD);
+    if (worker === undefined || fence === undefined || fence !== this.fence) {
+      return SendStatus.NotSent;
+    }
+    const sent = await io.backendServers.sendOrder(worker, { ...order, fence });
+    const result = sent.isOk() ? 'ok' : sent.error.code;
+    const { kind, target, version } = order;
+    this.log.write('order', { worker: workerId, kind, target, version, reason, fence, result });
+    return sent.isOk() ? SendStatus.Accepted : SendStatus.Failed;
+  }
+
+  private findWeight({ name, version }: Target): string | undefined {
     const weight = this.options.configuration.get(RecordKind.Version, version)?.spec.weight;
     if (weight === undefined) {
       this.log.write('load-waits', { target: name, reason: `no version record ${version}` });
-      return undefined;
     }
+    return weight;
+  }
+
+  private async estimate(name: string, weight: string): Promise<number | undefined> {
     const duration = await this.pace.estimate(weight);
     if (duration.isOk()) return duration.value;
     this.log.write('load-waits', { target: name, reason: duration.error.message });
--- a/packages/placement/src/placement-decision.ts
+++ b/packages/placement/src/placement-decision.ts
@@ -1,5 +1,5 @@
 /** Pure decision on the models and adapters that workers load and unload. */
-import { OrderKind } from '@jujubelanding/types';
+import { OrderKind, WorkerRole } from '@jujubelanding/types';
 
 /** A model or an adapter that is to be available. */
 export interface Target {
@@ -26,6 +26,8 @@
   loaded: ReadonlyMap<string, string | undefined>;
   /** Targets that were ordered and are not loaded yet. */
   loading: ReadonlySet<string>;
+  /** As reported; undefined while a change of role is on its way. */
+  role: WorkerRole | undefined;
 }
 
 export enum PlacementReason {
@@ -33,6 +35,7 @@
   Demand = 'demand',
   OldVersion = 'old-version',
   Surplus = 'surplus',
+  OtherRole = 'other-role',
 }
 
 export interface PlacementOrder {
@@ -42,6 +45,12 @@
   reason: PlacementReason;
 }
 
+export interface RoleOrder {
+  workerId: string;
+  role: WorkerRole;
+  reason: PlacementReason;
+}
+
 /** Demand for a target over time. */
 export interface Demand {
   highSince?: number;
@@ -166,3 +175,16 @@
       decideUnload(workers, target, demand, now);
     return order === undefined ? [] : [order];
   });
+
+/**
+ * Requests are sent whole to one worker, so a worker that only fills or only decodes, for example one that
+ * another system used before, cannot answer them.
+ */
+export const decideRoles = (workers: readonly PlacementWorker[]): RoleOrder[] =>
+  workers
+    .filter(({ isLive, role }) => isLive && role !== undefined && role !== WorkerRole.Mixed)
+    .map(({ id }) => ({
+      workerId: id,
+      role: WorkerRole.Mixed,
+      reason: PlacementReason.OtherRole,
+    }));
--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -42,6 +42,7 @@
   waiting: z.number(),
   models: z.array(z.string()),
   adapters: z.array(z.string()),
+  versions: z.record(z.string(), z.string()).optional(),
   role: z.enum(WorkerRole),
   streams: z.array(z.string()),
   cacheEvents: z.array(
--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -286,6 +286,7 @@
       waiting: this.waiting.length,
       models: [...this.orders.models],
       adapters: [...this.orders.adapters],
+      versions: Object.fromEntries(this.orders.versions),
       role: this.orders.role,
       streams: this.running.map(({ requestId }) => requestId),
     };
--- a/packages/stand-ins/src/engine/orders.ts
+++ b/packages/stand-ins/src/engine/orders.ts
@@ -13,8 +13,16 @@
 
   readonly adapters: Set<string>;
 
+  /** Versions of loaded models and adapters, as named by the orders that loaded them. */
+  readonly versions = new Map<string, string>();
+
   role: WorkerRole;
 
+  /** Number of the last order for each target; an older load that ends later changes nothing. */
+  private readonly lastOrders = new Map<string, number>();
+
+  private orderCount = 0;
+
   /** Highest fencing number seen; of orders and of generations, which other owners send. */
   private orderFence = 0;
 
@@ -37,7 +45,9 @@
       if (order.fence < this.orderFence) return this.rejectFence('order', order.fence);
       this.orderFence = order.fence;
     }
-    this.handlers[order.kind](order.target);
+    this.orderCount += 1;
+    this.lastOrders.set(order.target, this.orderCount);
+    this.handlers[order.kind](order);
     return ok();
   }
 
@@ -49,16 +59,16 @@
     return ok();
   }
 
-  private readonly handlers: Record<OrderKind, (target: string) => void> = {
-    [OrderKind.LoadModel]: (target) => {
-      void this.loadModel(target);
+  private readonly handlers: Record<OrderKind, (order: Order) => void> = {
+    [OrderKind.LoadModel]: (order) => {
+      void this.load(order, this.models);
     },
-    [OrderKind.UnloadModel]: (target) => this.models.delete(target),
-    [OrderKind.LoadAdapter]: (target) => {
-      this.timer.after(this.settings.loadMs, () => this.adapters.add(target));
+    [OrderKind.UnloadModel]: ({ target }) => this.unload(target, this.models),
+    [OrderKind.LoadAdapter]: (order) => {
+      void this.load(order, this.adapters);
     },
-    [OrderKind.UnloadAdapter]: (target) => this.adapters.delete(target),
-    [OrderKind.ChangeRole]: (target) => {
+    [OrderKind.UnloadAdapter]: ({ target }) => this.unload(target, this.adapters),
+    [OrderKind.ChangeRole]: ({ target }) => {
       const role = Object.values<string>(WorkerRole).includes(target)
         ? (target as WorkerRole)
         : undefined;
@@ -66,9 +76,18 @@
     },
   };
 
-  private async loadModel(name: string): Promise<void> {
-    const weight = await this.fetchWeight(name);
-    if (weight?.isErr() !== true) this.models.add(name);
+  private async load({ target, version, weight }: Order, loaded: Set<string>): Promise<void> {
+    const number = this.orderCount;
+    const fetched = await this.fetchWeight(weight ?? target);
+    if (fetched?.isErr() === true || this.lastOrders.get(target) !== number) return;
+    loaded.add(target);
+    if (version === undefined) this.versions.delete(target);
+    else this.versions.set(target, version);
+  }
+
+  private unload(target: string, loaded: Set<string>): void {
+    loaded.delete(target);
+    this.versions.delete(target);
   }
 
   private rejectFence(step: string, fence: number): Result<never, Fault> {
--- a/packages/stand-ins/src/http/model-engine-app.ts
+++ b/packages/stand-ins/src/http/model-engine-app.ts
@@ -35,7 +35,13 @@
   fence: z.number().optional(),
 });
 
-const orderSchema = z.object({ kind: z.enum(OrderKind), target: z.string(), fence: z.number() });
+const orderSchema = z.object({
+  kind: z.enum(OrderKind),
+  target: z.string(),
+  fence: z.number(),
+  version: z.string().optional(),
+  weight: z.string().optional(),
+});
 
 type Outgoing = HttpBindings['outgoing'];
 
--- a/packages/types/src/inference.ts
+++ b/packages/types/src/inference.ts
@@ -79,6 +79,8 @@
   waiting: number;
   models: string[];
   adapters: string[];
+  /** Versions of the loaded models and adapters by name, from engines that report them. */
+  versions?: Record<string, string>;
   role: WorkerRole;
   /** Request ids of streams in progress. */
   streams: string[];
@@ -98,6 +100,9 @@
   kind: OrderKind;
   target: string;
   fence: number;
+  /** Version to load, and its weight; without them the engine loads what its own name stands for. */
+  version?: string;
+  weight?: string;
 }
 
 /** Request to a plain service, passed through unchanged. */
