--- a/packages/capacity/src/costs.ts
+++ b/packages/capacity/src/costs.ts
@@ -1,5 +1,7 @@
 /** Costs per role, computed from the fits for a scenario. */
+import { MAX_CLAIM_VALUE_BYTES } from '@jujubelanding/claims';
 import { interpolate } from './fit.js';
+import { projectClaimWrites } from './key-value-projection.js';
 import type { FleetCounts } from './measure/key-value.js';
 import type { Results } from './results.js';
 import { countActiveTeams, countOwners, type Scenario } from './scenario.js';
@@ -37,7 +39,7 @@
 
 const POLLS_PER_SECOND = 2;
 
-/** JSON of a grant request and its answer beyond the empty push that `call.bytes` starts from. */
+/** JSON of a short request and its answer beyond the empty push that `call.bytes` starts from. */
 const GRANT_JSON_BYTES = 40;
 
 export class CostModel {
@@ -104,8 +106,12 @@
     this.add(role, 'online notices', Resource.Processor, this.at('notices.processor', entryVms), [
       'notices.processor',
     ]);
-    const teams = countActiveTeams(this.scenario);
-    this.addCalls(role, 'limit grants', this.at('limits.calls', teams), GRANT_JSON_BYTES);
+    this.add(role, 'limit shares', Resource.Bytes, this.at('limits.bytes', entryVms), [
+      'limits.bytes',
+    ]);
+    this.add(role, 'limit shares', Resource.Processor, this.at('limits.processor', entryVms), [
+      'limits.processor',
+    ]);
     const perVm = requestsPerSecond / entryVms;
     const choiceUs = this.at('routing.choice', workers / services);
     this.add(role, 'routing', Resource.Processor, perVm * choiceUs * US_TO_PERCENT, [
@@ -182,15 +188,15 @@
 
   private addClaimOwner(owners: number): void {
     const { requestsPerSecond, claimShare } = this.scenario;
-    const claims = (requestsPerSecond * claimShare) / owners;
-    // Pages are between empty and 256 KiB, so half full on average.
-    const onPage = (256 * 1024) / 2 / this.find('claims.bytes').fit.slope;
+    const commits = projectClaimWrites(this.results, requestsPerSecond * claimShare) / owners;
+    // Pages are between empty and full, so half full on average.
+    const onPage = MAX_CLAIM_VALUE_BYTES / 2 / this.find('claims.bytes').fit.slope;
     const commitUs = this.at('claims.processor', onPage);
     const bytes = this.at('claims.bytes', onPage);
-    this.add('claim owner', 'commits', Resource.Processor, claims * commitUs * US_TO_PERCENT, [
+    this.add('claim owner', 'commits', Resource.Processor, commits * commitUs * US_TO_PERCENT, [
       'claims.processor',
     ]);
-    this.add('claim owner', 'bytes to the key-value service', Resource.Bytes, claims * bytes, [
+    this.add('claim owner', 'bytes to the key-value service', Resource.Bytes, commits * bytes, [
       'claims.bytes',
     ]);
   }
