Test with real processes that a model is loaded in the version of its record

Both engines start empty, so the answer depends on an order that names the version, on its weight in the weight store and on the report.

--- a/packages/quickstart/src/local-fleet.test.ts
+++ b/packages/quickstart/src/local-fleet.test.ts
@@ -2,15 +2,20 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import test, { type ExecutionContext } from 'ava';
-import { LocalFleet, Session } from './index.js';
+import { request } from 'undici';
+import { LocalFleet, Session, waitFor } from './index.js';
+
+/** Longer than a load at the rate limit of the weight store, and a pass over all workers. */
+const LOAD_LIMIT_MS = 60_000;
 
 /** Built by `npm ci` and by `npm run build`. */
 const PROGRAMS = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../dist');
 
 const startFleet = async (
   t: ExecutionContext,
+  emptyEngines = 0,
 ): Promise<{ fleet: LocalFleet; session: Session }> => {
-  const fleet = new LocalFleet({ programs: PROGRAMS, entryVms: 3, engines: 2 });
+  const fleet = new LocalFleet({ programs: PROGRAMS, entryVms: 3, engines: 2, emptyEngines });
   // Before the start: processes that outlive a failed start keep the test run from ending.
   t.teardown(() => fleet.stop());
   await fleet.start();
@@ -40,6 +45,25 @@
   t.is(code, 0);
 });
 
+test.serial('an engine without a model is given the version that the record names', async (t) => {
+  // The record asks for one worker; its engines start empty, so that an answer needs a load.
+  const { fleet, session } = await startFleet(t, 2);
+  const isLoaded = async (address: string): Promise<boolean> => {
+    const { body } = await request(`http://${address}/v1/load`);
+    const { versions } = (await body.json()) as { versions: Record<string, string> };
+    return versions.advisor === 'advisor-1';
+  };
+  await waitFor('a loaded engine', LOAD_LIMIT_MS, async () => {
+    const loaded = await Promise.all([...fleet.engineAddresses.values()].map(isLoaded));
+    return loaded.includes(true);
+  });
+  await waitFor('a whole answer', LOAD_LIMIT_MS, async () => {
+    const answer = await session.streamAnswer('a question').catch(() => undefined);
+    return answer?.isWhole === true;
+  });
+  t.pass();
+});
+
 test.serial('invalid settings are reported together and end the daemon with code 2', (t) => {
   const { status, stderr } = spawnSync(
     process.execPath,
--- a/packages/quickstart/src/local-fleet.ts
+++ b/packages/quickstart/src/local-fleet.ts
@@ -10,6 +10,8 @@
   programs: string;
   entryVms: number;
   engines: number;
+  /** Engines that start without a model; they are the last ones. */
+  emptyEngines?: number;
   logSelection?: string;
   /** Environment of each entry VM; the parameter counts from 0. */
   entryVmEnvironment?: (index: number) => NodeJS.ProcessEnv;
@@ -32,7 +34,7 @@
 const ENTRY_POINT_LIFETIME = '1s';
 
 /** Faster than a real engine, so that a person does not wait for the batch job. */
-const ENGINE_SETTINGS = { slots: 8, models: [MODEL], stepBaseMs: 8, stepPerStreamMs: 0.5 };
+const ENGINE_SETTINGS = { slots: 8, stepBaseMs: 8, stepPerStreamMs: 0.5 };
 
 const put = async (url: string, body: unknown): Promise<void> => {
   const headers = { 'content-type': 'application/json' };
@@ -147,9 +149,11 @@
 
   private async startEngine(index: number): Promise<void> {
     const id = `advisor-${index}`;
+    const { engines, emptyEngines = 0 } = this.options;
+    const models = index < engines - emptyEngines ? [MODEL] : [];
     const engine = await this.startProgram('model-engine', [
       ...['--worker-id', id, '--weight-store', this.platform.weightStore],
-      ...['--settings', JSON.stringify(ENGINE_SETTINGS)],
+      ...['--settings', JSON.stringify({ ...ENGINE_SETTINGS, models })],
     ]);
     this.engines.push(engine);
     const address = engine.listening.address!;
--- a/packages/quickstart/src/session.ts
+++ b/packages/quickstart/src/session.ts
@@ -21,7 +21,7 @@
   });
 
 /** Repeats a check until it holds; fails after the limit. */
-const waitFor = async (
+export const waitFor = async (
   what: string,
   limitMs: number,
   check: () => Promise<boolean>,
