--- a/packages/caller-api/src/exchange.ts
+++ b/packages/caller-api/src/exchange.ts
@@ -51,6 +51,8 @@
   releases: (() => void)[];
   /** Set by handlers whose response ends later than they return. */
   isStreaming: boolean;
+  /** Set when the request is answered with a fault. */
+  outcome?: Outcome;
 }
 
 export interface ExchangeEnvironment {
@@ -65,6 +67,7 @@
 
 /** Answers with problem details. */
 export const respondFault = (exchange: Exchange, fault: Fault): Response => {
+  exchange.set('outcome', fault.outcome);
   const problem = toProblem(fault, exchange.get('requestId'));
   const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
   if (fault.retryAfterMs !== undefined) {
--- a/packages/caller-api/src/filters.ts
+++ b/packages/caller-api/src/filters.ts
@@ -32,6 +32,9 @@
   shedOverload: Filter;
 }
 
+/** Tag of requests that were not answered with a fault. */
+const SUCCEEDED = 'succeeded';
+
 /** Gives each request an id of its own; ids of callers may repeat and are not used. */
 const createAssignRequestId =
   ({ io }: CallerApiOptions): Filter =>
@@ -47,7 +50,11 @@
       if (!exchange.get('isStreaming')) release(exchange);
     }
     exchange.res.headers.set(REQUEST_ID_HEADER, requestId);
-    const tags = { route: exchange.req.routePath, status: String(exchange.res.status) };
+    const tags = {
+      route: exchange.req.routePath,
+      status: String(exchange.res.status),
+      outcome: exchange.get('outcome') ?? SUCCEEDED,
+    };
     io.metrics.timing('caller_api.request', io.timer.now() - startedAt, tags);
   };
 
--- a/packages/caller-api/src/online-routes.test.ts
+++ b/packages/caller-api/src/online-routes.test.ts
@@ -159,3 +159,12 @@
   t.deepEqual([response.headers.get('x-kept'), response.headers.get('connection')], ['yes', null]);
   t.is(await response.text(), 'body');
 });
+
+test('requests are counted by outcome, so that refusals show apart from failures', async (t) => {
+  const api = new ApiUnderTest();
+  await api.post(CHAT_PATH, CHAT);
+  await api.post(CHAT_PATH, { ...CHAT, model: 'other' });
+  await api.request('/v2/other');
+  const outcomes = api.metrics.of('caller_api.request').map(({ tags }) => tags.outcome);
+  t.deepEqual(outcomes, ['succeeded', 'not-run', 'not-run']);
+});
