--- a/packages/fault-run/src/callers.ts
+++ b/packages/fault-run/src/callers.ts
@@ -1,11 +1,6 @@
 /** What the loads of a run share. */
 import type { Program } from '@jujubelanding/quickstart';
 
-export const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Entry VMs that callers use, and those that a fault affects at the moment. */
 export class EntryPointList {
   /** Ids of entry VMs whose callers may see broken connections. */
--- a/packages/fault-run/src/fault-run.ts
+++ b/packages/fault-run/src/fault-run.ts
@@ -1,6 +1,7 @@
 /** Puts a fleet under load, causes the faults one after the other, and checks the outcomes. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { LocalFleet, Session, TEAM_KEY } from '@jujubelanding/quickstart';
-import { EntryPointList, sleep } from './callers.js';
+import { EntryPointList } from './callers.js';
 import { Fault, FAULT_HANDLERS } from './fault.js';
 import { OnlineLoad } from './online-load.js';
 import { ORDER_SERVICE, OrderDesk } from './order-desk.js';
--- a/packages/fault-run/src/fault.ts
+++ b/packages/fault-run/src/fault.ts
@@ -1,6 +1,7 @@
 /** The faults of a run, as a table of what starts and what ends each. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { LocalFleet } from '@jujubelanding/quickstart';
-import { type EntryPointList, sleep } from './callers.js';
+import type { EntryPointList } from './callers.js';
 
 export enum Fault {
   None = 'none',
--- a/packages/fault-run/src/online-load.ts
+++ b/packages/fault-run/src/online-load.ts
@@ -1,6 +1,7 @@
 /** Streams online answers through all entry VMs and tells whole from cut-off ones. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Session } from '@jujubelanding/quickstart';
-import { type EntryPointList, repeat, sleep } from './callers.js';
+import { type EntryPointList, repeat } from './callers.js';
 
 const STREAMS = 6;
 
--- a/packages/fault-run/src/order-load.ts
+++ b/packages/fault-run/src/order-load.ts
@@ -1,6 +1,7 @@
 /** Sends non-idempotent orders, and resends them through other entry VMs when the outcome is unclear. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
-import { type EntryPointList, repeat, sleep } from './callers.js';
+import { type EntryPointList, repeat } from './callers.js';
 import { ORDER_SERVICE } from './order-desk.js';
 
 const CALLERS = 3;
--- a/packages/quickstart/src/session.ts
+++ b/packages/quickstart/src/session.ts
@@ -1,4 +1,5 @@
 /** What the quickstart does as an operator and as a caller. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { computeChecksum } from '@jujubelanding/random';
 import { createParser } from 'eventsource-parser';
 import { request } from 'undici';
@@ -15,11 +16,6 @@
 
 const OPERATOR_HEADERS = { ...JSON_TYPE, authorization: `Bearer ${OPERATOR_TOKEN}` };
 
-const sleep = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Repeats a check until it holds; fails after the limit. */
 export const waitFor = async (
   what: string,
