--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/packages/batch-ledger/src/job-store.ts
@@ -0,0 +1,250 @@
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import {
+  ChangeKind,
+  CommitStatus,
+  type CommitResult,
+  type KeyValueEntry,
+  type Transaction,
+  type TransactionalStore,
+} from '@jujubelanding/platform';
+import type { FollowedChange } from '@jujubelanding/store-follower';
+import type { Timer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+import {
+  decodeJob,
+  decodeLedger,
+  decodeProgress,
+  EMPTY_LEDGER,
+  encode,
+  type ItemState,
+  type Job,
+  type JobProgress,
+  type Ledger,
+  type Ownership,
+} from './job.js';
+import type { JobTable, KnownJob } from './job-table.js';
+import type { KeySpace } from './key-space.js';
+
+/** Pause before a call is repeated whose outcome is unknown, or that was refused. */
+const REPEAT_MS = 120;
+
+export enum SubmitStatus {
+  Accepted = 'accepted',
+  /** The job was accepted before. */
+  Known = 'known',
+}
+
+export enum EndStatus {
+  Ended = 'ended',
+  Unknown = 'unknown',
+}
+
+/** An item's result that is to be listed. */
+export interface NewResult {
+  itemIndex: number;
+  state: ItemState;
+  output: string;
+}
+
+export interface JobStoreOptions {
+  store: TransactionalStore;
+  timer: Timer;
+  log: Log;
+  keys: KeySpace;
+  table: JobTable;
+  /** Applies changes of this process to the followed entries, ahead of the watch. */
+  applyOwn: (changes: FollowedChange[]) => void;
+  self: Ownership;
+  leaseId: () => string | undefined;
+  /** Called when the store says that a lease has ended. */
+  onLeaseEnded: (leaseId: string) => void;
+}
+
+const createFault = (code: FaultCode, outcome: Outcome, step: string, message: string): Fault => ({
+  code,
+  outcome,
+  step,
+  message,
+});
+
+/** Changes jobs in the store. Each change is one transaction, conditional on what it is based on. */
+export class JobStore {
+  constructor(private readonly options: JobStoreOptions) {}
+
+  /**
+   * Stores a job once. A commit whose outcome is unknown is repeated until it is known: only then is it
+   * certain whether the job will run.
+   */
+  async submit(job: Job, deadline: number): Reply<SubmitStatus> {
+    const { keys, table, self, leaseId, timer } = this.options;
+    let mayBeStored = false;
+    for (;;) {
+      if (table.find(job.id) !== undefined) return ok(SubmitStatus.Known);
+      const lease = leaseId();
+      const writes = [
+        { key: keys.job(job.id), value: encode(job) },
+        { key: keys.ledger(job.id), value: encode(EMPTY_LEDGER) },
+        // Without a lease any VM may take the job.
+        ...(lease === undefined
+          ? []
+          : [{ key: keys.owner(job.id), value: encode(self), leaseId: lease }]),
+      ];
+      const conditions = [{ key: keys.job(job.id), revision: 0 }];
+      const reply = await this.commit({ conditions, writes, removals: [] });
+      if (reply.isOk() && reply.value.status === CommitStatus.Committed) {
+        return ok(SubmitStatus.Accepted);
+      }
+      if (reply.isOk() && reply.value.status === CommitStatus.Conflict) {
+        return ok(SubmitStatus.Known);
+      }
+      if (reply.isErr() && reply.error.outcome === Outcome.OutcomeUnknown) mayBeStored = true;
+      if (reply.isErr() && !mayBeStored) return err(reply.error);
+      if (timer.now() + REPEAT_MS >= deadline) {
+        const message = 'the store did not confirm the job';
+        const outcome = mayBeStored ? Outcome.OutcomeUnknown : Outcome.NotRun;
+        return err(createFault(FaultCode.Timeout, outcome, 'submit', message));
+      }
+      await timer.sleep(REPEAT_MS);
+    }
+  }
+
+  /** Marks a job as ended; repeats until the store confirms it or the deadline has passed. */
+  async end(jobId: string, deadline: number): Reply<EndStatus> {
+    const { keys, timer } = this.options;
+    let current = this.options.table.find(jobId);
+    for (;;) {
+      const known = current ?? (await this.read(jobId));
+      if (known === undefined) return ok(EndStatus.Unknown);
+      if ('code' in known) {
+        if (timer.now() + REPEAT_MS >= deadline) return err(known);
+        await timer.sleep(REPEAT_MS);
+        continue;
+      }
+      if (known.ledger.isEnded) return ok(EndStatus.Ended);
+      const ledger = { ...known.ledger, isEnded: true };
+      const reply = await this.commit({
+        conditions: [{ key: keys.ledger(jobId), revision: known.ledgerRevision }],
+        writes: [{ key: keys.ledger(jobId), value: encode(ledger) }],
+        removals: [keys.owner(jobId)],
+      });
+      if (reply.isOk() && reply.value.status === CommitStatus.Committed) {
+        return ok(EndStatus.Ended);
+      }
+      current = undefined;
+      if (reply.isErr()) {
+        if (timer.now() + REPEAT_MS >= deadline) return err(reply.error);
+        await timer.sleep(REPEAT_MS);
+      }
+    }
+  }
+
+  /**
+   * Lists results after those that are listed. Returns the results that another VM has not listed
+   * already; a conflict leaves the table with the newer ledger.
+   */
+  async list(known: KnownJob, results: readonly NewResult[]): Reply<CommitStatus> {
+    const { keys } = this.options;
+    const { job, ledger, ledgerRevision } = known;
+    const first = ledger.results.length;
+    const isLast = first + results.length >= job.items.length;
+    const listed: Ledger = {
+      ...ledger,
+      results: [
+        ...ledger.results,
+        ...results.map(({ itemIndex, state }): Ledger['results'][number] => [itemIndex, state]),
+      ],
+    };
+    const reply = await this.commit({
+      conditions: [{ key: keys.ledger(job.id), revision: ledgerRevision }],
+      writes: [
+        { key: keys.ledger(job.id), value: encode(listed) },
+        ...results.map(({ output }, index) => ({
+          key: keys.output(job.id, first + index),
+          value: output,
+        })),
+      ],
+      removals: isLast ? [keys.owner(job.id)] : [],
+    });
+    return reply.map(({ status }) => status);
+  }
+
+  /** Takes a job that has no owner, or whose owner is an earlier run of this VM. */
+  async take({ job, ownerRevision }: KnownJob): Reply<boolean> {
+    const { keys, self, leaseId } = this.options;
+    const lease = leaseId();
+    if (lease === undefined) return ok(false);
+    const reply = await this.commit({
+      conditions: [{ key: keys.owner(job.id), revision: ownerRevision }],
+      writes: [{ key: keys.owner(job.id), value: encode(self), leaseId: lease }],
+      removals: [],
+    });
+    return reply.map(({ status }) => status === CommitStatus.Committed);
+  }
+
+  /** Gives a job up to the other VMs, with what has arrived of its items. */
+  async release({ job, ownerRevision }: KnownJob, progress: JobProgress): Reply<boolean> {
+    const { keys } = this.options;
+    const hasProgress = Object.keys(progress).length > 0;
+    const reply = await this.commit({
+      conditions: [{ key: keys.owner(job.id), revision: ownerRevision }],
+      writes: hasProgress ? [{ key: keys.progress(job.id), value: encode(progress) }] : [],
+      removals: [keys.owner(job.id)],
+    });
+    return reply.map(({ status }) => status === CommitStatus.Committed);
+  }
+
+  /** Reads the progress that an earlier owner left. */
+  async readProgress(jobId: string): Reply<JobProgress> {
+    const reply = await this.options.store.get(this.options.keys.progress(jobId));
+    return reply.map((entry) => (entry === undefined ? {} : (decodeProgress(entry.value) ?? {})));
+  }
+
+  /** Reads a job from the store; undefined when there is none. */
+  async read(jobId: string): Promise<KnownJob | Fault | undefined> {
+    const { store, keys, table, applyOwn } = this.options;
+    const ledger = await store.get(keys.ledger(jobId));
+    if (ledger.isErr()) return ledger.error;
+    if (ledger.value === undefined) return undefined;
+    const entries: KeyValueEntry[] = [ledger.value];
+    if (table.find(jobId) === undefined) {
+      const job = await store.get(keys.job(jobId));
+      if (job.isErr()) return job.error;
+      if (job.value === undefined) return undefined;
+      entries.push(job.value);
+    }
+    applyOwn(entries.map((entry) => ({ kind: ChangeKind.Put, entry })));
+    const unreadable = entries.some(
+      ({ value }) => decodeJob(value) === undefined && decodeLedger(value) === undefined,
+    );
+    if (unreadable) {
+      const message = `job ${jobId} is not readable`;
+      return createFault(FaultCode.Corrupt, Outcome.Failed, 'read-job', message);
+    }
+    return table.find(jobId);
+  }
+
+  private async commit(transaction: Transaction): Reply<CommitResult> {
+    const { store, applyOwn, leaseId, onLeaseEnded } = this.options;
+    const lease = leaseId();
+    const reply = await store.commit(transaction);
+    if (reply.isErr()) return reply;
+    if (reply.value.status === CommitStatus.Committed) {
+      const { revision } = reply.value;
+      const puts = transaction.writes.map((write) => ({
+        kind: ChangeKind.Put,
+        entry: { ...write, modRevision: revision } as KeyValueEntry,
+      }));
+      const removals = transaction.removals.map((key) => ({
+        kind: ChangeKind.Delete,
+        entry: { key, value: '', modRevision: revision },
+      }));
+      applyOwn([...puts, ...removals]);
+    } else if (reply.value.status === CommitStatus.Conflict) {
+      applyOwn(reply.value.current.map((entry) => ({ kind: ChangeKind.Put, entry })));
+    } else if (lease !== undefined) {
+      onLeaseEnded(lease);
+    }
+    return reply;
+  }
+}
--- /dev/null
+++ b/packages/batch-ledger/src/job-table.ts
@@ -0,0 +1,114 @@
+import type { Log } from '@jujubelanding/log';
+import { ChangeKind, type KeyValueEntry } from '@jujubelanding/platform';
+import type { FollowedChange } from '@jujubelanding/store-follower';
+import type { Subscription } from '@jujubelanding/timer';
+import {
+  decodeJob,
+  decodeLedger,
+  decodeOwnership,
+  type Job,
+  type Ledger,
+  type Ownership,
+} from './job.js';
+import { KeyKind, type KeySpace } from './key-space.js';
+
+/** A job as this VM knows it. */
+export interface KnownJob {
+  job: Job;
+  ledger: Ledger;
+  /** Store revision of the ledger. */
+  ledgerRevision: number;
+  owner: Ownership | undefined;
+  /** Store revision of the ownership; 0 without an owner. */
+  ownerRevision: number;
+}
+
+interface Row {
+  job?: Job;
+  ledger?: Ledger;
+  ledgerRevision: number;
+  owner?: Ownership | undefined;
+  ownerRevision: number;
+}
+
+/** Jobs, ledgers and owners by job id; follows the store. */
+export class JobTable {
+  private readonly rows = new Map<string, Row>();
+
+  private readonly handlers = new Set<(jobId: string) => void>();
+
+  constructor(
+    private readonly keys: KeySpace,
+    private readonly log: Log,
+  ) {}
+
+  find(jobId: string): KnownJob | undefined {
+    const row = this.rows.get(jobId);
+    if (row?.job === undefined || row.ledger === undefined) return undefined;
+    const { job, ledger, ledgerRevision, owner, ownerRevision } = row;
+    return { job, ledger, ledgerRevision, owner, ownerRevision };
+  }
+
+  list(): KnownJob[] {
+    return [...this.rows.keys()]
+      .map((jobId) => this.find(jobId))
+      .filter((known) => known !== undefined);
+  }
+
+  /** Calls the handler with the id of each job that has changed. */
+  onChange(handler: (jobId: string) => void): Subscription {
+    this.handlers.add(handler);
+    return { cancel: () => this.handlers.delete(handler) };
+  }
+
+  apply(changes: readonly FollowedChange[]): void {
+    const changed = new Set<string>();
+    for (const { kind, entry } of changes) {
+      const parsed = this.keys.parse(entry.key);
+      if (parsed === undefined) continue;
+      changed.add(parsed.jobId);
+      if (kind === ChangeKind.Delete) this.remove(parsed.jobId, parsed.kind);
+      else this.put(parsed.jobId, parsed.kind, entry);
+    }
+    for (const jobId of changed) this.handlers.forEach((handler) => handler(jobId));
+  }
+
+  private put(jobId: string, kind: KeyKind, entry: KeyValueEntry): void {
+    const row = this.rows.get(jobId) ?? { ledgerRevision: 0, ownerRevision: 0 };
+    this.rows.set(jobId, row);
+    const decoded = PUTS[kind](row, entry);
+    if (!decoded) this.log.write('job-entry-skipped', { key: entry.key, reason: 'unreadable' });
+  }
+
+  private remove(jobId: string, kind: KeyKind): void {
+    const row = this.rows.get(jobId);
+    if (row === undefined) return;
+    if (kind === KeyKind.Owner) {
+      row.owner = undefined;
+      row.ownerRevision = 0;
+    } else {
+      this.rows.delete(jobId);
+    }
+  }
+}
+
+/** Each returns false for a value that cannot be read. */
+const PUTS: Record<KeyKind, (row: Row, entry: KeyValueEntry) => boolean> = {
+  [KeyKind.Job]: (row, { value }) => {
+    const job = decodeJob(value);
+    if (job !== undefined) row.job = job;
+    return job !== undefined;
+  },
+  [KeyKind.Ledger]: (row, { value, modRevision }) => {
+    const ledger = decodeLedger(value);
+    if (ledger === undefined) return false;
+    row.ledger = ledger;
+    row.ledgerRevision = modRevision;
+    return true;
+  },
+  [KeyKind.Owner]: (row, { value, modRevision }) => {
+    row.owner = decodeOwnership(value);
+    row.ownerRevision = modRevision;
+    return row.owner !== undefined;
+  },
+};
--- /dev/null
+++ b/packages/batch-ledger/src/job.ts
@@ -0,0 +1,95 @@
+/** Batch jobs, their ledgers and results. */
+import { z } from 'zod';
+
+export const SCHEMA_VERSION = 1;
+
+const itemSchema = z.object({
+  id: z.string(),
+  /** Path with query under which a worker receives the item. */
+  target: z.string(),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  /** Base64. */
+  body: z.string(),
+  /** Prompt tokens and the maximum of output tokens together. */
+  tokens: z.number(),
+});
+
+const jobSchema = z.object({
+  schemaVersion: z.literal(SCHEMA_VERSION),
+  id: z.string(),
+  host: z.string(),
+  /** Path of the submission; its route decides on the service. */
+  target: z.string(),
+  /** Epoch milliseconds. */
+  submittedAt: z.number(),
+  /** Time from the submission in which all results are due, in milliseconds. */
+  dueMs: z.number(),
+  /** Time from the submission after which items may be given up, in milliseconds. */
+  itemLifetimeMs: z.number(),
+  /** Failed runs after which an item is given up. */
+  maxAttempts: z.number(),
+  items: z.array(itemSchema),
+});
+
+export type JobItem = z.infer<typeof itemSchema>;
+
+export type Job = z.infer<typeof jobSchema>;
+
+export enum ItemState {
+  Completed = 'completed',
+  GivenUp = 'given-up',
+}
+
+const ledgerSchema = z.object({
+  schemaVersion: z.literal(SCHEMA_VERSION),
+  /** True once the caller has ended the job. */
+  isEnded: z.boolean(),
+  /** Index and state of each item with a result, in the order in which results are listed. */
+  results: z.array(z.tuple([z.number(), z.enum(ItemState)])),
+});
+
+export type Ledger = z.infer<typeof ledgerSchema>;
+
+export const EMPTY_LEDGER: Ledger = { schemaVersion: SCHEMA_VERSION, isEnded: false, results: [] };
+
+const ownershipSchema = z.object({ entryVmId: z.string(), bootId: z.string() });
+
+/** The run of an entry VM that executes a job. */
+export type Ownership = z.infer<typeof ownershipSchema>;
+
+const itemProgressSchema = z.object({
+  /** Data of the events so far. */
+  events: z.array(z.string()),
+  lastEventId: z.string().optional(),
+  failures: z.number(),
+});
+
+const progressSchema = z.record(z.string(), itemProgressSchema);
+
+/** What has arrived of an unfinished item. */
+export type ItemProgress = z.infer<typeof itemProgressSchema>;
+
+/** Progress of unfinished items by index, left by an owner that stopped. */
+export type JobProgress = z.infer<typeof progressSchema>;
+
+const decodeWith =
+  <T>(schema: z.ZodType<T>) =>
+  (value: string): T | undefined => {
+    try {
+      return schema.safeParse(JSON.parse(value)).data;
+    } catch {
+      return undefined;
+    }
+  };
+
+export const decodeJob = decodeWith<Job>(jobSchema);
+export const decodeLedger = decodeWith<Ledger>(ledgerSchema);
+export const decodeOwnership = decodeWith<Ownership>(ownershipSchema);
+export const decodeProgress = decodeWith<JobProgress>(progressSchema);
+
+export const encode = (value: Job | Ledger | Ownership | JobProgress): string =>
+  JSON.stringify(value);
+
+/** True when no item of the job has to run any more. */
+export const isFinished = (job: Job, ledger: Ledger): boolean =>
+  ledger.isEnded || ledger.results.length >= job.items.length;
--- /dev/null
+++ b/packages/deployed-vm/src/batch-calls.ts
@@ -0,0 +1,109 @@
+/** Calls of callers about batch jobs. */
+import {
+  EndStatus,
+  SCHEMA_VERSION,
+  SubmitStatus,
+  type Job,
+  type JobStore,
+  type ResultPage,
+  type ResultReader,
+} from '@jujubelanding/batch-ledger';
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import type { Metrics } from '@jujubelanding/metrics';
+import type { Route } from '@jujubelanding/route-table';
+import type { Timer } from '@jujubelanding/timer';
+import { err, ok } from 'neverthrow';
+
+export interface JobSubmission {
+  jobId: string;
+  host: string;
+  target: string;
+  items: Job['items'];
+}
+
+/** Due time of routes that name none, in milliseconds. */
+const DEFAULT_DUE_MS = 60_000;
+
+/** Time left for the answer to reach the caller. */
+const ANSWER_MS = 150;
+
+export interface BatchCallsOptions {
+  timer: Timer;
+  log: Log;
+  metrics: Metrics;
+  jobs: JobStore;
+  reader: ResultReader;
+  acknowledgeMs: number;
+}
+
+const createNotFound = (step: string, message: string): Fault => ({
+  code: FaultCode.NotFound,
+  outcome: Outcome.NotRun,
+  step,
+  message,
+});
+
+export class BatchCalls {
+  constructor(private readonly options: BatchCallsOptions) {}
+
+  /** Resolves once the job is stored, whether by this call or an earlier one. */
+  async submit(submission: JobSubmission, route: Route, arrivedAt: number): Reply<SubmitStatus> {
+    const { jobs, timer, log, metrics, acknowledgeMs } = this.options;
+    const { jobId, host, target, items } = submission;
+    const job: Job = {
+      schemaVersion: SCHEMA_VERSION,
+      id: jobId,
+      host,
+      target,
+      submittedAt: timer.wallClock() - (timer.now() - arrivedAt),
+      dueMs: route.dueMs ?? DEFAULT_DUE_MS,
+      itemLifetimeMs: route.itemLifetimeMs ?? DEFAULT_DUE_MS,
+      maxAttempts: route.maxAttempts,
+      items,
+    };
+    const reply = await jobs.submit(job, arrivedAt + acknowledgeMs - ANSWER_MS);
+    const outcome = reply.isOk() ? reply.value : reply.error.outcome;
+    log.write('job-submitted', {
+      job: jobId,
+      items: items.length,
+      outcome,
+      durationMs: Math.round(timer.now() - arrivedAt),
+      ...(reply.isErr() ? { code: reply.error.code, message: reply.error.message } : {}),
+    });
+    metrics.increment('batch.submissions', { outcome });
+    return reply;
+  }
+
+  async read(jobId: string, after: number, waitMs: number): Reply<ResultPage> {
+    const { reader } = this.options;
+    const page = await reader.readPage(jobId, after, waitMs);
+    if (page.isErr()) return err(this.refuse('read-results', jobId, page.error));
+    if (page.value !== undefined) return ok(page.value);
+    return err(this.refuse('read-results', jobId, createNotFound('read-results', 'no such job')));
+  }
+
+  /** Returns the body of an item. */
+  async readBody(jobId: string, itemId: string): Reply<Buffer> {
+    const found = await this.options.reader.find(jobId);
+    if (found.isErr()) return err(this.refuse('read-body', jobId, found.error));
+    const item = found.value?.job.items.find(({ id }) => id === itemId);
+    if (item !== undefined) return ok(Buffer.from(item.body, 'base64'));
+    return err(this.refuse('read-body', jobId, createNotFound('read-body', 'no such item')));
+  }
+
+  async end(jobId: string, arrivedAt: number): Reply<void> {
+    const { jobs, log, acknowledgeMs } = this.options;
+    const reply = await jobs.end(jobId, arrivedAt + acknowledgeMs - ANSWER_MS);
+    if (reply.isErr()) return err(this.refuse('end-job', jobId, reply.error));
+    log.write('job-ended', { job: jobId, status: reply.value });
+    if (reply.value === EndStatus.Ended) return ok(undefined);
+    return err(createNotFound('end-job', 'no such job'));
+  }
+
+  private refuse(step: string, jobId: string, fault: Fault): Fault {
+    const { code, outcome, message } = fault;
+    this.options.log.write('batch-call-refused', { job: jobId, step, code, outcome, message });
+    return fault;
+  }
+}
--- /dev/null
+++ b/packages/deployed-vm/src/retirement.ts
@@ -0,0 +1,46 @@
+import type { Log } from '@jujubelanding/log';
+import type { TransactionalStore } from '@jujubelanding/platform';
+import { rankNodes } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+
+/** Time by which each further VM in the ranking waits for those before it. */
+const RANK_DELAY_MS = 700;
+
+export interface RetirementOptions {
+  store: Pick<TransactionalStore, 'commit'>;
+  timer: Timer;
+  log: Log;
+  self: string;
+  listServing: () => readonly string[];
+  /** Key under which the operator reads how far the retirement of a VM is. */
+  statusKey: (vmId: string) => string;
+  /** Value that tells the operator that the VM may be removed. */
+  completedValue: string;
+}
+
+/**
+ * Reports VMs with disks as empty. Everything that lasts is in the store, so that such a VM can be
+ * removed as soon as the operator asks for it.
+ */
+export class Retirement {
+  constructor(private readonly options: RetirementOptions) {}
+
+  request(vmId: string): void {
+    const { timer, self, listServing } = this.options;
+    const rank = rankNodes(vmId, [self, ...listServing()]).indexOf(self);
+    timer.after(rank * RANK_DELAY_MS, () => void this.report(vmId));
+  }
+
+  private async report(vmId: string): Promise<void> {
+    const { store, log, statusKey, completedValue, timer } = this.options;
+    const key = statusKey(vmId);
+    const reply = await store.commit({
+      conditions: [{ key, revision: 0 }],
+      writes: [{ key, value: completedValue }],
+      removals: [],
+    });
+    const status = reply.isOk() ? reply.value.status : reply.error.code;
+    log.write('retirement-reported', { vm: vmId, status });
+    if (reply.isErr()) timer.after(RANK_DELAY_MS, () => void this.report(vmId));
+  }
+}
--- /dev/null
+++ b/packages/entry-vm-registry/src/lease-keeper.ts
@@ -0,0 +1,88 @@
+import { FaultCode } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import type { TransactionalStore } from '@jujubelanding/platform';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+
+/** Keys of a VM that is lost are removed after this time. */
+const LEASE_MS = 3000;
+
+/** Two renewals may be lost before the lease ends. */
+const RENEWAL_INTERVAL_MS = 900;
+
+/** Pause after a failed attempt to get a lease. */
+const RETRY_MS = 300;
+
+export interface LeaseKeeperOptions {
+  store: Pick<TransactionalStore, 'grantLease' | 'renewLease' | 'revokeLease'>;
+  timer: Timer;
+  log: Log;
+  /** Called with each new lease; keys of an earlier one are gone or will be. */
+  onLease: (leaseId: string) => void;
+}
+
+/** Holds one lease of the store for this process and replaces it when it has ended. */
+export class LeaseKeeper {
+  private leaseId: string | undefined;
+
+  private isStopped = false;
+
+  private pending: Subscription | undefined;
+
+  constructor(private readonly options: LeaseKeeperOptions) {}
+
+  get current(): string | undefined {
+    return this.leaseId;
+  }
+
+  start(): void {
+    void this.grant();
+  }
+
+  /** Ends the lease, and with it all keys under it. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    this.pending?.cancel();
+    const { leaseId } = this;
+    this.leaseId = undefined;
+    if (leaseId === undefined) return;
+    const revoked = await this.options.store.revokeLease(leaseId);
+    if (revoked.isErr()) this.options.log.write('lease-not-revoked', { leaseId });
+  }
+
+  /** Notes that the store no longer knows the lease. */
+  replace(endedLeaseId: string): void {
+    if (this.leaseId !== endedLeaseId || this.isStopped) return;
+    this.options.log.write('lease-ended', { leaseId: endedLeaseId });
+    this.leaseId = undefined;
+    this.pending?.cancel();
+    void this.grant();
+  }
+
+  private async grant(): Promise<void> {
+    const granted = await this.options.store.grantLease(LEASE_MS);
+    if (this.isStopped) return;
+    if (granted.isErr()) {
+      this.pending = this.options.timer.after(RETRY_MS, () => void this.grant());
+      return;
+    }
+    const { leaseId, ttlMs } = granted.value;
+    this.leaseId = leaseId;
+    this.options.log.write('lease-granted', { leaseId, ttlMs });
+    this.schedule();
+    this.options.onLease(leaseId);
+  }
+
+  private schedule(): void {
+    this.pending?.cancel();
+    this.pending = this.options.timer.after(RENEWAL_INTERVAL_MS, () => void this.renew());
+  }
+
+  private async renew(): Promise<void> {
+    const { leaseId } = this;
+    if (leaseId === undefined || this.isStopped) return;
+    const renewed = await this.options.store.renewLease(leaseId);
+    if (this.isStopped || this.leaseId !== leaseId) return;
+    if (renewed.isErr() && renewed.error.code === FaultCode.NotFound) this.replace(leaseId);
+    else this.schedule();
+  }
+}
--- /dev/null
+++ b/packages/fleet-load/src/datagrams.ts
@@ -0,0 +1,68 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { describeThrown, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import { err, ok } from 'neverthrow';
+import { pack, unpack } from 'msgpackr';
+import { z } from 'zod';
+import type { LoadMessage } from './message.js';
+
+const messageSchema: z.ZodType<LoadMessage> = z.object({
+  entryVmId: z.string(),
+  bootId: z.string(),
+  sequence: z.number(),
+  isLeaving: z.boolean(),
+  workers: z.array(z.tuple([z.string(), z.number(), z.number()])),
+});
+
+/** Sends and receives load messages as datagrams. */
+export interface Datagrams {
+  send(message: LoadMessage, addresses: readonly string[]): void;
+  close(): void;
+}
+
+const receive = (content: Buffer, log: Log, onMessage: (message: LoadMessage) => void): void => {
+  try {
+    const parsed = messageSchema.safeParse(unpack(content));
+    if (parsed.success) onMessage(parsed.data);
+    else log.write('datagram-rejected', { message: parsed.error.message });
+  } catch (thrown) {
+    log.write('datagram-rejected', { message: describeThrown(thrown) });
+  }
+};
+
+const createDatagrams = (socket: Socket, log: Log): Datagrams => ({
+  send: (message, addresses) => {
+    const content = pack(message);
+    for (const address of addresses) {
+      const [host, port] = address.split(':');
+      // A lost datagram is made up for by the next one.
+      socket.send(content, Number(port), host, (error) => {
+        if (error) log.write('datagram-lost', { peer: address, message: error.message });
+      });
+    }
+  },
+  close: () => socket.close(),
+});
+
+/** Binds host:port. */
+export const openDatagrams = (
+  address: string,
+  log: Log,
+  onMessage: (message: LoadMessage) => void,
+): Reply<Datagrams> => {
+  const [host, port] = address.split(':');
+  const socket = createSocket('udp4');
+  socket.on('message', (content) => receive(content, log, onMessage));
+  return new Promise((resolve) => {
+    socket.once('error', (thrown) => {
+      const message = describeThrown(thrown);
+      const fault = { code: FaultCode.Unavailable, outcome: Outcome.NotRun, step: 'bind' };
+      resolve(err({ ...fault, peer: address, message }));
+    });
+    socket.bind(Number(port), host, () => {
+      socket.removeAllListeners('error');
+      socket.on('error', (thrown) => log.write('socket-error', { message: thrown.message }));
+      resolve(ok(createDatagrams(socket, log)));
+    });
+  });
+};
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,118 @@
+/** The path of a caller's request through an entry VM. */
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import { RouteKind, type Route, type RouteTable } from '@jujubelanding/route-table';
+import { err, ok, type Result } from 'neverthrow';
+import type { CallerExchange } from './caller-exchange.js';
+import { OnlineForward, type OnlineForwardOptions } from './online-forward.js';
+import { refuse } from './refusal.js';
+
+/** Pause that callers are asked to make while no configuration is known. */
+const UNCONFIGURED_RETRY_MS = 500;
+
+export interface BatchRequests {
+  /** Accepts a submission and answers it. */
+  submit(exchange: CallerExchange, route: Route): Promise<void>;
+}
+
+export interface GatewayOptions extends OnlineForwardOptions {
+  /** The configuration in force; undefined until one is known. */
+  readTable: () => RouteTable | undefined;
+  batch: BatchRequests;
+  log: Log;
+}
+
+/** What the filters have found out about a request. */
+interface Context {
+  exchange: CallerExchange;
+  table?: RouteTable;
+  route?: Route;
+}
+
+type Filter = (context: Context, options: GatewayOptions) => Result<Context, Fault>;
+
+const requireConfiguration: Filter = (context, { readTable }) => {
+  const table = readTable();
+  if (table !== undefined) return ok({ ...context, table });
+  return err({
+    code: FaultCode.Unavailable,
+    outcome: Outcome.NotRun,
+    step: 'configuration',
+    message: 'no configuration is known yet',
+    retryAfterMs: UNCONFIGURED_RETRY_MS,
+  });
+};
+
+const limitBody: Filter = (context) => {
+  const limit = context.table!.configuration.limits.maxBodyBytes;
+  const { body } = context.exchange.request;
+  if (body.length <= limit) return ok(context);
+  return err({
+    code: FaultCode.TooLarge,
+    outcome: Outcome.NotRun,
+    step: 'limits',
+    message: `the body has ${body.length} bytes; at most ${limit} are allowed`,
+  });
+};
+
+const matchRoute: Filter = (context) => {
+  const { host, target } = context.exchange.request;
+  const route = context.table!.match(host, target);
+  if (route !== undefined) return ok({ ...context, route });
+  return err({
+    code: FaultCode.NotFound,
+    outcome: Outcome.NotRun,
+    step: 'route',
+    message: `no route of ${host} matches ${target}`,
+  });
+};
+
+const FILTERS: readonly Filter[] = [requireConfiguration, limitBody, matchRoute];
+
+type Handler = (
+  exchange: CallerExchange,
+  route: Route,
+  table: RouteTable,
+  options: GatewayOptions,
+) => Promise<void>;
+
+const forwardOnline: Handler = (exchange, route, table, options) =>
+  new OnlineForward(options, exchange, route, table.version).run();
+
+const HANDLERS: Record<RouteKind, Handler> = {
+  [RouteKind.Idempotent]: forwardOnline,
+  [RouteKind.NonIdempotent]: forwardOnline,
+  [RouteKind.Streaming]: forwardOnline,
+  [RouteKind.Batch]: (exchange, route, _table, { batch }) => batch.submit(exchange, route),
+};
+
+export class Gateway {
+  constructor(private readonly options: GatewayOptions) {}
+
+  /** Answers a request; never rejects. */
+  async handle(exchange: CallerExchange): Promise<void> {
+    let context: Context = { exchange };
+    for (const filter of FILTERS) {
+      const passed = filter(context, this.options);
+      if (passed.isErr()) {
+        this.logRefusal(context, passed.error);
+        refuse(exchange, passed.error);
+        return;
+      }
+      context = passed.value;
+    }
+    const { route, table } = context;
+    await HANDLERS[route!.kind](exchange, route!, table!, this.options);
+  }
+
+  private logRefusal({ exchange, table }: Context, fault: Fault): void {
+    this.options.log.write('refused', {
+      request: exchange.request.requestId,
+      step: fault.step,
+      code: fault.code,
+      outcome: fault.outcome,
+      message: fault.message,
+      configuration: table?.version,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/online-forward.ts
@@ -0,0 +1,214 @@
+/** Forwards one online request, over as many workers as its route allows. */
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { WorkerLoads } from '@jujubelanding/interfaces';
+import type { Log } from '@jujubelanding/log';
+import type { Metrics } from '@jujubelanding/metrics';
+import type { ForwardingBackends, WorkerAnswer } from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import { RouteTable, type Route } from '@jujubelanding/route-table';
+import type { Router } from '@jujubelanding/routing';
+import type { Timer } from '@jujubelanding/timer';
+import type { Worker } from '@jujubelanding/types';
+import { AnswerRelay } from './answer-relay.js';
+import { decideNext, NextStep } from './attempt-policy.js';
+import type { CallerExchange } from './caller-exchange.js';
+import { refuse } from './refusal.js';
+
+export interface OnlineForwardOptions {
+  timer: Timer;
+  random: Random;
+  router: Router;
+  loads: WorkerLoads;
+  backends: ForwardingBackends;
+  metrics: Metrics;
+  log: Log;
+}
+
+interface Attempt {
+  worker: Worker;
+  fault?: Fault;
+  answer?: WorkerAnswer;
+}
+
+export class OnlineForward {
+  private readonly relay: AnswerRelay;
+
+  private readonly abort = new AbortController();
+
+  private readonly avoided = new Set<string>();
+
+  /** Workers on which the request has run, or may have. */
+  private runs = 0;
+
+  private sends = 0;
+
+  private isTimedOut = false;
+
+  private firstEventAt: number | undefined;
+
+  constructor(
+    private readonly options: OnlineForwardOptions,
+    private readonly exchange: CallerExchange,
+    private readonly route: Route,
+    private readonly configurationVersion: number,
+  ) {
+    this.relay = new AnswerRelay(exchange, route, () => {
+      this.firstEventAt ??= options.timer.now();
+    });
+  }
+
+  async run(): Promise<void> {
+    const { timer } = this.options;
+    const { signal } = this.exchange;
+    const leave = (): void => this.abort.abort();
+    signal.addEventListener('abort', leave, { once: true });
+    if (signal.aborted) leave();
+    const timeout = timer.after(this.remainingMs(), () => {
+      this.isTimedOut = true;
+      this.abort.abort();
+    });
+    const last = await this.runAttempts();
+    timeout.cancel();
+    signal.removeEventListener('abort', leave);
+    this.finish(last);
+  }
+
+  private async runAttempts(): Promise<Attempt | Fault> {
+    const { router, random } = this.options;
+    const { requestId, promptParts } = this.exchange.request;
+    const service = RouteTable.chooseService(this.route, random.next()) ?? '';
+    const prefixes = promptParts;
+    for (;;) {
+      const routed = router.route({
+        requestId,
+        service,
+        target: '',
+        prefixes,
+        avoided: this.avoided,
+      });
+      if (routed.isErr()) return routed.error;
+      const attempt = await this.send(routed.value);
+      const next = this.decide(attempt);
+      if (next === NextStep.Finish) return attempt;
+      this.avoided.add(attempt.worker.id);
+      this.relay.reset();
+    }
+  }
+
+  private async send(worker: Worker): Promise<Attempt> {
+    const { loads, backends, router, timer } = this.options;
+    const { request } = this.exchange;
+    const sentAt = timer.now();
+    this.sends += 1;
+    loads.begin(worker.id);
+    const resumeAfter = this.relay.lastEventId ?? request.resumeAfter;
+    const reply = await backends.forward(
+      worker,
+      { ...request, remainingMs: this.remainingMs(), resumeAfter },
+      this.relay,
+      this.abort.signal,
+    );
+    loads.end(worker.id);
+    if (this.firstEventAt !== undefined && this.firstEventAt >= sentAt) {
+      router.recordLatency(worker, this.firstEventAt - sentAt);
+    }
+    if (reply.isErr()) {
+      if (reply.error.outcome !== Outcome.NotRun) this.runs += 1;
+      this.recordFault(worker, reply.error);
+      return { worker, fault: reply.error };
+    }
+    this.runs += 1;
+    router.recordSuccess(worker);
+    router.recordCompletion(worker.id, request.promptParts, 1);
+    const fault = this.relay.check();
+    return fault === undefined
+      ? { worker, answer: reply.value }
+      : { worker, answer: reply.value, fault };
+  }
+
+  private recordFault(worker: Worker, fault: Fault): void {
+    const { router, log, metrics } = this.options;
+    if (this.abort.signal.aborted) return;
+    log.write('attempt-failed', {
+      request: this.exchange.request.requestId,
+      worker: worker.id,
+      code: fault.code,
+      outcome: fault.outcome,
+      message: fault.message,
+      sends: this.sends,
+    });
+    metrics.increment('online.attempt_failed', { code: fault.code });
+    if (fault.code !== FaultCode.Overloaded) router.recordFault(worker);
+  }
+
+  private decide({ fault, answer }: Attempt): NextStep {
+    return decideNext({
+      fault,
+      status: answer?.status,
+      kind: this.route.kind,
+      isResumable: this.route.isResumable,
+      hasStarted: this.exchange.hasStarted(),
+      canResume: this.relay.canResume,
+      isAborted: this.abort.signal.aborted,
+      runs: this.runs,
+      sends: this.sends,
+      maxRuns: this.route.maxAttempts,
+      remainingMs: this.remainingMs(),
+    });
+  }
+
+  private finish(last: Attempt | Fault): void {
+    const attempt = 'worker' in last ? last : undefined;
+    const fault = 'worker' in last ? last.fault : last;
+    if (this.exchange.signal.aborted) {
+      this.logEnd('caller-left', attempt, fault);
+      return;
+    }
+    if (fault === undefined) {
+      this.relay.finish();
+      this.logEnd('answered', attempt, fault);
+      return;
+    }
+    const outcome = this.runs === 0 ? Outcome.NotRun : fault.outcome;
+    const timedOut = this.isTimedOut
+      ? { ...fault, code: FaultCode.Timeout, message: 'the time of the route has passed' }
+      : fault;
+    this.logEnd(outcome === Outcome.NotRun ? 'refused' : 'failed', attempt, timedOut);
+    refuse(this.exchange, { ...timedOut, outcome });
+  }
+
+  private logEnd(outcome: string, attempt: Attempt | undefined, fault: Fault | undefined): void {
+    const { log, metrics, timer, loads } = this.options;
+    const { requestId, arrivedAt } = this.exchange.request;
+    const durationMs = timer.now() - arrivedAt;
+    const firstMs = this.firstEventAt === undefined ? undefined : this.firstEventAt - arrivedAt;
+    const worker = attempt?.worker;
+    log.write('request', {
+      request: requestId,
+      route: this.route.name,
+      outcome,
+      status: attempt?.answer?.status,
+      worker: worker?.id,
+      sends: this.sends,
+      runs: this.runs,
+      firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
+      durationMs: Math.round(durationMs),
+      online: worker === undefined ? undefined : loads.get(worker.id).online,
+      batch: worker === undefined ? undefined : loads.get(worker.id).batch,
+      configuration: this.configurationVersion,
+      code: fault?.code,
+      message: fault?.message,
+    });
+    const tags = { kind: this.route.kind, outcome };
+    metrics.increment('online.requests', tags);
+    metrics.timing('online.duration', durationMs, tags);
+    if (firstMs !== undefined) metrics.timing('online.first_event', firstMs, tags);
+  }
+
+  /** Time until the caller leaves or the route's time has passed. */
+  private remainingMs(): number {
+    const { arrivedAt, waitMs = Infinity } = this.exchange.request;
+    return Math.min(waitMs, this.route.timeoutMs) - (this.options.timer.now() - arrivedAt);
+  }
+}
+
--- /dev/null
+++ b/packages/ledger-execution/src/item-run.ts
@@ -0,0 +1,160 @@
+import { createParser, type EventSourceParser } from 'eventsource-parser';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { ItemProgress, Job, JobItem } from '@jujubelanding/batch-ledger';
+import type { AnswerReceiver, ForwardingBackends, WorkerAnswer } from '@jujubelanding/platform';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import type { Worker } from '@jujubelanding/types';
+
+/** A worker that sends no event for this long while it runs an item is taken to be lost. */
+const STALL_MS = 2000;
+
+/** Longest wait for the first event; a full worker queues requests before they run. */
+const FIRST_EVENT_MS = 5000;
+
+const SUCCESS = 200;
+const IMPOSSIBLE = 422;
+const FIRST_CLIENT_ERROR = 400;
+
+export enum RunOutcome {
+  Completed = 'completed',
+  /** The item can never be done. */
+  Impossible = 'impossible',
+  /** The worker ran the item and failed. */
+  Failed = 'failed',
+  /** The worker did not run the item. */
+  Refused = 'refused',
+  /** The worker was lost or its answer broke off; what arrived is kept. */
+  Interrupted = 'interrupted',
+  /** Cancelled by this VM; what arrived is kept. */
+  Cancelled = 'cancelled',
+}
+
+export interface RunResult {
+  outcome: RunOutcome;
+  fault?: Fault | undefined;
+  firstEventMs?: number | undefined;
+}
+
+export interface ItemRunOptions {
+  timer: Timer;
+  backends: ForwardingBackends;
+  worker: Worker;
+  job: Job;
+  item: JobItem;
+  /** Extended as events arrive. */
+  progress: ItemProgress;
+  remainingMs: number;
+}
+
+/** One run of an item at a worker; continues after the events that are known. */
+export class ItemRun implements AnswerReceiver {
+  readonly startedAt: number;
+
+  private readonly abort = new AbortController();
+
+  private readonly parser: EventSourceParser;
+
+  private status: number | undefined;
+
+  private isCancelled = false;
+
+  private problem: string | undefined;
+
+  private stall: Subscription | undefined;
+
+  private firstEventAt: number | undefined;
+
+  constructor(private readonly options: ItemRunOptions) {
+    this.startedAt = options.timer.now();
+    this.parser = createParser({ onEvent: ({ id, data }) => this.addEvent(id, data) });
+  }
+
+  get worker(): Worker {
+    return this.options.worker;
+  }
+
+  async run(): Promise<RunResult> {
+    const { backends, worker, job, item, progress, remainingMs } = this.options;
+    this.watch(FIRST_EVENT_MS);
+    const reply = await backends.forward(
+      worker,
+      {
+        requestId: item.id,
+        method: 'POST',
+        target: item.target,
+        host: job.host,
+        headers: item.headers,
+        body: Buffer.from(item.body, 'base64'),
+        remainingMs,
+        resumeAfter: progress.lastEventId,
+      },
+      this,
+      this.abort.signal,
+    );
+    this.stall?.cancel();
+    const firstEventMs =
+      this.firstEventAt === undefined ? undefined : this.firstEventAt - this.startedAt;
+    const fault = reply.isErr() ? reply.error : this.createFault();
+    return { outcome: this.judge(fault), fault, firstEventMs };
+  }
+
+  /** Closes the connection, which ends the run at the worker. */
+  cancel(): void {
+    this.isCancelled = true;
+    this.abort.abort();
+  }
+
+  readonly onStart = ({ status }: WorkerAnswer): void => {
+    this.status = status;
+  };
+
+  readonly onChunk = (chunk: Buffer): boolean => {
+    if (this.status !== SUCCESS) return true;
+    this.parser.feed(chunk.toString('utf8'));
+    return this.problem === undefined;
+  };
+
+  private addEvent(id: string | undefined, data: string): void {
+    const { progress, timer } = this.options;
+    const last = progress.lastEventId;
+    if (id !== undefined && last !== undefined && Number(id) !== Number(last) + 1) {
+      this.problem = `event ${id} follows event ${last}`;
+      return;
+    }
+    this.firstEventAt ??= timer.now();
+    progress.events.push(data);
+    progress.lastEventId = id ?? last;
+    this.watch(STALL_MS);
+  }
+
+  private watch(delayMs: number): void {
+    this.stall?.cancel();
+    this.stall = this.options.timer.after(delayMs, () => {
+      this.problem = `no event within ${delayMs} ms`;
+      this.abort.abort();
+    });
+  }
+
+  private createFault(): Fault | undefined {
+    if (this.problem === undefined) return undefined;
+    const { worker } = this.options;
+    return {
+      code: FaultCode.InvalidStream,
+      outcome: Outcome.OutcomeUnknown,
+      step: 'run-item',
+      peer: worker.id,
+      message: this.problem,
+    };
+  }
+
+  private judge(fault: Fault | undefined): RunOutcome {
+    const { status } = this;
+    if (fault !== undefined) {
+      if (this.isCancelled) return RunOutcome.Cancelled;
+      return fault.outcome === Outcome.NotRun ? RunOutcome.Refused : RunOutcome.Interrupted;
+    }
+    if (status === SUCCESS) return RunOutcome.Completed;
+    if (status === IMPOSSIBLE) return RunOutcome.Impossible;
+    return (status ?? 0) >= FIRST_CLIENT_ERROR ? RunOutcome.Failed : RunOutcome.Interrupted;
+  }
+}
--- /dev/null
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -0,0 +1,68 @@
+import type { ItemProgress, JobProgress, KnownJob } from '@jujubelanding/batch-ledger';
+import type { ItemRun } from './item-run.js';
+import type { ResultQueue } from './result-queue.js';
+
+/** An unfinished item of an owned job. */
+export interface OwnedItem {
+  index: number;
+  progress: ItemProgress;
+  run?: ItemRun | undefined;
+  /** Monotonic time before which the item is not started. */
+  notBefore: number;
+}
+
+const createProgress = (): ItemProgress => ({ events: [], failures: 0 });
+
+/** Work on one job while this VM owns it. */
+export class OwnedJob {
+  readonly items = new Map<number, OwnedItem>();
+
+  constructor(
+    readonly jobId: string,
+    /** Epoch milliseconds at which all results are due. */
+    readonly dueAt: number,
+    readonly results: ResultQueue,
+    known: KnownJob,
+    progress: JobProgress,
+  ) {
+    known.job.items.forEach((_item, index) => {
+      const left = progress[index];
+      this.items.set(index, { index, progress: left ?? createProgress(), notBefore: 0 });
+    });
+    this.update(known);
+  }
+
+  /** Drops items that are listed. */
+  update({ ledger }: KnownJob): void {
+    for (const [index] of ledger.results) {
+      this.items.get(index)?.run?.cancel();
+      this.items.delete(index);
+    }
+  }
+
+  /** Items that wait for a worker. */
+  listWaiting(now: number): OwnedItem[] {
+    return [...this.items.values()].filter(
+      ({ run, notBefore, index }) =>
+        run === undefined && notBefore <= now && !this.results.has(index),
+    );
+  }
+
+  listRunning(): (OwnedItem & { run: ItemRun })[] {
+    return [...this.items.values()].filter(
+      (item): item is OwnedItem & { run: ItemRun } => item.run !== undefined,
+    );
+  }
+
+  cancelRuns(): void {
+    this.listRunning().forEach(({ run }) => run.cancel());
+  }
+
+  /** What has arrived of unfinished items. */
+  collectProgress(): JobProgress {
+    const left = [...this.items.values()].filter(
+      ({ progress }) => progress.events.length > 0 || progress.failures > 0,
+    );
+    return Object.fromEntries(left.map(({ index, progress }) => [String(index), progress]));
+  }
+}
--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -38,3 +38,5 @@
 
 /** Selects the namespaces whose events are written, as in the DEBUG environment variable. */
 export const enableLogs = (selection: string): void => createDebug.enable(selection);
+
+export { openStreamLog, type StreamLog } from './stream-log.js';
--- /dev/null
+++ b/packages/log/src/stream-log.ts
@@ -0,0 +1,85 @@
+/** Lines to a file descriptor that never block the process and are bounded in number. */
+import { SonicBoom } from 'sonic-boom';
+import type { Timer } from '@jujubelanding/timer';
+import { formatLine, type Log, type Value } from './index.js';
+
+/** Lines a second about ordinary requests; one entry VM of today serves about ten requests a second. */
+const ORDINARY_LINES_PER_SECOND = 60;
+
+/** Lines a second about everything else. */
+const NOTABLE_LINES_PER_SECOND = 300;
+
+/** Text that waits for a slow reader; more is left out. */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
+
+/** Writes are collected up to this size or this time. */
+const WRITE_BYTES = 8192;
+const WRITE_INTERVAL_MS = 250;
+
+const SECOND_MS = 1000;
+
+/** Outcomes that need no explanation afterwards. */
+const ORDINARY_OUTCOMES: ReadonlySet<Value> = new Set(['answered', 'completed']);
+
+/** Events that follow from every request. */
+const ORDINARY_EVENTS = new Set(['route']);
+
+const isOrdinary = (event: string, fields: Record<string, Value>): boolean =>
+  ORDINARY_EVENTS.has(event) || ORDINARY_OUTCOMES.has(fields.outcome);
+
+export interface StreamLog {
+  createLog: (part: string) => Log;
+  /** Writes what is buffered; call before the process ends. */
+  flush(): void;
+}
+
+export const openStreamLog = (timer: Timer, fd: number, context: Record<string, Value>): StreamLog => {
+  const destination = new SonicBoom({
+    fd,
+    sync: false,
+    minLength: WRITE_BYTES,
+    periodicFlush: WRITE_INTERVAL_MS,
+    maxLength: MAX_BUFFERED_BYTES,
+  });
+  let leftOut = 0;
+  let ordinary = 0;
+  let notable = 0;
+  const writeLine = (event: string, fields: Record<string, Value>): void => {
+    const time = new Date(timer.wallClock()).toISOString();
+    destination.write(`time=${time} ${formatLine(event, { ...context, ...fields })}\n`);
+  };
+  destination.on('drop', () => {
+    leftOut += 1;
+  });
+  // Nothing can be reported when the output itself is gone.
+  destination.on('error', () => {});
+  timer.every(SECOND_MS, () => {
+    if (leftOut > 0) writeLine('lines-left-out', { count: leftOut });
+    leftOut = 0;
+    ordinary = 0;
+    notable = 0;
+  });
+  const admit = (event: string, fields: Record<string, Value>): boolean => {
+    if (!isOrdinary(event, fields)) {
+      notable += 1;
+      return notable <= NOTABLE_LINES_PER_SECOND;
+    }
+    ordinary += 1;
+    return ordinary <= ORDINARY_LINES_PER_SECOND;
+  };
+  return {
+    createLog: (part) => ({
+      write: (event, fields = {}) => {
+        if (admit(event, fields)) writeLine(event, { part, ...fields });
+        else leftOut += 1;
+      },
+    }),
+    flush: () => {
+      try {
+        destination.flushSync();
+      } catch {
+        // The output is gone or its reader is stuck; the process ends without the last lines.
+      }
+    },
+  };
+};
--- a/packages/platform-clients/src/exchange.ts
+++ b/packages/platform-clients/src/exchange.ts
@@ -28,11 +28,23 @@
   timeoutMs: number;
   timeoutKind?: TimeoutKind;
   signal?: AbortSignal;
+  /** True while no more of the body may arrive, because its reader is slower than the server. */
+  isPaused?: () => boolean;
   /**
    * Receives the body of an answer with status 200 piece by piece; others are read whole. Returning
    * false ends the exchange.
    */
   onChunk?: (chunk: Buffer) => boolean;
+  /**
+   * Receives status and headers before the body. Where it returns true, the body goes to `onChunk`,
+   * whatever the status; else it is read whole.
+   */
+  onStart?: (start: AnswerStart) => boolean;
+}
+
+export interface AnswerStart extends Omit<Answer, 'body'> {
+  /** Continues the body after {@link ExchangeRequest.isPaused} stopped it. */
+  resume: () => void;
 }
 
 export interface Answer {
@@ -54,6 +66,8 @@
 
   private chunks: Buffer[] = [];
 
+  private isForwarded = false;
+
   private size = 0;
 
   private lastActivity: number;
@@ -81,12 +95,14 @@
     else this.sent = true;
   }
 
-  onHeaders(status: number, headers: Buffer[]): boolean {
+  onHeaders(status: number, headers: Buffer[], resume: () => void): boolean {
     this.lastActivity = this.timer.now();
     // Informational answers precede the final one.
     if (status >= HTTP_OK) {
       const parsed = util.parseHeaders(headers);
       this.answer = { status, headers: parsed, body: Buffer.alloc(0) };
+      const { onStart } = this.request;
+      this.isForwarded = onStart?.({ status, headers: parsed, resume }) ?? status === HTTP_OK;
     }
     return true;
   }
@@ -94,10 +110,10 @@
   onData(chunk: Buffer): boolean {
     if (this.settled) return true;
     this.lastActivity = this.timer.now();
-    if (this.request.onChunk !== undefined && this.answer?.status === HTTP_OK) {
+    if (this.request.onChunk !== undefined && this.isForwarded) {
       const wantsMore = this.request.onChunk(chunk);
       if (!wantsMore) this.giveUp(FaultCode.InvalidStream, 'the stream cannot be read');
-      return true;
+      return this.request.isPaused?.() !== true;
     }
     this.size += chunk.length;
     if (this.size > MAX_ANSWER_BYTES) this.giveUp(FaultCode.TooLarge, 'the answer is too large');
--- a/packages/platform-clients/src/index.ts
+++ b/packages/platform-clients/src/index.ts
@@ -15,5 +15,12 @@
 } from './backend-servers-client.js';
 export { CALL_METRIC, CallOutcome, measureKeyValueStore } from './measured-store.js';
 export { ConnectionPools, type ConnectionLimits } from './connection-pools.js';
-export { exchange, TimeoutKind, type Answer, type ExchangeRequest } from './exchange.js';
-export { expectSuccess, OUTCOME_HEADER, toFault } from './answers.js';
+export {
+  exchange,
+  TimeoutKind,
+  type Answer,
+  type AnswerStart,
+  type ExchangeRequest,
+} from './exchange.js';
+export { HttpPeer, type CallRequest } from './http-peer.js';
+export { expectSuccess, OUTCOME_HEADER, parseAnswer, toFault } from './answers.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,3 +3,5 @@
 export * from './fleet-platform.js';
 export * from './backend-servers.js';
 export * from './prefix-hash.js';
+export * from './transactional-store.js';
+export * from './forwarding-backends.js';
--- a/packages/platform/src/key-value-store.ts
+++ b/packages/platform/src/key-value-store.ts
@@ -12,6 +12,8 @@
   entries: KeyValueEntry[];
   /** Store revision at which the list was read. */
   revision: number;
+  /** True when more entries follow after the last key; absent where the store has no pages. */
+  hasMore?: boolean;
 }
 
 export interface Write {
--- /dev/null
+++ b/packages/route-table/src/index.ts
@@ -0,0 +1,3 @@
+/** Routes by host and path prefix. */
+export * from './route.js';
+export { RouteTable } from './route-table.js';
--- /dev/null
+++ b/packages/route-table/src/route-table.ts
@@ -0,0 +1,52 @@
+import type { Route, RoutingConfiguration, Service } from './route.js';
+
+/** Finds routes in one version of the configuration. */
+export class RouteTable {
+  /** Routes of each host by prefix. */
+  private readonly hosts = new Map<string, Map<string, Route>>();
+
+  private readonly services: Map<string, Service>;
+
+  constructor(readonly configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = this.hosts.get(host) ?? new Map<string, Route>();
+      prefixes.set(route.prefix, route);
+      this.hosts.set(host, prefixes);
+    }
+    this.services = new Map(configuration.services.map((service) => [service.name, service]));
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  /** Returns the route with the longest prefix of the path. */
+  match(host: string, target: string): Route | undefined {
+    const prefixes = this.hosts.get(host.toLowerCase().replace(/:\d+$/, ''));
+    if (prefixes === undefined) return undefined;
+    const path = target.split('?', 1)[0]!;
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+
+  findService(name: string): Service | undefined {
+    return this.services.get(name);
+  }
+
+  /** Chooses a target by weight; the draw is a number in [0, 1). */
+  static chooseService(route: Route, draw: number): string | undefined {
+    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+    let rest = draw * total;
+    for (const { service, weight } of route.targets) {
+      rest -= weight;
+      if (rest < 0) return service;
+    }
+    return route.targets.at(-1)?.service;
+  }
+}
--- /dev/null
+++ b/packages/store-follower/src/store-follower.ts
@@ -0,0 +1,177 @@
+import { Outcome, type Fault } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import {
+  ChangeKind,
+  type Change,
+  type KeyValueEntry,
+  type TransactionalStore,
+} from '@jujubelanding/platform';
+import type { Timer } from '@jujubelanding/timer';
+
+/** First pause after a failed call; doubles up to the longest one. */
+const FIRST_RETRY_MS = 100;
+
+const LONGEST_RETRY_MS = 800;
+
+/** Pause after the store refused a call because of its rate. */
+const REFUSED_RETRY_MS = 300;
+
+export interface FollowedChange {
+  kind: ChangeKind;
+  /** The entry as written; a deleted one has an empty value. */
+  entry: KeyValueEntry;
+}
+
+export interface StoreFollowerOptions {
+  store: Pick<TransactionalStore, 'list' | 'watch'>;
+  timer: Timer;
+  log: Log;
+  prefix: string;
+  /** Time for which a watch waits for changes. */
+  watchMs: number;
+  /** Pause after a watch with changes, so that frequent changes share a call. */
+  pauseMs: number;
+  /** Called with the changes of one answer, oldest first. */
+  onChanges: (changes: FollowedChange[]) => void;
+  /** Called when contact with the store is lost or regained. */
+  onContact?: (isReachable: boolean) => void;
+}
+
+/**
+ * Lists a prefix and watches it from there. A history that is no longer available leads to a new list,
+ * whose differences are reported as changes. Entries never go back to an older revision.
+ */
+export class StoreFollower {
+  readonly entries = new Map<string, KeyValueEntry>();
+
+  /** True once the whole prefix has been read. */
+  isLoaded = false;
+
+  private revision = 0;
+
+  private isReachable = true;
+
+  private isStopped = false;
+
+  /** Time of the last answer, on the monotonic clock. */
+  private answeredAt = -Infinity;
+
+  private failures = 0;
+
+  /** Revisions of deletions since the last list, against events that arrive late. */
+  private readonly deletions = new Map<string, number>();
+
+  constructor(private readonly options: StoreFollowerOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Milliseconds since the store last answered. */
+  ageMs(): number {
+    return this.options.timer.now() - this.answeredAt;
+  }
+
+  /** Applies a change that this process made itself, ahead of the watch. */
+  apply(changes: readonly Change[]): void {
+    const news = changes.filter((change) => this.accept(change));
+    if (news.length > 0) this.options.onChanges(news);
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      const delayMs = this.isLoaded ? await this.watch() : await this.list();
+      if (delayMs > 0) await this.options.timer.sleep(delayMs);
+    }
+  }
+
+  /** Returns the pause before the next call. */
+  private async list(): Promise<number> {
+    const { store, prefix } = this.options;
+    const listed: KeyValueEntry[] = [];
+    let firstRevision: number | undefined;
+    let afterKey: string | undefined;
+    for (;;) {
+      const page = await store.list(prefix, undefined, afterKey);
+      if (page.isErr()) return this.fail(page.error);
+      firstRevision ??= page.value.revision;
+      listed.push(...page.value.entries);
+      afterKey = page.value.entries.at(-1)?.key;
+      if (page.value.hasMore !== true || afterKey === undefined) break;
+    }
+    this.succeed();
+    this.replace(listed, firstRevision);
+    return 0;
+  }
+
+  /** Pages are not a snapshot: a watch from the first page's revision completes them. */
+  private replace(listed: readonly KeyValueEntry[], revision: number): void {
+    const keys = new Set(listed.map(({ key }) => key));
+    const removed = [...this.entries.values()]
+      .filter(({ key, modRevision }) => !keys.has(key) && modRevision <= revision)
+      .map(({ key }) => ({
+        kind: ChangeKind.Delete,
+        entry: { key, value: '', modRevision: revision },
+      }));
+    const puts = listed.map((entry) => ({ kind: ChangeKind.Put, entry }));
+    this.revision = Math.max(this.revision, revision);
+    const news = [...removed, ...puts].filter((change) => this.accept(change));
+    this.deletions.clear();
+    this.isLoaded = true;
+    this.options.onChanges(news);
+  }
+
+  private async watch(): Promise<number> {
+    const { store, prefix, watchMs, pauseMs, log } = this.options;
+    const answer = await store.watch(prefix, this.revision, watchMs);
+    if (this.isStopped) return 0;
+    if (answer.isErr()) return this.fail(answer.error);
+    this.succeed();
+    if (answer.value.compacted) {
+      log.write('history-gone', { prefix, revision: this.revision });
+      this.isLoaded = false;
+      return 0;
+    }
+    this.revision = Math.max(this.revision, answer.value.revision);
+    const news = answer.value.changes.filter((change) => this.accept(change));
+    if (news.length > 0) this.options.onChanges(news);
+    return answer.value.changes.length > 0 ? pauseMs : 0;
+  }
+
+  private accept({ kind, entry }: Change): boolean {
+    const known = this.entries.get(entry.key)?.modRevision ?? this.deletions.get(entry.key) ?? 0;
+    if (entry.modRevision <= known) return false;
+    if (kind === ChangeKind.Put) {
+      this.entries.set(entry.key, entry);
+      this.deletions.delete(entry.key);
+      return true;
+    }
+    this.deletions.set(entry.key, entry.modRevision);
+    return this.entries.delete(entry.key);
+  }
+
+  private succeed(): void {
+    this.answeredAt = this.options.timer.now();
+    this.failures = 0;
+    if (this.isReachable) return;
+    this.isReachable = true;
+    this.options.log.write('store-regained', { prefix: this.options.prefix });
+    this.options.onContact?.(true);
+  }
+
+  private fail(fault: Fault): number {
+    this.failures += 1;
+    if (this.isReachable) {
+      this.isReachable = false;
+      const { code, message } = fault;
+      this.options.log.write('store-lost', { prefix: this.options.prefix, code, message });
+      this.options.onContact?.(false);
+    }
+    if (fault.outcome === Outcome.NotRun) return REFUSED_RETRY_MS;
+    return Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.failures - 1));
+  }
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,24 @@
+// Bundles programs, so that they start without a TypeScript loader, which would start a process of
+// its own.
+import { rm } from 'node:fs/promises';
+import { build } from 'esbuild';
+
+export const bundlePrograms = async (entryPoints, outdir) => {
+  await rm(outdir, { recursive: true, force: true });
+  await build({
+    entryPoints,
+    outdir,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    sourcemap: true,
+    logLevel: 'warning',
+    // hot-shots loads this optional native module only for Unix sockets.
+    external: ['unix-dgram', 'msgpackr-extract'],
+    banner: {
+      // CommonJS dependencies inside an ESM bundle call require().
+      js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
+    },
+  });
+};
--- a/scripts/check-manifests.mjs
+++ b/scripts/check-manifests.mjs
@@ -47,11 +47,12 @@
   );
 
 let differences = 0;
-for (const folder of await readdir('packages')) {
-  const file = path.join('packages', folder, 'package.json');
+const packages = (await readdir('packages')).map((folder) => path.join('packages', folder));
+for (const folder of [...packages, 'platform']) {
+  const file = path.join(folder, 'package.json');
   const manifest = JSON.parse(await readFile(file, 'utf8'));
-  const used = await findImports(path.join('packages', folder, 'src'), false);
-  const tested = await findImports(path.join('packages', folder, 'src'), true);
+  const used = await findImports(path.join(folder, 'src'), false);
+  const tested = await findImports(path.join(folder, 'src'), true);
   used.delete(manifest.name);
   tested.delete(manifest.name);
   used.forEach((name) => tested.delete(name));
