--- a/packages/batch-ledger/src/job-store.ts
+++ b/packages/batch-ledger/src/job-store.ts
@@ -233,7 +233,7 @@
       const { revision } = reply.value;
       const puts = transaction.writes.map((write) => ({
         kind: ChangeKind.Put,
-        entry: { ...write, modRevision: revision } as KeyValueEntry,
+        entry: { ...write, modRevision: revision },
       }));
       const removals = transaction.removals.map((key) => ({
         kind: ChangeKind.Delete,
--- a/packages/batch-ledger/src/job-table.ts
+++ b/packages/batch-ledger/src/job-table.ts
@@ -31,6 +31,27 @@
   ownerRevision: number;
 }
 
+/** Each returns false for a value that cannot be read. */
+const PUTS: Record<KeyKind, (row: Row, entry: KeyValueEntry) => boolean> = {
+  [KeyKind.Job]: (row, { value }) => {
+    const job = decodeJob(value);
+    if (job !== undefined) row.job = job;
+    return job !== undefined;
+  },
+  [KeyKind.Ledger]: (row, { value, modRevision }) => {
+    const ledger = decodeLedger(value);
+    if (ledger === undefined) return false;
+    row.ledger = ledger;
+    row.ledgerRevision = modRevision;
+    return true;
+  },
+  [KeyKind.Owner]: (row, { value, modRevision }) => {
+    row.owner = decodeOwnership(value);
+    row.ownerRevision = modRevision;
+    return row.owner !== undefined;
+  },
+};
+
 /** Jobs, ledgers and owners by job id; follows the store. */
 export class JobTable {
   private readonly rows = new Map<string, Row>();
@@ -91,24 +112,3 @@
     }
   }
 }
-
-/** Each returns false for a value that cannot be read. */
-const PUTS: Record<KeyKind, (row: Row, entry: KeyValueEntry) => boolean> = {
-  [KeyKind.Job]: (row, { value }) => {
-    const job = decodeJob(value);
-    if (job !== undefined) row.job = job;
-    return job !== undefined;
-  },
-  [KeyKind.Ledger]: (row, { value, modRevision }) => {
-    const ledger = decodeLedger(value);
-    if (ledger === undefined) return false;
-    row.ledger = ledger;
-    row.ledgerRevision = modRevision;
-    return true;
-  },
-  [KeyKind.Owner]: (row, { value, modRevision }) => {
-    row.owner = decodeOwnership(value);
-    row.ownerRevision = modRevision;
-    return row.owner !== undefined;
-  },
-};
--- /dev/null
+++ b/packages/deployed-vm/src/configuration-state.ts
@@ -0,0 +1,38 @@
+import type { Log } from '@jujubelanding/log';
+import { RouteTable, type RoutingConfiguration } from '@jujubelanding/route-table';
+import type { Result } from 'neverthrow';
+
+export interface ConfigurationStateOptions {
+  log: Log;
+  decode: (value: string) => Result<RoutingConfiguration, string>;
+  onChange: (table: RouteTable) => void;
+}
+
+/** The configuration in force; its version never goes back. */
+export class ConfigurationState {
+  private inForce: RouteTable | undefined;
+
+  constructor(private readonly options: ConfigurationStateOptions) {}
+
+  get table(): RouteTable | undefined {
+    return this.inForce;
+  }
+
+  apply(value: string): void {
+    const { log, decode, onChange } = this.options;
+    const decoded = decode(value);
+    if (decoded.isErr()) {
+      log.write('configuration-rejected', { message: decoded.error });
+      return;
+    }
+    const { version, routes } = decoded.value;
+    const former = this.inForce?.version;
+    if (former !== undefined && version <= former) {
+      log.write('configuration-ignored', { version, inForce: former });
+      return;
+    }
+    this.inForce = new RouteTable(decoded.value);
+    onChange(this.inForce);
+    log.write('configuration', { version, former, routes: routes.length });
+  }
+}
--- /dev/null
+++ b/packages/deployed-vm/src/options.ts
@@ -0,0 +1,52 @@
+import type { BatchRequests } from '@jujubelanding/gateway';
+import type { Log } from '@jujubelanding/log';
+import type { Metrics } from '@jujubelanding/metrics';
+import type { ForwardingBackends, TransactionalStore } from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import type { RouteTable, RoutingConfiguration } from '@jujubelanding/route-table';
+import type { Timer } from '@jujubelanding/timer';
+import type { RegisteredWorker } from '@jujubelanding/worker-registry';
+import type { Result } from 'neverthrow';
+import type { BatchCalls } from './batch-calls.js';
+import type { DeployedSettings } from './settings.js';
+
+/** Names of keys in the store. */
+export interface StoreKeys {
+  /** Written by the operator. */
+  operatorPrefix: string;
+  configuration: string;
+  retirementPrefix: string;
+  retirementStatusPrefix: string;
+  /** Written by workers. */
+  workerPrefix: string;
+  /** Written by this system and followed by all entry VMs. */
+  followedPrefix: string;
+  /** Written by this system and read on demand. */
+  demandPrefix: string;
+}
+
+/** Everything through which the VM touches the outside. */
+export interface DeployedIo {
+  timer: Timer;
+  random: Random;
+  store: TransactionalStore;
+  backends: ForwardingBackends;
+  metrics: Metrics;
+  createLog: (part: string) => Log;
+}
+
+/** How the platform writes what the VM reads and writes. */
+export interface PlatformFormats {
+  keys: StoreKeys;
+  decodeConfiguration: (value: string) => Result<RoutingConfiguration, string>;
+  decodeWorker: (id: string, value: string) => RegisteredWorker | undefined;
+  /** Tells the operator that a VM with a disk may be removed. */
+  retiredValue: string;
+}
+
+export interface DeployedVmOptions extends DeployedIo, PlatformFormats {
+  settings: DeployedSettings;
+  /** Creates the handler of submissions from the calls of batch jobs. */
+  createBatchRequests: (calls: BatchCalls) => BatchRequests;
+  onConfiguration: (table: RouteTable) => void;
+}
--- /dev/null
+++ b/packages/deployed-vm/src/parts.ts
@@ -0,0 +1,238 @@
+/** Creates the parts of an entry VM and connects them. */
+import {
+  JobStore,
+  JobTable,
+  KeySpace,
+  ResultReader,
+  type Ownership,
+} from '@jujubelanding/batch-ledger';
+import { EntryVmRegistry, LeaseKeeper } from '@jujubelanding/entry-vm-registry';
+import { FleetLoad, type LoadMessage } from '@jujubelanding/fleet-load';
+import { Gateway } from '@jujubelanding/gateway';
+import { JobExecution } from '@jujubelanding/ledger-execution';
+import { ChangeKind } from '@jujubelanding/platform';
+import { createLoadAwareChooser, DEFAULT_BOUNDS, Router } from '@jujubelanding/routing';
+import {
+  StoreFollower,
+  type FollowedChange,
+  type StoreFollowerOptions,
+} from '@jujubelanding/store-follower';
+import { WorkerRegistry } from '@jujubelanding/worker-registry';
+import { BatchCalls } from './batch-calls.js';
+import { ConfigurationState } from './configuration-state.js';
+import type { DeployedVmOptions } from './options.js';
+import { Retirement } from './retirement.js';
+
+/** Time for which a watch waits; a silent connection shows after it. */
+const WATCH_MS = 1100;
+
+/** Entries of workers change about once a second each; a call covers the changes of this time. */
+const WORKER_PAUSE_MS = 500;
+
+/** Changes of jobs within this time share a call. */
+const JOB_PAUSE_MS = 120;
+
+/** Slots of a worker whose entry is not known. */
+const DEFAULT_SLOTS = 8;
+
+/** Engines admit in order of arrival, so that a batch item takes a slot like any other request. */
+const CHOOSER_BOUNDS = { ...DEFAULT_BOUNDS, batchWeight: 1 };
+
+const createWorkers = ({ timer, createLog, keys, decodeWorker }: DeployedVmOptions) =>
+  new WorkerRegistry({
+    timer,
+    log: createLog('workers'),
+    prefix: keys.workerPrefix,
+    decode: decodeWorker,
+  });
+
+type SendMessage = (message: LoadMessage, addresses: readonly string[]) => void;
+
+/** Parts that know which entry VMs live and what they do. */
+const createFleet = (
+  { settings, timer, store, createLog, keys }: DeployedVmOptions,
+  self: Ownership,
+  workers: WorkerRegistry,
+  sendMessage: SendMessage,
+) => {
+  const fleet = {} as { loads: FleetLoad; lease: LeaseKeeper; registry: EntryVmRegistry };
+  fleet.loads = new FleetLoad({
+    timer,
+    ...self,
+    send: (message) => {
+      const addresses = fleet.registry.peers().map(({ peerAddress }) => peerAddress);
+      sendMessage(message, addresses);
+    },
+    slotsOf: (id) => workers.find(id)?.slots ?? DEFAULT_SLOTS,
+  });
+  fleet.lease = new LeaseKeeper({
+    store,
+    timer,
+    log: createLog('lease'),
+    onLease: () => {
+      void fleet.registry.register();
+    },
+  });
+  fleet.registry = new EntryVmRegistry({
+    store,
+    timer,
+    log: createLog('registry'),
+    lease: () => fleet.lease,
+    liveness: () => fleet.loads,
+    prefix: `${keys.followedPrefix}vm/`,
+    self: {
+      ...self,
+      availabilityZone: settings.availabilityZone,
+      callerAddress: settings.callerAddress ?? '',
+      peerAddress: settings.peerAddress,
+    },
+  });
+  return fleet;
+};
+
+type Fleet = ReturnType<typeof createFleet>;
+
+const createOperatorHandler =
+  (
+    { keys }: DeployedVmOptions,
+    configuration: ConfigurationState,
+    retirement: Retirement,
+  ): StoreFollowerOptions['onChanges'] =>
+  (changes) => {
+    for (const { kind, entry } of changes) {
+      if (kind === ChangeKind.Delete) continue;
+      if (entry.key === keys.configuration) configuration.apply(entry.value);
+      else if (entry.key.startsWith(keys.retirementPrefix)) {
+        retirement.request(entry.key.slice(keys.retirementPrefix.length));
+      }
+    }
+  };
+
+/** Parts that follow what the operator and the workers write. */
+const createFollowed = (
+  options: DeployedVmOptions,
+  workers: WorkerRegistry,
+  fleet: Fleet,
+  applyOwn: (changes: FollowedChange[]) => void,
+) => {
+  const { settings, timer, store, createLog, keys } = options;
+  const configuration = new ConfigurationState({
+    log: createLog('configuration'),
+    decode: options.decodeConfiguration,
+    onChange: options.onConfiguration,
+  });
+  const retirement = new Retirement({
+    store,
+    timer,
+    log: createLog('retirement'),
+    self: settings.entryVmId,
+    listServing: () => fleet.loads.listServing(),
+    statusKey: (vmId) => `${keys.retirementStatusPrefix}${vmId}`,
+    completedValue: options.retiredValue,
+  });
+  const follow = (
+    changed: Partial<StoreFollowerOptions> & Pick<StoreFollowerOptions, 'prefix' | 'onChanges'>,
+  ) =>
+    new StoreFollower({
+      store,
+      timer,
+      log: createLog('store'),
+      watchMs: WATCH_MS,
+      pauseMs: 0,
+      ...changed,
+    });
+  return {
+    configuration,
+    operatorFollower: follow({
+      prefix: keys.operatorPrefix,
+      onChanges: createOperatorHandler(options, configuration, retirement),
+    }),
+    workerFollower: follow({
+      prefix: keys.workerPrefix,
+      pauseMs: WORKER_PAUSE_MS,
+      onChanges: (changes) => workers.apply(changes),
+      onContact: (isReachable) => workers.setReachable(isReachable),
+    }),
+    jobFollower: follow({
+      prefix: keys.followedPrefix,
+      pauseMs: JOB_PAUSE_MS,
+      onChanges: applyOwn,
+    }),
+  };
+};
+
+/** Parts that keep batch jobs. */
+const createJobs = (
+  { timer, store, createLog, keys }: DeployedVmOptions,
+  self: Ownership,
+  fleet: Fleet,
+  readFollower: () => StoreFollower | undefined,
+) => {
+  const keySpace = new KeySpace(keys.followedPrefix, keys.demandPrefix);
+  const log = createLog('jobs');
+  const table = new JobTable(keySpace, log);
+  const jobs = new JobStore({
+    store,
+    timer,
+    log,
+    keys: keySpace,
+    table,
+    applyOwn: (changes) => readFollower()?.apply(changes),
+    self,
+    leaseId: () => fleet.lease.current,
+    onLeaseEnded: (leaseId) => fleet.lease.replace(leaseId),
+  });
+  const tableAgeMs = (): number => readFollower()?.ageMs() ?? Infinity;
+  const reader = new ResultReader({ store, timer, keys: keySpace, table, jobs, tableAgeMs });
+  return { table, jobs, reader };
+};
+
+/** Creates all parts; nothing starts yet. */
+export const createParts = (options: DeployedVmOptions, sendMessage: SendMessage) => {
+  const { settings, timer, random, createLog, metrics, backends, keys } = options;
+  const { entryVmId, availabilityZone, acknowledgeMs } = settings;
+  const self = { entryVmId, bootId: random.createId() };
+  const workers = createWorkers(options);
+  const fleet = createFleet(options, self, workers, sendMessage);
+  const { loads } = fleet;
+  const vmPrefix = `${keys.followedPrefix}vm/`;
+  const followers: { jobs?: StoreFollower } = {};
+  const batch = createJobs(options, self, fleet, () => followers.jobs);
+  const followed = createFollowed(options, workers, fleet, (changes) => {
+    const isVm = ({ entry }: FollowedChange): boolean => entry.key.startsWith(vmPrefix);
+    changes.filter(isVm).forEach((change) => fleet.registry.apply(change));
+    batch.table.apply(changes);
+  });
+  followers.jobs = followed.jobFollower;
+  const readTable = () => followed.configuration.table;
+  const io = { timer, random, createLog, metrics };
+  const router = new Router({
+    io,
+    availabilityZone,
+    directory: workers,
+    loads,
+    chooser: createLoadAwareChooser(CHOOSER_BOUNDS),
+  });
+  const execution = new JobExecution({
+    ...io,
+    ...batch,
+    log: createLog('execution'),
+    loads,
+    directory: workers,
+    backends,
+    readTable,
+    self,
+    availabilityZone,
+  });
+  const batchCalls = new BatchCalls({ ...io, ...batch, log: createLog('batch'), acknowledgeMs });
+  const gateway = new Gateway({
+    ...io,
+    router,
+    loads,
+    backends,
+    log: createLog('gateway'),
+    readTable,
+    batch: options.createBatchRequests(batchCalls),
+  });
+  return { ...fleet, ...followed, workers, router, execution, batchCalls, gateway };
+};
--- a/packages/deployed-vm/src/retirement.ts
+++ b/packages/deployed-vm/src/retirement.ts
@@ -28,7 +28,9 @@
   request(vmId: string): void {
     const { timer, self, listServing } = this.options;
     const rank = rankNodes(vmId, [self, ...listServing()]).indexOf(self);
-    timer.after(rank * RANK_DELAY_MS, () => void this.report(vmId));
+    timer.after(rank * RANK_DELAY_MS, () => {
+      void this.report(vmId);
+    });
   }
 
   private async report(vmId: string): Promise<void> {
@@ -41,6 +43,10 @@
     });
     const status = reply.isOk() ? reply.value.status : reply.error.code;
     log.write('retirement-reported', { vm: vmId, status });
-    if (reply.isErr()) timer.after(RANK_DELAY_MS, () => void this.report(vmId));
+    if (reply.isErr()) {
+ timer.after(RANK_DELAY_MS, () => {
+        void this.report(vmId);
+      });
+}
   }
 }
--- a/packages/entry-vm-registry/src/entry-vm-registry.ts
+++ b/packages/entry-vm-registry/src/entry-vm-registry.ts
@@ -60,7 +60,9 @@
     if (committed.isOk() && committed.value.status === CommitStatus.LeaseEnded) {
       this.options.lease().replace(leaseId);
     } else if (committed.isErr()) {
-      this.options.timer.after(REPEAT_MS, () => void this.register());
+      this.options.timer.after(REPEAT_MS, () => {
+        void this.register();
+      });
     }
   }
 
--- a/packages/entry-vm-registry/src/lease-keeper.ts
+++ b/packages/entry-vm-registry/src/lease-keeper.ts
@@ -62,7 +62,9 @@
     const granted = await this.options.store.grantLease(LEASE_MS);
     if (this.isStopped) return;
     if (granted.isErr()) {
-      this.pending = this.options.timer.after(RETRY_MS, () => void this.grant());
+      this.pending = this.options.timer.after(RETRY_MS, () => {
+        void this.grant();
+      });
       return;
     }
     const { leaseId, ttlMs } = granted.value;
@@ -74,7 +76,9 @@
 
   private schedule(): void {
     this.pending?.cancel();
-    this.pending = this.options.timer.after(RENEWAL_INTERVAL_MS, () => void this.renew());
+    this.pending = this.options.timer.after(RENEWAL_INTERVAL_MS, () => {
+      void this.renew();
+    });
   }
 
   private async renew(): Promise<void> {
--- a/packages/gateway/src/event-framer.ts
+++ b/packages/gateway/src/event-framer.ts
@@ -1,6 +1,7 @@
 /** Splits a stream of bytes into whole events. */
 
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 
 /** Longest event; a longer one is no event of a worker. */
 const MAX_EVENT_BYTES = 1024 * 1024;
@@ -14,6 +15,17 @@
   bytes: Buffer;
 }
 
+/** Returns the index after the empty line that ends an event, or -1. */
+const findEnd = (bytes: Buffer, start: number): number => {
+  let index = bytes.indexOf(LINE_FEED, start);
+  while (index >= 0) {
+    if (bytes[index + 1] === LINE_FEED) return index + 2;
+    if (bytes[index + 1] === CARRIAGE_RETURN && bytes[index + 2] === LINE_FEED) return index + 3;
+    index = bytes.indexOf(LINE_FEED, index + 1);
+  }
+  return -1;
+};
+
 export class EventFramer {
   private rest: Buffer = Buffer.alloc(0);
 
@@ -37,15 +49,3 @@
     return this.rest.length > MAX_EVENT_BYTES ? undefined : events;
   }
 }
-
-/** Returns the index after the empty line that ends an event, or -1. */
-function findEnd(bytes: Buffer, start: number): number {
-  let index = bytes.indexOf(LINE_FEED, start);
-  while (index >= 0) {
-    const next = bytes[index + 1];
-    if (next === LINE_FEED) return index + 2;
-    if (next === 0x0d && bytes[index + 2] === LINE_FEED) return index + 3;
-    index = bytes.indexOf(LINE_FEED, index + 1);
-  }
-  return -1;
-}
--- a/packages/gateway/src/online-forward.ts
+++ b/packages/gateway/src/online-forward.ts
@@ -211,4 +211,3 @@
     return Math.min(waitMs, this.route.timeoutMs) - (this.options.timer.now() - arrivedAt);
   }
 }
-
--- a/packages/ledger-execution/src/job-execution.ts
+++ b/packages/ledger-execution/src/job-execution.ts
@@ -234,10 +234,10 @@
       .filter(({ id }) => (this.avoided.get(id) ?? 0) <= now)
       .map((worker) => ({ worker, free: countFreeForBatch(loads.get(worker.id)) }))
       .filter((entry) => entry.free > 0);
-    const isLocal = (worker: Worker): number => Number(worker.availabilityZone === availabilityZone);
-    return free.toSorted(
-      (a, b) => b.free - a.free || isLocal(b.worker) - isLocal(a.worker),
-    )[0]?.worker;
+    const isLocal = (worker: Worker): number =>
+      Number(worker.availabilityZone === availabilityZone);
+    return free.toSorted((a, b) => b.free - a.free || isLocal(b.worker) - isLocal(a.worker))[0]
+      ?.worker;
   }
 
   private async run({ owned, known, item }: Candidate, worker: Worker): Promise<void> {
--- /dev/null
+++ b/packages/log/src/log.ts
@@ -0,0 +1,40 @@
+/** One line of key=value pairs for each event, written through debug. */
+import createDebug from 'debug';
+
+export type Value = string | number | boolean | undefined | readonly (string | number)[];
+
+/** Writes events of one part of the system. */
+export interface Log {
+  write(event: string, fields?: Record<string, Value>): void;
+}
+
+const NEEDS_QUOTES = /[\s"=]/;
+
+const formatValue = (value: Exclude<Value, undefined>): string => {
+  const text = Array.isArray(value) ? value.join(',') : String(value);
+  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
+};
+
+/** Formats an event as one line; undefined fields are left out. */
+export const formatLine = (event: string, fields: Record<string, Value> = {}): string => {
+  const pairs = Object.entries(fields)
+    .filter((pair): pair is [string, Exclude<Value, undefined>] => pair[1] !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value)}`);
+  return [`event=${event}`, ...pairs].join(' ');
+};
+
+/** Creates the log of a part; the namespace is selected with the DEBUG environment variable. */
+export const createLog = (part: string): Log => {
+  const debug = createDebug(`jujubelanding:${part}`);
+  return {
+    write: (event, fields) => {
+      if (debug.enabled) debug('%s', formatLine(event, { part, ...fields }));
+    },
+  };
+};
+
+/** A log that discards everything. */
+export const silentLog: Log = { write: () => {} };
+
+/** Selects the namespaces whose events are written, as in the DEBUG environment variable. */
+export const enableLogs = (selection: string): void => createDebug.enable(selection);
--- a/packages/log/src/stream-log.ts
+++ b/packages/log/src/stream-log.ts
@@ -1,7 +1,7 @@
 /** Lines to a file descriptor that never block the process and are bounded in number. */
 import { SonicBoom } from 'sonic-boom';
 import type { Timer } from '@jujubelanding/timer';
-import { formatLine, type Log, type Value } from './index.js';
+import { formatLine, type Log, type Value } from './log.js';
 
 /** Lines a second about ordinary requests; one entry VM of today serves about ten requests a second. */
 const ORDINARY_LINES_PER_SECOND = 60;
@@ -33,7 +33,11 @@
   flush(): void;
 }
 
-export const openStreamLog = (timer: Timer, fd: number, context: Record<string, Value>): StreamLog => {
+export const openStreamLog = (
+  timer: Timer,
+  fd: number,
+  context: Record<string, Value>,
+): StreamLog => {
   const destination = new SonicBoom({
     fd,
     sync: false,
