--- /dev/null
+++ b/packages/fleet-load/src/fleet-load.test.ts
@@ -0,0 +1,70 @@
+import test from 'ava';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { FleetLoad, type LoadMessage } from './index.js';
+
+const setUp = (names: readonly string[]) => {
+  const timer = new VirtualTimer();
+  const sent: LoadMessage[] = [];
+  const fleet = new Map<string, FleetLoad>();
+  for (const entryVmId of names) {
+    fleet.set(
+      entryVmId,
+      new FleetLoad({
+        timer,
+        entryVmId,
+        bootId: `boot-${entryVmId}`,
+        send: (message) => {
+          sent.push(message);
+          timer.after(1, () =>
+            fleet.forEach((other, id) => {
+              if (id !== entryVmId) other.receive(message);
+            }),
+          );
+        },
+        slotsOf: () => 8,
+      }),
+    );
+  }
+  return { timer, sent, fleet, get: (name: string): FleetLoad => fleet.get(name)! };
+};
+
+test('each VM counts the work of all, so that a burst is not sent to one worker by every VM', async (t) => {
+  const { timer, get } = setUp(['a', 'b', 'c']);
+  get('a').begin('w');
+  get('b').begin('w');
+  get('c').beginBatch('w');
+  await timer.advance(200);
+  t.like(get('a').get('w'), { online: 2, batch: 1, slots: 8 });
+  get('b').end('w');
+  await timer.advance(200);
+  t.like(get('c').get('w'), { online: 1, batch: 1 });
+});
+
+test('many changes within a short time share a message', async (t) => {
+  const { timer, get, sent } = setUp(['a', 'b']);
+  for (let index = 0; index < 100; index += 1) {
+    get('a').begin('w');
+    await timer.advance(5);
+  }
+  t.true(sent.length <= 7, `${sent.length} messages in 500 ms`);
+});
+
+test('an online request on a worker full of batch items is told at once', async (t) => {
+  const { timer, get } = setUp(['a', 'b']);
+  for (let index = 0; index < 7; index += 1) get('b').beginBatch('w');
+  await timer.advance(300);
+  get('a').begin('w');
+  await timer.advance(20);
+  t.is(get('b').get('w').online, 1);
+});
+
+test('the counts of a silent VM are dropped, and an older message changes nothing', async (t) => {
+  const { timer, get, sent } = setUp(['a', 'b']);
+  get('a').begin('w');
+  await timer.advance(200);
+  t.is(get('b').get('w').online, 1);
+  await timer.advance(2000);
+  t.is(get('b').get('w').online, 0);
+  get('b').receive(sent[0]!);
+  t.is(get('b').get('w').online, 0);
+});
--- /dev/null
+++ b/packages/gateway/src/attempt-policy.test.ts
@@ -0,0 +1,55 @@
+import test from 'ava';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import { RouteKind } from '@jujubelanding/route-table';
+import { decideNext, NextStep, type AttemptState } from './attempt-policy.js';
+
+const createFault = (outcome: Outcome): Fault => ({
+  code: FaultCode.Interrupted,
+  outcome,
+  step: 'forward',
+  message: 'broken',
+});
+
+const base: AttemptState = {
+  fault: createFault(Outcome.OutcomeUnknown),
+  status: undefined,
+  kind: RouteKind.Idempotent,
+  isResumable: false,
+  hasStarted: false,
+  canResume: false,
+  isAborted: false,
+  runs: 1,
+  sends: 1,
+  maxRuns: 2,
+  remainingMs: 1000,
+};
+
+const mayRepeat = (change: Partial<AttemptState>): boolean =>
+  decideNext({ ...base, ...change }) === NextStep.TryAnother;
+
+test('a request that may have run is sent again only where it may run twice', (t) => {
+  t.true(mayRepeat({}));
+  t.false(mayRepeat({ kind: RouteKind.NonIdempotent }));
+  t.false(mayRepeat({ kind: RouteKind.Streaming }));
+  t.true(mayRepeat({ kind: RouteKind.Streaming, isResumable: true }));
+  t.false(mayRepeat({ kind: RouteKind.Streaming, isResumable: true, hasStarted: true }));
+  t.true(
+    mayRepeat({ kind: RouteKind.Streaming, isResumable: true, hasStarted: true, canResume: true }),
+  );
+});
+
+test('a request that did not run goes to another worker, whatever its kind', (t) => {
+  const fault = createFault(Outcome.NotRun);
+  t.true(mayRepeat({ fault, kind: RouteKind.NonIdempotent, runs: 0 }));
+  t.true(mayRepeat({ fault, kind: RouteKind.Streaming, runs: 0 }));
+});
+
+test('attempts end at the bound of the route, after too many sends, without time or caller', (t) => {
+  t.false(mayRepeat({ runs: 2 }));
+  t.false(mayRepeat({ sends: 5 }));
+  t.false(mayRepeat({ remainingMs: 5 }));
+  t.false(mayRepeat({ isAborted: true }));
+  t.false(mayRepeat({ fault: undefined, status: 200 }));
+  t.true(mayRepeat({ fault: undefined, status: 500 }));
+  t.false(mayRepeat({ fault: undefined, status: 404 }));
+});
--- /dev/null
+++ b/packages/gateway/src/event-framer.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import { EventFramer } from './event-framer.js';
+
+test('events are whole however the bytes are cut, and keep their bytes', (t) => {
+  const bytes = Buffer.from(
+    'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweights: 2\nid: 3\ndata: c\n\n',
+  );
+  for (let size = 1; size <= bytes.length; size += 1) {
+    const framer = new EventFramer();
+    const events = [];
+    for (let start = 0; start < bytes.length; start += size) {
+      events.push(...framer.push(bytes.subarray(start, start + size))!);
+    }
+    t.deepEqual(
+      events.map(({ id }) => id),
+      [1, 2, 3],
+    );
+    t.deepEqual(Buffer.concat(events.map((event) => event.bytes)), bytes);
+    t.false(framer.isInsideEvent);
+  }
+});
+
+test('an event that is cut off is never reported', (t) => {
+  const framer = new EventFramer();
+  t.deepEqual(framer.push(Buffer.from('id: 1\ndata: a\n')), []);
+  t.true(framer.isInsideEvent);
+});
--- a/packages/log/src/stream-log.ts
+++ b/packages/log/src/stream-log.ts
@@ -1,5 +1,5 @@
 /** Lines to a file descriptor that never block the process and are bounded in number. */
-import { SonicBoom } from 'sonic-boom';
+import SonicBoom from 'sonic-boom';
 import type { Timer } from '@jujubelanding/timer';
 import { formatLine, type Log, type Value } from './log.js';
 
--- /dev/null
+++ b/packages/route-table/src/route-table.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import { RouteKind, RouteTable, type Route } from './index.js';
+
+const createRoute = (name: string, host: string, prefix: string): Route => ({
+  name,
+  host,
+  prefix,
+  kind: RouteKind.Idempotent,
+  timeoutMs: 1000,
+  objectiveMs: 100,
+  priority: 0,
+  targets: [{ service: name, weight: 1 }],
+  maxAttempts: 1,
+  isResumable: false,
+});
+
+const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+
+const table = new RouteTable({
+  version: 1,
+  routes: [
+    createRoute('root', 'a.example', '/'),
+    createRoute('short', 'a.example', '/x/'),
+    createRoute('long', 'a.example', '/x/y/'),
+    createRoute('other', 'b.example', '/x/'),
+  ],
+  services: [],
+  limits,
+});
+
+test('the longest prefix of the host wins, so that no request runs on the service of another route', (t) => {
+  const find = (host: string, target: string): string | undefined =>
+    table.match(host, target)?.name;
+  t.snapshot({
+    exact: find('a.example', '/x/y/'),
+    inside: find('a.example', '/x/y/z?q=/x/'),
+    shorter: find('a.example', '/x/z/y/'),
+    withoutSlash: find('a.example', '/x'),
+    root: find('a.example', '/q'),
+    port: find('A.example:80', '/x/1'),
+    otherHost: find('b.example', '/x/y/1'),
+    noPrefix: find('b.example', '/y'),
+    noHost: find('c.example', '/x/1'),
+  });
+});
+
+test('a split route sends each target its share; a weight of zero gets nothing', (t) => {
+  const route = {
+    ...createRoute('split', 'a.example', '/'),
+    targets: [
+      { service: 'none', weight: 0 },
+      { service: 'most', weight: 90 },
+      { service: 'few', weight: 10 },
+    ],
+  };
+  const draws = Array.from({ length: 100 }, (_, index) => index / 100);
+  const chosen = draws.map((draw) => RouteTable.chooseService(route, draw));
+  t.is(chosen.filter((service) => service === 'most').length, 90);
+  t.is(chosen.filter((service) => service === 'few').length, 10);
+});
--- a/packages/stand-ins/src/key-value-service.ts
+++ b/packages/stand-ins/src/key-value-service.ts
@@ -1,6 +1,6 @@
 /** Key-value service with per-client views, call counts and faults. */
 import type { Fault, Reply } from '@jujubelanding/errors';
-import type { KeyValueStore } from '@jujubelanding/platform';
+import type { KeyValueStore, TransactionalStore } from '@jujubelanding/platform';
 import type { Random } from '@jujubelanding/random';
 import type { Timer } from '@jujubelanding/timer';
 import { ok, type Result } from 'neverthrow';
@@ -15,6 +15,7 @@
 export const KEY_VALUE_WRITES: readonly string[] = [
   'write',
   'remove',
+  'commit',
   'grantLease',
   'renewLease',
   'revokeLease',
@@ -28,7 +29,7 @@
 }
 
 /** A client's view; its faults affect no other client. */
-export interface KeyValueClient extends KeyValueStore {
+export interface KeyValueClient extends KeyValueStore, TransactionalStore {
   readonly faults: LinkFaults;
 }
 
@@ -65,7 +66,7 @@
     return { ...counts, writes, reads: total - writes };
   }
 
-  private createStore(link: Link): KeyValueStore {
+  private createStore(link: Link): KeyValueStore & TransactionalStore {
     const { state } = this;
     const run = <T>(kind: string, call: () => Reply<T> | Result<T, Fault>, waitMs = 0): Reply<T> =>
       link.call(kind, () => this.count(kind, call), waitMs);
@@ -73,6 +74,7 @@
       get: (key) => run('get', () => ok(state.get(key))),
       list: (prefix, limit, afterKey) => run('list', () => ok(state.list(prefix, limit, afterKey))),
       write: (write) => run('write', () => state.write(write)),
+      commit: (transaction) => run('commit', () => state.commit(transaction)),
       remove: (key, expectedRevision) => run('remove', () => state.remove(key, expectedRevision)),
       grantLease: (ttlMs) => run('grantLease', () => ok(state.grantLease(ttlMs))),
       renewLease: (leaseId) => run('renewLease', () => state.renewLease(leaseId)),
--- a/packages/stand-ins/src/key-value-state.ts
+++ b/packages/stand-ins/src/key-value-state.ts
@@ -2,12 +2,16 @@
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import {
   ChangeKind,
+  CommitStatus,
+  MAX_TRANSACTION_ENTRIES,
   MAX_VALUE_BYTES,
   WriteStatus,
   type Change,
+  type CommitResult,
   type KeyValueEntry,
   type KeyValueList,
   type LeaseGrant,
+  type Transaction,
   type WatchResult,
   type Write,
   type WriteResult,
@@ -88,11 +92,7 @@
     this.revision += 1;
     const entry: KeyValueEntry = { key, value, modRevision: this.revision };
     if (leaseId !== undefined) entry.leaseId = leaseId;
-    if (current === undefined) this.sortedKeys = undefined;
-    this.detach(current);
-    this.entries.set(key, entry);
-    if (leaseId !== undefined) this.leases.get(leaseId)!.keys.add(key);
-    this.publish({ kind: ChangeKind.Put, entry });
+    this.put(entry);
     return ok({ status: WriteStatus.Written, revision: this.revision });
   }
 
@@ -105,6 +105,44 @@
     return ok({ status: WriteStatus.Written, revision: this.revision });
   }
 
+  /** Applies all changes of a transaction under one revision, or none. */
+  commit({ conditions, writes, removals }: Transaction): Result<CommitResult, Fault> {
+    if (conditions.length + writes.length + removals.length > MAX_TRANSACTION_ENTRIES) {
+      return reject('commit', FaultCode.InvalidInput, 'the transaction has too many entries');
+    }
+    if (writes.some(({ value }) => Buffer.byteLength(value) > MAX_VALUE_BYTES)) {
+      return reject('commit', FaultCode.TooLarge, 'a value exceeds the limit');
+    }
+    const hasEnded = ({ leaseId }: { leaseId?: string | undefined }): boolean =>
+      leaseId !== undefined && !this.leases.has(leaseId);
+    if (writes.some(hasEnded)) return ok({ status: CommitStatus.LeaseEnded });
+    const holds = conditions.every(
+      ({ key, revision }) => (this.entries.get(key)?.modRevision ?? 0) === revision,
+    );
+    if (!holds) {
+      const current = conditions.map(({ key }) => this.entries.get(key));
+      return ok({
+        status: CommitStatus.Conflict,
+        current: current.filter((entry) => entry !== undefined),
+      });
+    }
+    this.revision += 1;
+    const { revision } = this;
+    writes.forEach(({ key, value, leaseId }) => {
+      this.put({
+        key,
+        value,
+        modRevision: revision,
+        ...(leaseId === undefined ? {} : { leaseId }),
+      });
+    });
+    removals.forEach((key) => {
+      const entry = this.entries.get(key);
+      if (entry !== undefined) this.take(entry, revision);
+    });
+    return ok({ status: CommitStatus.Committed, revision });
+  }
+
   grantLease(ttlMs: number): LeaseGrant {
     const leaseId = this.random.createId();
     const end = this.timer.after(ttlMs, () => this.endLease(leaseId));
@@ -155,19 +193,44 @@
   }
 
   private changesAfter(prefix: string, afterRevision: number): Change[] {
-    // Revisions in the history are consecutive, so the position follows from the revision.
-    const start = Math.max(0, afterRevision - this.compactedRevision);
-    return this.history.slice(start).filter(({ entry }) => entry.key.startsWith(prefix));
+    return this.history
+      .slice(this.findStart(afterRevision))
+      .filter(({ entry }) => entry.key.startsWith(prefix));
+  }
+
+  /** Index of the first change after a revision; changes of one transaction share theirs. */
+  private findStart(afterRevision: number): number {
+    let low = 0;
+    let high = this.history.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if (this.history[middle]!.entry.modRevision > afterRevision) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+
+  private put(entry: KeyValueEntry): void {
+    const current = this.entries.get(entry.key);
+    if (current === undefined) this.sortedKeys = undefined;
+    this.detach(current);
+    this.entries.set(entry.key, entry);
+    if (entry.leaseId !== undefined) this.leases.get(entry.leaseId)!.keys.add(entry.key);
+    this.publish({ kind: ChangeKind.Put, entry });
   }
 
   private delete(entry: KeyValueEntry): void {
     this.revision += 1;
+    this.take(entry, this.revision);
+  }
+
+  private take(entry: KeyValueEntry, revision: number): void {
     this.detach(entry);
     this.entries.delete(entry.key);
     this.sortedKeys = undefined;
     this.publish({
       kind: ChangeKind.Delete,
-      entry: { ...entry, value: '', modRevision: this.revision },
+      entry: { ...entry, value: '', modRevision: revision },
     });
   }
 
--- /dev/null
+++ b/packages/store-follower/src/store-follower.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava';
+import { silentLog } from '@jujubelanding/log';
+import { createRandom } from '@jujubelanding/random';
+import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { StoreFollower, type FollowedChange } from './index.js';
+
+const setUp = () => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const store = service.createClient('follower');
+  const seen: string[] = [];
+  const contacts: boolean[] = [];
+  const follower = new StoreFollower({
+    store,
+    timer,
+    log: silentLog,
+    prefix: 'p/',
+    watchMs: 1000,
+    pauseMs: 0,
+    onChanges: (changes: FollowedChange[]) => {
+      changes.forEach(({ kind, entry }) => seen.push(`${kind} ${entry.key} ${entry.value}`));
+    },
+    onContact: (isReachable) => contacts.push(isReachable),
+  });
+  const put = (key: string, value: string): void => {
+    service.state.commit({ conditions: [], writes: [{ key, value }], removals: [] });
+  };
+  const remove = (key: string): void => {
+    service.state.commit({ conditions: [], writes: [], removals: [key] });
+  };
+  return { timer, service, store, follower, seen, contacts, put, remove };
+};
+
+test('a history that is gone is replaced by a list, with the deletions that were missed', async (t) => {
+  const { timer, service, store, follower, seen, put, remove } = setUp();
+  put('p/a', '1');
+  put('p/b', '1');
+  follower.start();
+  await timer.advance(50);
+  store.faults.reachability = Reachability.Cut;
+  await timer.advance(100);
+  remove('p/a');
+  put('p/c', '1');
+  service.state.compact();
+  await timer.advance(5000);
+  store.faults.reachability = Reachability.Up;
+  await timer.advance(5000);
+  t.deepEqual([...follower.entries.keys()].toSorted(), ['p/b', 'p/c']);
+  t.snapshot(seen);
+  follower.stop();
+});
+
+test('contact is reported once when it is lost and once when it is back', async (t) => {
+  const { timer, store, follower, contacts } = setUp();
+  follower.start();
+  await timer.advance(50);
+  store.faults.reachability = Reachability.Refusing;
+  await timer.advance(4000);
+  store.faults.reachability = Reachability.Up;
+  await timer.advance(4000);
+  t.deepEqual(contacts, [false, true]);
+  follower.stop();
+});
+
+test('an entry never goes back to an older revision, whatever order changes arrive in', async (t) => {
+  const { timer, follower, put, seen } = setUp();
+  put('p/a', '1');
+  follower.start();
+  await timer.advance(50);
+  const kind = 'put' as FollowedChange['kind'];
+  follower.apply([{ kind, entry: { key: 'p/a', value: '9', modRevision: 9 } }]);
+  follower.apply([{ kind, entry: { key: 'p/a', value: '5', modRevision: 5 } }]);
+  t.is(follower.entries.get('p/a')?.value, '9');
+  t.is(seen.length, 2);
+  follower.stop();
+});
