--- a/packages/batch-ledger/src/result-reader.ts
+++ b/packages/batch-ledger/src/result-reader.ts
@@ -13,8 +13,8 @@
 /** Outputs kept in memory, in characters over all jobs. */
 const MAX_KEPT_CHARACTERS = 8_000_000;
 
-/** A table that the store confirmed within this time is current. */
-const FRESH_MS = 900;
+/** A table that the store confirmed within this time is current: a watch and the time to notice its loss. */
+const FRESH_MS = 2900;
 
 export interface ListedResult {
   itemId: string;
--- a/packages/deployed-vm/src/parts.ts
+++ b/packages/deployed-vm/src/parts.ts
@@ -20,17 +20,24 @@
 import { WorkerRegistry } from '@jujubelanding/worker-registry';
 import { BatchCalls } from './batch-calls.js';
 import { ConfigurationState } from './configuration-state.js';
+import { FirstKnowledge } from './first-knowledge.js';
 import type { DeployedVmOptions } from './options.js';
 import { Retirement } from './retirement.js';
 
-/** Time for which a watch waits; a silent connection shows after it. */
-const WATCH_MS = 1100;
+/**
+ * Time for which a watch waits. A silent connection shows after it; the platform allows three seconds of
+ * contact before the bound on configuration, which is two seconds, begins.
+ */
+const WATCH_MS = 2000;
 
-/** Entries of workers change about once a second each; a call covers the changes of this time. */
-const WORKER_PAUSE_MS = 500;
+/**
+ * Entries of workers change about once a second each; a call covers the changes of this time. A worker
+ * that leaves must get no request two seconds after it said so.
+ */
+const WORKER_PAUSE_MS = 900;
 
-/** Changes of jobs within this time share a call. */
-const JOB_PAUSE_MS = 120;
+/** Changes of jobs within this time share a call; a job must be known everywhere after a second. */
+const JOB_PAUSE_MS = 450;
 
 /** Slots of a worker whose entry is not known. */
 const DEFAULT_SLOTS = 8;
@@ -114,12 +121,16 @@
   workers: WorkerRegistry,
   fleet: Fleet,
   applyOwn: (changes: FollowedChange[]) => void,
+  onConfiguration: () => void,
 ) => {
   const { settings, timer, store, createLog, keys } = options;
   const configuration = new ConfigurationState({
     log: createLog('configuration'),
     decode: options.decodeConfiguration,
-    onChange: options.onConfiguration,
+    onChange: (table) => {
+      options.onConfiguration(table);
+      onConfiguration();
+    },
   });
   const retirement = new Retirement({
     store,
@@ -196,15 +207,27 @@
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
   const vmPrefix = `${keys.followedPrefix}vm/`;
-  const followers: { jobs?: StoreFollower } = {};
+  const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
+  const readTable = () => followers.configuration?.table;
   const batch = createJobs(options, self, fleet, () => followers.jobs);
-  const followed = createFollowed(options, workers, fleet, (changes) => {
-    const isVm = ({ entry }: FollowedChange): boolean => entry.key.startsWith(vmPrefix);
-    changes.filter(isVm).forEach((change) => fleet.registry.apply(change));
-    batch.table.apply(changes);
-  });
+  const knowledge = new FirstKnowledge(
+    timer,
+    () => readTable() !== undefined && workers.all().length > 0,
+  );
+  workers.onChange(() => knowledge.review());
+  const followed = createFollowed(
+    options,
+    workers,
+    fleet,
+    (changes) => {
+      const isVm = ({ entry }: FollowedChange): boolean => entry.key.startsWith(vmPrefix);
+      changes.filter(isVm).forEach((change) => fleet.registry.apply(change));
+      batch.table.apply(changes);
+    },
+    () => knowledge.review(),
+  );
   followers.jobs = followed.jobFollower;
-  const readTable = () => followed.configuration.table;
+  followers.configuration = followed.configuration;
   const io = { timer, random, createLog, metrics };
   const router = new Router({
     io,
@@ -232,6 +255,7 @@
     backends,
     log: createLog('gateway'),
     readTable,
+    waitForKnowledge: () => knowledge.wait(),
     batch: options.createBatchRequests(batchCalls),
   });
   return { ...fleet, ...followed, workers, router, execution, batchCalls, gateway };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,8 @@
 export interface GatewayOptions extends OnlineForwardOptions {
   /** The configuration in force; undefined until one is known. */
   readTable: () => RouteTable | undefined;
+  /** Resolves once configuration and workers are known, or after the longest wait for them. */
+  waitForKnowledge: () => Promise<void>;
   batch: BatchRequests;
   log: Log;
 }
@@ -91,6 +93,7 @@
 
   /** Answers a request; never rejects. */
   async handle(exchange: CallerExchange): Promise<void> {
+    if (this.options.readTable() === undefined) await this.options.waitForKnowledge();
     let context: Context = { exchange };
     for (const filter of FILTERS) {
       const passed = filter(context, this.options);
