Reach the store through another entry VM while the own path is lost

Ruled out: sending callers elsewhere, since they keep addresses for seconds and the VM serves online requests well; waiting for the store longer, since the cut lasts up to 12 s. A commit that may have taken effect is never repeated by the other path. A VM that has lost its own path relays for nobody.

--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -3,6 +3,7 @@
 import type { CallerExchange } from '@jujubelanding/gateway';
 import type { EntryPointAnswer } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import { openRelayServer, type RelayServer } from '@jujubelanding/store-relay';
 import type { BatchCalls } from './batch-calls.js';
 import type { DeployedVmOptions } from './options.js';
 import { createParts } from './parts.js';
@@ -20,6 +21,8 @@
 
   private datagrams: Datagrams | undefined;
 
+  private relayServer: RelayServer | undefined;
+
   private isLeaving = false;
 
   constructor(private readonly options: DeployedVmOptions) {
@@ -41,6 +44,11 @@
     });
     if (opened.isOk()) this.datagrams = opened.value;
     else this.log.write('datagrams-not-open', { message: opened.error.message });
+    this.relayServer = openRelayServer(
+      settings.peerAddress,
+      this.options.store,
+      () => this.parts.store.isDirect,
+    );
     this.listFollowers().forEach((follower) => follower.start());
     lease.start();
     loads.start();
@@ -90,6 +98,7 @@
     loads.stop();
     router.stop();
     this.datagrams?.close();
+    this.relayServer?.close();
     await this.options.backends.close();
   }
 
--- a/packages/deployed-vm/src/first-knowledge.ts
+++ b/packages/deployed-vm/src/first-knowledge.ts
@@ -25,15 +25,11 @@
   wait(): Promise<void> {
     if (this.isComplete()) return Promise.resolve();
     return new Promise((resolve) => {
-      const timeout = this.timer.after(LONGEST_WAIT_MS, () => {
-        this.waiting.delete(proceed);
+      this.waiting.add(resolve);
+      this.timer.after(LONGEST_WAIT_MS, () => {
+        this.waiting.delete(resolve);
         resolve();
       });
-      const proceed = (): void => {
-        timeout.cancel();
-        resolve();
-      };
-      this.waiting.add(proceed);
     });
   }
 }
--- a/packages/deployed-vm/src/options.ts
+++ b/packages/deployed-vm/src/options.ts
@@ -30,6 +30,8 @@
   timer: Timer;
   random: Random;
   store: TransactionalStore;
+  /** Stores whose calls another entry VM makes. */
+  relay: (peerAddress: string) => TransactionalStore;
   backends: ForwardingBackends;
   metrics: Metrics;
   createLog: (part: string) => Log;
--- a/packages/deployed-vm/src/parts.ts
+++ b/packages/deployed-vm/src/parts.ts
@@ -11,6 +11,7 @@
 import { Gateway } from '@jujubelanding/gateway';
 import { JobExecution } from '@jujubelanding/ledger-execution';
 import { ChangeKind } from '@jujubelanding/platform';
+import { RelayedStore } from '@jujubelanding/store-relay';
 import { createLoadAwareChooser, DEFAULT_BOUNDS, Router } from '@jujubelanding/routing';
 import {
   StoreFollower,
@@ -198,14 +199,25 @@
   return { table, jobs, reader };
 };
 
+/** The store by the own path, or through a peer while that is lost. */
+const createStore = (
+  { store, relay, timer, random, createLog }: DeployedVmOptions,
+  listPeers: () => readonly string[],
+): RelayedStore =>
+  new RelayedStore({ direct: store, relay, listPeers, timer, random, log: createLog('store') });
+
 /** Creates all parts; nothing starts yet. */
-export const createParts = (options: DeployedVmOptions, sendMessage: SendMessage) => {
+export const createParts = (given: DeployedVmOptions, sendMessage: SendMessage) => {
+  const peers: { list: () => readonly string[] } = { list: () => [] };
+  const store = createStore(given, () => peers.list());
+  const options = { ...given, store };
   const { settings, timer, random, createLog, metrics, backends, keys } = options;
   const { entryVmId, availabilityZone, acknowledgeMs } = settings;
   const self = { entryVmId, bootId: random.createId() };
   const workers = createWorkers(options);
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
+  peers.list = () => fleet.registry.listPeerAddresses();
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
   const readTable = () => followers.configuration?.table;
@@ -258,5 +270,5 @@
     waitForKnowledge: () => knowledge.wait(),
     batch: options.createBatchRequests(batchCalls),
   });
-  return { ...fleet, ...followed, workers, router, execution, batchCalls, gateway };
+  return { ...fleet, ...followed, store, workers, router, execution, batchCalls, gateway };
 };
--- a/packages/deployed-vm/src/retirement.ts
+++ b/packages/deployed-vm/src/retirement.ts
@@ -44,9 +44,9 @@
     const status = reply.isOk() ? reply.value.status : reply.error.code;
     log.write('retirement-reported', { vm: vmId, status });
     if (reply.isErr()) {
- timer.after(RANK_DELAY_MS, () => {
+      timer.after(RANK_DELAY_MS, () => {
         void this.report(vmId);
       });
-}
+    }
   }
 }
--- a/packages/entry-vm-registry/src/entry-vm-registry.ts
+++ b/packages/entry-vm-registry/src/entry-vm-registry.ts
@@ -83,6 +83,14 @@
     return [...this.remembered.values()].filter(({ entryVmId }) => entryVmId !== self.entryVmId);
   }
 
+  /** Peer addresses of the other VMs that were heard lately. */
+  listPeerAddresses(): string[] {
+    const heard = new Set(this.options.liveness().listServing());
+    return this.peers()
+      .filter(({ entryVmId }) => heard.has(entryVmId))
+      .map(({ peerAddress }) => peerAddress);
+  }
+
   /** VMs that take callers; this one first while it serves. */
   listServing(): Registration[] {
     const { self, liveness } = this.options;
--- /dev/null
+++ b/packages/store-relay/src/index.ts
@@ -0,0 +1,9 @@
+/** Reaches the key-value store through another entry VM when the own path is lost. */
+export { PathState } from './path-state.js';
+export { RelayedStore, type RelayedStoreOptions } from './relayed-store.js';
+export {
+  createRelayClient,
+  openRelayServer,
+  type RelayCall,
+  type RelayServer,
+} from './relay-http.js';
--- /dev/null
+++ b/packages/store-relay/src/relay-http.ts
@@ -0,0 +1,151 @@
+/** Store calls between entry VMs, as JSON over HTTP. */
+import { serve } from '@hono/node-server';
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { TransactionalStore } from '@jujubelanding/platform';
+import { HttpPeer } from '@jujubelanding/platform-clients';
+import type { Timer } from '@jujubelanding/timer';
+import { Hono } from 'hono';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+
+/** Time for a call through a peer: the store's own time and the way to the peer. */
+const CALL_TIMEOUT_MS = 1000;
+
+const CONNECT_TIMEOUT_MS = 300;
+
+const CONNECTIONS_PER_PEER = 8;
+
+const PATH = '/store';
+
+const callSchema = z.discriminatedUnion('step', [
+  z.object({ step: z.literal('get'), key: z.string() }),
+  z.object({ step: z.literal('list'), prefix: z.string(), afterKey: z.string().optional() }),
+  z.object({
+    step: z.literal('commit'),
+    transaction: z.object({
+      conditions: z.array(z.object({ key: z.string(), revision: z.number() })),
+      writes: z.array(
+        z.object({ key: z.string(), value: z.string(), leaseId: z.string().optional() }),
+      ),
+      removals: z.array(z.string()),
+    }),
+  }),
+  z.object({ step: z.literal('grantLease'), ttlMs: z.number() }),
+  z.object({ step: z.literal('renewLease'), leaseId: z.string() }),
+  z.object({ step: z.literal('revokeLease'), leaseId: z.string() }),
+  z.object({
+    step: z.literal('watch'),
+    prefix: z.string(),
+    afterRevision: z.number(),
+    waitMs: z.number(),
+  }),
+]);
+
+export type RelayCall = z.infer<typeof callSchema>;
+
+type Handlers = {
+  [Step in RelayCall['step']]: (
+    store: TransactionalStore,
+    call: Extract<RelayCall, { step: Step }>,
+  ) => Reply<unknown>;
+};
+
+const HANDLERS: Handlers = {
+  get: (store, { key }) => store.get(key),
+  list: (store, { prefix, afterKey }) => store.list(prefix, undefined, afterKey),
+  commit: (store, { transaction }) => store.commit(transaction),
+  grantLease: (store, { ttlMs }) => store.grantLease(ttlMs),
+  renewLease: (store, { leaseId }) => store.renewLease(leaseId),
+  revokeLease: (store, { leaseId }) => store.revokeLease(leaseId),
+  watch: (store, { prefix, afterRevision, waitMs }) => store.watch(prefix, afterRevision, waitMs),
+};
+
+const run = (store: TransactionalStore, call: RelayCall): Reply<unknown> => {
+  const handler = HANDLERS[call.step] as (
+    store: TransactionalStore,
+    call: RelayCall,
+  ) => Reply<unknown>;
+  return handler(store, call);
+};
+
+const createFault = (code: FaultCode, step: string, message: string): Fault => ({
+  code,
+  outcome: Outcome.NotRun,
+  step,
+  message,
+});
+
+export interface RelayServer {
+  close(): void;
+}
+
+/** Makes calls for peers while the own path to the store works. */
+export const openRelayServer = (
+  address: string,
+  store: TransactionalStore,
+  isDirect: () => boolean,
+): RelayServer => {
+  const app = new Hono();
+  app.post(PATH, async (context) => {
+    const call = callSchema.safeParse(await context.req.json());
+    if (!call.success) {
+      const message = z.prettifyError(call.error);
+      return context.json({ fault: createFault(FaultCode.InvalidInput, 'relay', message) });
+    }
+    if (!isDirect()) {
+      const message = 'this VM does not reach the store itself';
+      return context.json({ fault: createFault(FaultCode.Unavailable, 'relay', message) });
+    }
+    const reply = await run(store, call.data);
+    return context.json(reply.isOk() ? { value: reply.value } : { fault: reply.error });
+  });
+  const [hostname, port] = address.split(':');
+  const server = serve({ fetch: app.fetch, hostname: hostname!, port: Number(port) });
+  return {
+    close: () => {
+      server.close();
+      if ('closeAllConnections' in server) server.closeAllConnections();
+    },
+  };
+};
+
+const replySchema = z.object({
+  value: z.unknown().optional(),
+  fault: z
+    .object({
+      code: z.enum(FaultCode),
+      outcome: z.enum(Outcome),
+      step: z.string(),
+      message: z.string(),
+    })
+    .optional(),
+});
+
+/** Creates stores whose calls a peer makes. */
+export const createRelayClient = (
+  timer: Timer,
+): { relay: (peer: string) => TransactionalStore; close: () => Promise<void> } => {
+  const limits = { connections: CONNECTIONS_PER_PEER, connectTimeoutMs: CONNECT_TIMEOUT_MS };
+  const http = new HttpPeer(timer, limits, CALL_TIMEOUT_MS);
+  const send = async <T>(peer: string, json: RelayCall, waitMs = 0): Reply<T> => {
+    const timeoutMs = CALL_TIMEOUT_MS + waitMs;
+    const request = { step: `relay-${json.step}`, peer, address: peer, path: PATH, timeoutMs };
+    const reply = await http.call({ ...request, method: 'POST', json }, replySchema);
+    // Peers run the same program, so that a value has the type of the call's own answer.
+    return reply.andThen(({ value, fault }): Result<T, Fault> =>
+      fault === undefined ? ok(value as T) : err(fault),
+    );
+  };
+  const relay = (peer: string): TransactionalStore => ({
+    get: (key) => send(peer, { step: 'get', key }),
+    list: (prefix, _limit, afterKey) =>
+      send(peer, { step: 'list', prefix, ...(afterKey === undefined ? {} : { afterKey }) }),
+    commit: (transaction) => send(peer, { step: 'commit', transaction }),
+    grantLease: (ttlMs) => send(peer, { step: 'grantLease', ttlMs }),
+    renewLease: (leaseId) => send(peer, { step: 'renewLease', leaseId }),
+    revokeLease: (leaseId) => send(peer, { step: 'revokeLease', leaseId }),
+    watch: (prefix, afterRevision, waitMs) =>
+      send(peer, { step: 'watch', prefix, afterRevision, waitMs }, waitMs),
+  });
+  return { relay, close: () => http.close() };
+};
--- /dev/null
+++ b/packages/store-relay/src/relayed-store.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import { silentLog } from '@jujubelanding/log';
+import { CommitStatus } from '@jujubelanding/platform';
+import { createRandom } from '@jujubelanding/random';
+import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { RelayedStore } from './index.js';
+
+const setUp = () => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
+  const own = service.createClient('own');
+  const peer = service.createClient('peer');
+  const store = new RelayedStore({
+    direct: own,
+    relay: () => peer,
+    listPeers: () => ['peer'],
+    timer,
+    random: createRandom(1),
+    log: silentLog,
+  });
+  const run = async <T>(call: Promise<T>, durationMs = 800): Promise<T> => {
+    await timer.advance(durationMs);
+    return call;
+  };
+  return { timer, service, own, peer, store, run };
+};
+
+const transaction = { conditions: [], writes: [{ key: 'a', value: '1' }], removals: [] };
+
+test('a VM that is cut off from the store goes on through a peer', async (t) => {
+  const { own, store, run } = setUp();
+  own.faults.reachability = Reachability.Cut;
+  t.true((await run(store.get('a'))).isErr());
+  t.true((await run(store.get('a'))).isErr());
+  t.false(store.isDirect);
+  const committed = await run(store.commit(transaction), 50);
+  t.is(committed._unsafeUnwrap().status, CommitStatus.Committed);
+});
+
+test('a lost path is tried again, and used as soon as it works', async (t) => {
+  const { own, store, run, timer } = setUp();
+  own.faults.reachability = Reachability.Refusing;
+  await run(store.get('a'), 10);
+  await run(store.get('a'), 10);
+  t.false(store.isDirect);
+  own.faults.reachability = Reachability.Up;
+  await timer.advance(1000);
+  t.true((await run(store.get('a'), 10)).isOk());
+  t.true(store.isDirect);
+});
+
+test('a commit that may have taken effect is not sent again by another path', async (t) => {
+  const { service, own, store, run } = setUp();
+  own.faults.lostReplyChance = 1;
+  await run(store.get('a'));
+  await run(store.commit(transaction));
+  t.is(service.readCounters().commit, 1);
+});
--- /dev/null
+++ b/packages/store-relay/src/relayed-store.ts
@@ -0,0 +1,104 @@
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import type { TransactionalStore } from '@jujubelanding/platform';
+import type { Random } from '@jujubelanding/random';
+import type { Timer } from '@jujubelanding/timer';
+import { err } from 'neverthrow';
+import { PathState } from './path-state.js';
+
+/** Calls that a peer makes on behalf of this VM. */
+export type Relay = (peerAddress: string) => TransactionalStore;
+
+export interface RelayedStoreOptions {
+  direct: TransactionalStore;
+  relay: Relay;
+  /** Addresses of entry VMs that were heard lately. */
+  listPeers: () => readonly string[];
+  timer: Timer;
+  random: Random;
+  log: Log;
+}
+
+/** Faults that say something about the path or the store, not about the call. */
+const PATH_FAULTS = new Set([
+  FaultCode.Unavailable,
+  FaultCode.Interrupted,
+  FaultCode.Timeout,
+  FaultCode.Overloaded,
+  FaultCode.RateLimited,
+]);
+
+const createFault = (step: string): Fault => ({
+  code: FaultCode.Unavailable,
+  outcome: Outcome.NotRun,
+  step,
+  message: 'neither the own path to the store nor one through a peer works',
+});
+
+/** The store by the path that works. */
+export class RelayedStore implements TransactionalStore {
+  private readonly path = new PathState();
+
+  /** The peer that relayed last. */
+  private peer: string | undefined;
+
+  constructor(private readonly options: RelayedStoreOptions) {}
+
+  /** True while this VM may relay for others. */
+  get isDirect(): boolean {
+    return this.path.isTrusted;
+  }
+
+  readonly get: TransactionalStore['get'] = (key) => this.call('get', (store) => store.get(key));
+
+  readonly list: TransactionalStore['list'] = (prefix, limit, afterKey) =>
+    this.call('list', (store) => store.list(prefix, limit, afterKey));
+
+  readonly commit: TransactionalStore['commit'] = (transaction) =>
+    this.call('commit', (store) => store.commit(transaction));
+
+  readonly grantLease: TransactionalStore['grantLease'] = (ttlMs) =>
+    this.call('grantLease', (store) => store.grantLease(ttlMs));
+
+  readonly renewLease: TransactionalStore['renewLease'] = (leaseId) =>
+    this.call('renewLease', (store) => store.renewLease(leaseId));
+
+  readonly revokeLease: TransactionalStore['revokeLease'] = (leaseId) =>
+    this.call('revokeLease', (store) => store.revokeLease(leaseId));
+
+  readonly watch: TransactionalStore['watch'] = (prefix, afterRevision, waitMs) =>
+    this.call('watch', (store) => store.watch(prefix, afterRevision, waitMs));
+
+  private async call<T>(step: string, send: (store: TransactionalStore) => Reply<T>): Reply<T> {
+    const { direct, timer } = this.options;
+    if (!this.path.mayTry(timer.now())) return this.callPeer(step, send);
+    const reply = await send(direct);
+    const fault = reply.isErr() ? reply.error : undefined;
+    const isLost = fault !== undefined && PATH_FAULTS.has(fault.code);
+    this.record(isLost, fault);
+    // The caller decides on a call that may have taken effect.
+    const mayRepeat = fault?.outcome === Outcome.NotRun;
+    return isLost && mayRepeat && !this.path.isTrusted ? this.callPeer(step, send) : reply;
+  }
+
+  private async callPeer<T>(step: string, send: (store: TransactionalStore) => Reply<T>): Reply<T> {
+    const { relay, random, listPeers } = this.options;
+    const peers = listPeers();
+    const known = this.peer !== undefined && peers.includes(this.peer) ? this.peer : undefined;
+    const peer = known ?? (peers.length > 0 ? random.pick(peers) : undefined);
+    if (peer === undefined) return err(createFault(step));
+    this.peer = peer;
+    const reply = await send(relay(peer));
+    if (reply.isErr()) this.peer = undefined;
+    return reply;
+  }
+
+  private record(isLost: boolean, fault: Fault | undefined): void {
+    const wasTrusted = this.path.isTrusted;
+    if (isLost) this.path.recordFailure(this.options.timer.now());
+    else this.path.recordSuccess();
+    if (wasTrusted === this.path.isTrusted) return;
+    const event = this.path.isTrusted ? 'store-path-regained' : 'store-path-lost';
+    this.options.log.write(event, { code: fault?.code, message: fault?.message });
+  }
+}
