Accept a job that arrives during a short outage of the store

Cause: a submission that the store refused (503) was passed on at once, and the caller's single retry met the same outage. The store's outages last seconds, the caller waits four. A refusal is still answered as not run, and only when no commit can take effect later.

--- /dev/null
+++ b/packages/batch-ledger/src/job-store.test.ts
@@ -0,0 +1,125 @@
+import test from 'ava';
+import { Outcome } from '@jujubelanding/errors';
+import { silentLog } from '@jujubelanding/log';
+import { createRandom } from '@jujubelanding/random';
+import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { CommitStatus } from '@jujubelanding/platform';
+import {
+  EndStatus,
+  ItemState,
+  JobStore,
+  JobTable,
+  KeySpace,
+  ResultReader,
+  SCHEMA_VERSION,
+  SubmitStatus,
+  type Job,
+} from './index.js';
+
+const job: Job = {
+  schemaVersion: SCHEMA_VERSION,
+  id: 'job-1',
+  host: 'a.example',
+  target: '/jobs/1',
+  submittedAt: 0,
+  dueMs: 18_000,
+  itemLifetimeMs: 60_000,
+  maxAttempts: 3,
+  items: ['a', 'b', 'c'].map((id) => ({ id, target: '/x', headers: {}, body: '', tokens: 1 })),
+};
+
+/** Two VMs on one store, each with the entries that it has seen itself. */
+const setUp = () => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
+  const createVm = (name: string) => {
+    const store = service.createClient(name);
+    const keys = new KeySpace('jj/', 'jd/');
+    const table = new JobTable(keys, silentLog);
+    const jobs = new JobStore({
+      store,
+      timer,
+      log: silentLog,
+      keys,
+      table,
+      applyOwn: (changes) => table.apply(changes),
+      self: { entryVmId: name, bootId: `boot-${name}` },
+      leaseId: () => undefined,
+      onLeaseEnded: () => {},
+    });
+    const reader = new ResultReader({
+      store,
+      timer,
+      keys,
+      table,
+      jobs,
+      tableAgeMs: () => Infinity,
+    });
+    return { store, table, jobs, reader };
+  };
+  const run = async <T>(call: Promise<T>, durationMs = 100): Promise<T> => {
+    await timer.advance(durationMs);
+    return call;
+  };
+  return { timer, service, run, one: createVm('one'), two: createVm('two') };
+};
+
+const listResult = (vm: ReturnType<typeof setUp>['one'], itemIndex: number, output: string) =>
+  vm.jobs.list(vm.table.find('job-1')!, [{ itemIndex, state: ItemState.Completed, output }]);
+
+test('a job that is sent to two VMs is stored once, also when the first answer is lost', async (t) => {
+  const { one, two, run, timer } = setUp();
+  one.store.faults.lostReplyChance = 1;
+  const first = one.jobs.submit(job, timer.now() + 3000);
+  await timer.advance(50);
+  const second = await run(two.jobs.submit(job, timer.now() + 3000));
+  t.deepEqual(second.isOk() && second.value, SubmitStatus.Known);
+  one.store.faults.lostReplyChance = 0;
+  const repeated = await run(first, 2000);
+  t.deepEqual(repeated.isOk() && repeated.value, SubmitStatus.Known);
+});
+
+test('a submission is only refused as not run when no commit can take effect later', async (t) => {
+  const { one, run, timer } = setUp();
+  one.store.faults.reachability = Reachability.Refusing;
+  const refused = await run(one.jobs.submit(job, timer.now() + 1000), 1500);
+  t.is(refused.isErr() && refused.error.outcome, Outcome.NotRun);
+  one.store.faults.reachability = Reachability.Cut;
+  const unknown = await run(one.jobs.submit(job, timer.now() + 1000), 3000);
+  t.is(unknown.isErr() && unknown.error.outcome, Outcome.OutcomeUnknown);
+});
+
+test('two VMs that run one job after a lost lease never list an item twice or move a result', async (t) => {
+  const { one, two, run, timer } = setUp();
+  await run(one.jobs.submit(job, timer.now() + 1000));
+  await run(two.reader.find('job-1'));
+  t.is((await run(listResult(one, 0, 'of one'))).unwrapOr(undefined), CommitStatus.Committed);
+  // The second VM has not seen the first result yet.
+  t.is((await run(listResult(two, 0, 'of two'))).unwrapOr(undefined), CommitStatus.Conflict);
+  t.deepEqual(two.table.find('job-1')?.ledger.results, [[0, ItemState.Completed]]);
+  await run(listResult(two, 2, 'third'));
+  const page = await run(one.reader.readPage('job-1', 0, 0));
+  t.snapshot(page.unwrapOr(undefined));
+});
+
+test('an end on one VM wins over results that another lists later', async (t) => {
+  const { one, two, run, timer } = setUp();
+  await run(one.jobs.submit(job, timer.now() + 1000));
+  const ended = await run(two.jobs.end('job-1', timer.now() + 1000));
+  t.is(ended.unwrapOr(undefined), EndStatus.Ended);
+  t.is((await run(listResult(one, 0, 'late'))).unwrapOr(undefined), CommitStatus.Conflict);
+  t.true(one.table.find('job-1')?.ledger.isEnded);
+});
+
+test('a VM that cannot reach the store does not say that a job does not exist', async (t) => {
+  const { one, two, run, timer } = setUp();
+  await run(one.jobs.submit(job, timer.now() + 1000));
+  two.store.faults.reachability = Reachability.Refusing;
+  t.true((await run(two.reader.readPage('job-1', 0, 0))).isErr());
+  two.store.faults.reachability = Reachability.Up;
+  t.is(
+    (await run(two.reader.readPage('none', 0, 0))).unwrapOr({ total: -1, results: [] }),
+    undefined,
+  );
+});
--- a/packages/batch-ledger/src/job-store.ts
+++ b/packages/batch-ledger/src/job-store.ts
@@ -74,7 +74,8 @@
 
   /**
    * Stores a job once. A commit whose outcome is unknown is repeated until it is known: only then is it
-   * certain whether the job will run.
+   * certain whether the job will run. One that the store refuses is repeated too, since outages last
+   * seconds and callers have a single retry.
    */
   async submit(job: Job, deadline: number): Reply<SubmitStatus> {
     const { keys, table, self, leaseId, timer } = this.options;
@@ -99,7 +100,6 @@
         return ok(SubmitStatus.Known);
       }
       if (reply.isErr() && reply.error.outcome === Outcome.OutcomeUnknown) mayBeStored = true;
-      if (reply.isErr() && !mayBeStored) return err(reply.error);
       if (timer.now() + REPEAT_MS >= deadline) {
         const message = 'the store did not confirm the job';
         const outcome = mayBeStored ? Outcome.OutcomeUnknown : Outcome.NotRun;
