--- a/packages/ledger-execution/src/capacity-share.test.ts
+++ b/packages/ledger-execution/src/capacity-share.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { countFreeForBatch, countToYield } from './capacity-share.js';
+import { countToYield, rankForBatch } from './capacity-share.js';
 
 const createLoad = (online: number, batch: number) => ({
   workerId: 'w',
@@ -9,12 +9,19 @@
   ageMs: 0,
 });
 
-test('batch leaves a slot free for the first request of an online burst', (t) => {
-  t.deepEqual(
-    [0, 3, 6, 7, 8].map((online) => countFreeForBatch(createLoad(online, 0))),
-    [7, 4, 1, 0, 0],
-  );
-  t.is(countFreeForBatch(createLoad(4, 3)), 0);
+const rank = (...loads: ReturnType<typeof createLoad>[]): number[] =>
+  rankForBatch(loads.map((load, index) => ({ load, index }))).map(({ index }) => index);
+
+test('batch leaves slots of the service free for the first requests of an online burst', (t) => {
+  t.deepEqual(rank(createLoad(0, 7), createLoad(0, 8)), []);
+  t.deepEqual(rank(createLoad(0, 7), createLoad(0, 7)), [0, 1]);
+  t.deepEqual(rank(createLoad(7, 0), createLoad(8, 0), createLoad(6, 1)), []);
+  t.deepEqual(rank(createLoad(2, 0), createLoad(1, 6), createLoad(0, 3)), [0, 2, 1]);
+});
+
+test('batch fills a service that online leaves idle but for one slot', (t) => {
+  t.deepEqual(rank(createLoad(0, 6)), [0]);
+  t.deepEqual(rank(createLoad(0, 7)), []);
 });
 
 test('in a burst the VMs together give up exactly the items that online requests wait for', (t) => {
--- a/packages/ledger-execution/src/capacity-share.ts
+++ b/packages/ledger-execution/src/capacity-share.ts
@@ -5,12 +5,33 @@
  */
 import type { WorkerLoad } from '@jujubelanding/interfaces';
 
-/** Slots that batch leaves free, for online requests that arrive before the next load message. */
-export const RESERVED_SLOTS = 1;
+/**
+ * Online requests that start while a load message is on its way and an item gives way, per request in
+ * progress: 0.1 s over the 0.7 s that a request takes.
+ */
+const ARRIVING_SHARE = 0.14;
+
+/** Slots of a service that stay free however little online load there is. */
+const MIN_RESERVED_SLOTS = 1;
+
+const countFree = ({ slots, online, batch }: WorkerLoad): number =>
+  Math.max(0, slots - online - batch);
 
-/** Number of batch items that may still be started on a worker. */
-export const countFreeForBatch = ({ slots, online, batch }: WorkerLoad): number =>
-  Math.max(0, slots - RESERVED_SLOTS - online - batch);
+/** Slots of a whole service that batch leaves free; online requests go to any worker. */
+const countReserved = (loads: readonly WorkerLoad[]): number => {
+  const online = loads.reduce((sum, load) => sum + load.online, 0);
+  return MIN_RESERVED_SLOTS + Math.ceil(online * ARRIVING_SHARE);
+};
+
+/** Workers on which a batch item may be started, the one with the most free slots first. */
+export const rankForBatch = <T extends { load: WorkerLoad }>(workers: readonly T[]): T[] => {
+  const loads = workers.map(({ load }) => load);
+  const free = loads.reduce((sum, load) => sum + countFree(load), 0);
+  if (free <= countReserved(loads)) return [];
+  return workers
+    .filter(({ load }) => countFree(load) > 0)
+    .toSorted((a, b) => countFree(b.load) - countFree(a.load));
+};
 
 /** Batch items that each VM runs on a worker, in an order that all VMs agree on. */
 export type BatchByVm = readonly { entryVmId: string; batch: number }[];
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -5,11 +5,11 @@
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import type { Worker } from '@jujubelanding/types';
 
-/** A worker that sends no event for this long while it runs an item is taken to be lost. */
-const STALL_MS = 2000;
+/** A worker that is silent for this long is taken to be lost; a slow one sends an event in 130 ms. */
+const STALL_MS = 1200;
 
-/** Longest wait for the first event; a full worker queues requests before they run. */
-const FIRST_EVENT_MS = 5000;
+/** Longest wait for the first event. Items go to free slots only, where the first event takes 100 ms. */
+const FIRST_EVENT_MS = 1500;
 
 const SUCCESS = 200;
 const IMPOSSIBLE = 422;
--- a/packages/ledger-execution/src/job-execution.ts
+++ b/packages/ledger-execution/src/job-execution.ts
@@ -17,18 +17,16 @@
 import { RouteTable, type Route } from '@jujubelanding/route-table';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import type { Worker } from '@jujubelanding/types';
-import { countFreeForBatch, countToYield } from './capacity-share.js';
+import { countToYield, rankForBatch } from './capacity-share.js';
 import { ItemRun, RunOutcome, type RunResult } from './item-run.js';
 import { OwnedJob, type OwnedItem } from './owned-job.js';
 import { ResultQueue } from './result-queue.js';
 import { mayTake } from './takeover.js';
+import { WorkerAvoidance } from './worker-avoidance.js';
 
 /** Items are started and jobs taken at least this often. */
 const TICK_MS = 100;
 
-/** A worker that refused an item or was lost is not asked again for this long. */
-const REFUSED_MS = 400;
-
 /** Pause of an item whose run failed. */
 const FAILED_PAUSE_MS = 250;
 
@@ -63,8 +61,7 @@
   /** Time since which a job has had no owner. */
   private readonly orphans = new Map<string, number>();
 
-  /** Workers that are not asked until a time. */
-  private readonly avoided = new Map<string, number>();
+  private readonly avoidance = new WorkerAvoidance();
 
   private readonly subscriptions: Subscription[] = [];
 
@@ -234,15 +231,14 @@
   private chooseWorker(route: Route, now: number): Worker | undefined {
     const { directory, loads, random, availabilityZone } = this.options;
     const service = RouteTable.chooseService(route, random.next()) ?? '';
-    const free = directory
+    const isLocal = (worker: Worker): boolean => worker.availabilityZone === availabilityZone;
+    const workers = directory
       .workersOf(service)
-      .filter(({ id }) => (this.avoided.get(id) ?? 0) <= now)
-      .map((worker) => ({ worker, free: countFreeForBatch(loads.get(worker.id)) }))
-      .filter((entry) => entry.free > 0);
-    const isLocal = (worker: Worker): number =>
-      Number(worker.availabilityZone === availabilityZone);
-    return free.toSorted((a, b) => b.free - a.free || isLocal(b.worker) - isLocal(a.worker))[0]
-      ?.worker;
+      .filter(({ id }) => !this.avoidance.isAvoided(id, now))
+      // The sort below is stable, so that of equally free workers one of the own zone comes first.
+      .toSorted((a, b) => Number(isLocal(b)) - Number(isLocal(a)))
+      .map((worker) => ({ worker, load: loads.get(worker.id) }));
+    return rankForBatch(workers)[0]?.worker;
   }
 
   private async run({ owned, known, item }: Candidate, worker: Worker): Promise<void> {
@@ -288,6 +284,7 @@
       message: fault?.message,
     });
     metrics.increment('batch.runs', { outcome });
+    this.learn(worker.id, outcome, now);
     if (outcome === RunOutcome.Completed) {
       const output = item.progress.events.join('\n');
       owned.results.add({ itemIndex: item.index, state: ItemState.Completed, output });
@@ -295,12 +292,16 @@
       this.giveUp(owned, item, 'it can never be done');
     } else if (outcome === RunOutcome.Failed) {
       this.countFailure(owned, known, item, now);
-    } else if (outcome !== RunOutcome.Cancelled) {
-      this.avoided.set(worker.id, now + REFUSED_MS);
     }
     if (!this.isStopping) this.startItems();
   }
 
+  private learn(workerId: string, outcome: RunOutcome, now: number): void {
+    if (outcome === RunOutcome.Completed) this.avoidance.recordSuccess(workerId);
+    else if (outcome === RunOutcome.Refused) this.avoidance.recordRefusal(workerId, now);
+    else if (outcome === RunOutcome.Interrupted) this.avoidance.recordLoss(workerId, now);
+  }
+
   private countFailure(owned: OwnedJob, { job }: KnownJob, item: OwnedItem, now: number): void {
     const { progress } = item;
     progress.failures += 1;
