Eject a dark worker after one silent request; share the list of connection headers

Ruled out: shorter time limits, which would cut slow answers. A worker with more requests than slots, or that has answered meanwhile, is not judged, and at most a third of a service is ejected.

--- a/packages/platform-clients/src/index.ts
+++ b/packages/platform-clients/src/index.ts
@@ -22,5 +22,7 @@
   type AnswerStart,
   type ExchangeRequest,
 } from './exchange.js';
+export { CONNECTION_HEADERS } from './service-headers.js';
+export { createQuery } from './query.js';
 export { HttpPeer, type CallRequest } from './http-peer.js';
 export { expectSuccess, OUTCOME_HEADER, parseAnswer, toFault } from './answers.js';
--- a/packages/platform-clients/src/key-value-client.ts
+++ b/packages/platform-clients/src/key-value-client.ts
@@ -10,6 +10,7 @@
 import { SHARD_COUNT } from '@jujubelanding/types';
 import { z } from 'zod';
 import { HttpPeer, type CallRequest } from './http-peer.js';
+import { createQuery } from './query.js';
 
 export interface KeyValueClientOptions {
   /** host:port */
@@ -60,14 +61,6 @@
   compacted: z.boolean(),
 });
 
-const createQuery = (fields: Record<string, string | number | undefined>): string => {
-  const query = new URLSearchParams();
-  Object.entries(fields).forEach(([name, value]) => {
-    if (value !== undefined) query.set(name, String(value));
-  });
-  return query.toString();
-};
-
 const createLeasePath = (leaseId: string): string => `/v1/leases/${encodeURIComponent(leaseId)}`;
 
 /** Sends calls that name step, method and path; the peer is always the same. */
--- a/packages/platform-clients/src/service-headers.ts
+++ b/packages/platform-clients/src/service-headers.ts
@@ -1,5 +1,5 @@
 /** Headers that belong to one connection and are not passed on. */
-const CONNECTION_HEADERS = new Set([
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'content-length',
   'expect',
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -114,6 +114,14 @@
     }
   }
 
+  /** Notes that a request at a worker with free slots has had no first token for too long. */
+  recordSilence(worker: Worker, sentAt: number): void {
+    const now = this.options.io.timer.now();
+    if (this.health.recordSilence(worker.service, worker.id, sentAt, now)) {
+      this.logEjection(worker, 'silence');
+    }
+  }
+
   recordFault(worker: Worker): void {
     if (this.health.recordFault(worker.service, worker.id, this.options.io.timer.now())) {
       this.logEjection(worker, 'faults');
--- a/packages/routing/src/worker-health.ts
+++ b/packages/routing/src/worker-health.ts
@@ -27,7 +27,7 @@
 /** Latency below this never ejects; on fast workers a factor of 3 is noise. */
 const MIN_BAD_LATENCY_MS = 200;
 
-/** Ejections for latency leave at least the other workers of a service in use. */
+/** Largest share of a service's workers that is ejected for latency or silence. */
 const MAX_EJECTED_SHARE = 0.34;
 
 /** Samples within which a change for the worse shows. */
@@ -45,6 +45,8 @@
   ejectedUntil: number;
   /** Latest first tokens, oldest first. */
   samples: Sample[];
+  /** Time of the last answer or first token. */
+  heardAt: number;
 }
 
 const median = (values: readonly number[]): number =>
@@ -71,12 +73,14 @@
   recordSuccess(service: string, workerId: string, now: number): void {
     const state = this.find(service, workerId);
     state.faults = 0;
+    state.heardAt = now;
     if (state.ejections > 0 && now - state.ejectedUntil > FORGET_AFTER_MS) state.ejections = 0;
   }
 
   /** Counts a first token; returns true when its latency ejects the worker. */
   recordLatency(service: string, workerId: string, latencyMs: number, now: number): boolean {
     const state = this.find(service, workerId);
+    state.heardAt = now;
     // Requests sent before the ejection say nothing about the worker after it.
     if (now < state.ejectedUntil) return false;
     state.samples.push({ latencyMs, at: now });
@@ -97,6 +101,18 @@
     return true;
   }
 
+  /**
+   * Notes that a request got no first token for longer than free workers need; returns true when that
+   * ejects the worker. One that answered another request meanwhile is slow rather than dark.
+   */
+  recordSilence(service: string, workerId: string, sentAt: number, now: number): boolean {
+    const state = this.find(service, workerId);
+    if (now < state.ejectedUntil || state.heardAt >= sentAt) return false;
+    if (!this.mayEjectOneMore(service, now)) return false;
+    this.eject(state, now);
+    return true;
+  }
+
   /** Forgets workers that are no longer listed. */
   retain(isListed: (workerId: string) => boolean): void {
     for (const workerId of this.states.keys()) {
@@ -107,7 +123,7 @@
   private find(service: string, workerId: string): Health {
     const known = this.states.get(workerId);
     if (known !== undefined) return known;
-    const state = { service, faults: 0, ejections: 0, ejectedUntil: 0, samples: [] };
+    const state = { service, faults: 0, ejections: 0, ejectedUntil: 0, samples: [], heardAt: -1 };
     this.states.set(workerId, state);
     return state;
   }
@@ -116,15 +132,25 @@
     if (state.samples.length < MIN_LATENCY_SAMPLES) return false;
     const latencyMs = lowerMedian(state.samples.map((sample) => sample.latencyMs));
     if (latencyMs < MIN_BAD_LATENCY_MS) return false;
-    const workers = [...this.states.values()].filter((other) => other.service === service);
-    const ejected = workers.filter((other) => now < other.ejectedUntil).length;
-    if ((ejected + 1) / workers.length > MAX_EJECTED_SHARE) return false;
+    if (!this.mayEjectOneMore(service, now)) return false;
+    const workers = this.listStates(service);
     const others = workers.filter((other) => other !== state && now >= other.ejectedUntil);
     const present = this.listPresent(others, state.samples.at(-SLOW_SAMPLES)!.at);
     if (present.length === 0 || present.length < others.length / 2) return false;
     return latencyMs > LATENCY_FACTOR * median(present);
   }
 
+  private listStates(service: string): Health[] {
+    return [...this.states.values()].filter((state) => state.service === service);
+  }
+
+  /** Ejections that rest on time alone leave at least the other workers of a service in use. */
+  private mayEjectOneMore(service: string, now: number): boolean {
+    const workers = this.listStates(service);
+    const ejected = workers.filter((other) => now < other.ejectedUntil).length;
+    return (ejected + 1) / workers.length <= MAX_EJECTED_SHARE;
+  }
+
   /** Latest latencies since a time; older ones are from before a slowness of the whole fleet. */
   private listPresent(others: readonly Health[], since: number): number[] {
     return others
--- a/packages/routing/src/worker-knowledge.test.ts
+++ b/packages/routing/src/worker-knowledge.test.ts
@@ -126,3 +126,21 @@
   }
   t.true(retries >= 149 && retries <= 150);
 });
+
+test('a worker that goes dark is ejected by one silent request, but never half of a service', (t) => {
+  const health = new WorkerHealth();
+  const workers = ['a', 'b', 'c', 'd', 'e', 'f'];
+  workers.forEach((id) => health.recordLatency('s', id, 20, 100));
+  t.true(health.recordSilence('s', 'a', 200, 600));
+  t.is(health.admission('a', 600), 0);
+  t.true(health.recordSilence('s', 'b', 200, 600));
+  t.false(health.recordSilence('s', 'c', 200, 600));
+});
+
+test('a worker that answered another request meanwhile is not taken to be dark', (t) => {
+  const health = new WorkerHealth();
+  ['a', 'b', 'c'].forEach((id) => health.recordLatency('s', id, 20, 100));
+  health.recordSuccess('s', 'a', 300);
+  t.false(health.recordSilence('s', 'a', 200, 600));
+  t.true(health.recordSilence('s', 'a', 400, 800));
+});
