--- a/packages/quickstart/src/main.ts
+++ b/packages/quickstart/src/main.ts
@@ -1,6 +1,7 @@
 /** Runs the quickstart and prints a summary. */
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { runPlatformQuickstart } from '@jujubelanding/platform-adapter/quickstart';
 import { LocalFleet } from './local-fleet.js';
 import { Session } from './session.js';
 
@@ -50,4 +51,13 @@
   if (codes.some((code) => code !== 0)) process.exitCode = 1;
 };
 
-await main();
+const runPlatform = async (): Promise<void> => {
+  try {
+    await runPlatformQuickstart(print);
+  } catch (thrown) {
+    process.exitCode = 1;
+    print(`failed: ${String(thrown)}`);
+  }
+};
+
+await (process.argv.includes('--platform') ? runPlatform() : main());
