Ask the store before saying that a job has no further result

The bound on the age of the table was 2.9 s since the watches wait longer; it must be under a second. Only an answer that says 'nothing yet' asks the store now, where the table is older than 0.8 s; a VM that cannot be sure refuses. The test fails without the change.

--- a/packages/batch-ledger/src/job-store.test.ts
+++ b/packages/batch-ledger/src/job-store.test.ts
@@ -99,8 +99,14 @@
   t.is((await run(listResult(two, 0, 'of two'))).unwrapOr(undefined), CommitStatus.Conflict);
   t.deepEqual(two.table.find('job-1')?.ledger.results, [[0, ItemState.Completed]]);
   await run(listResult(two, 2, 'third'));
-  const page = await run(one.reader.readPage('job-1', 0, 0));
-  t.snapshot(page.unwrapOr(undefined));
+  // The first VM knows its own result; the other one is read behind it.
+  const pages = [];
+  for (const after of [0, 1]) {
+    const page = await run(one.reader.readPage('job-1', after, 0));
+    pages.push(page.unwrapOr(undefined));
+  }
+  const results = pages.flatMap((page) => page?.results ?? []);
+  t.snapshot({ results, total: pages[0]?.total });
 });
 
 test('an end on one VM wins over results that another lists later', async (t) => {
@@ -123,3 +129,16 @@
     undefined,
   );
 });
+
+test('a VM whose watch is silent does not say that a result is missing that another has shown', async (t) => {
+  const { one, two, run, timer } = setUp();
+  await run(one.jobs.submit(job, timer.now() + 1000));
+  await run(two.reader.find('job-1'));
+  await run(listResult(one, 0, 'first'));
+  // The second VM has not heard of the result; its table is older than the bound.
+  t.is(two.table.find('job-1')?.ledger.results.length, 0);
+  const page = await run(two.reader.readPage('job-1', 0, 0));
+  t.is(page.unwrapOr(undefined)?.results.length, 1);
+  two.store.faults.reachability = Reachability.Refusing;
+  t.true((await run(two.reader.readPage('job-1', 1, 0))).isErr());
+});
--- a/packages/batch-ledger/src/result-reader.ts
+++ b/packages/batch-ledger/src/result-reader.ts
@@ -13,8 +13,11 @@
 /** Outputs kept in memory, in characters over all jobs. */
 const MAX_KEPT_CHARACTERS = 8_000_000;
 
-/** A table that the store confirmed within this time is current: a watch and the time to notice its loss. */
-const FRESH_MS = 2900;
+/**
+ * A table that the store confirmed within this time may say that a result is not there. Results that
+ * another VM has shown must be shown everywhere after a second.
+ */
+const FRESH_MS = 800;
 
 export interface ListedResult {
   itemId: string;
@@ -61,12 +64,8 @@
 
   /** Returns the job; undefined only if the store knows none. */
   async find(jobId: string): Reply<KnownJob | undefined> {
-    const { table, jobs, tableAgeMs } = this.options;
-    const known = table.find(jobId);
-    if (known !== undefined && tableAgeMs() < FRESH_MS) return ok(known);
-    const read = await jobs.read(jobId);
-    if (read !== undefined && 'code' in read) return err(read);
-    return ok(read);
+    const known = this.options.table.find(jobId);
+    return known === undefined ? this.readFromStore(jobId) : ok(known);
   }
 
   /** Returns the results from a position on, after waiting for the first of them. */
@@ -74,7 +73,10 @@
     const found = await this.find(jobId);
     if (found.isErr()) return err(found.error);
     if (found.value === undefined) return ok(undefined);
-    const known = await this.waitFor(found.value, after, waitMs);
+    const waited = await this.waitFor(found.value, after, waitMs);
+    const confirmed = this.isCertain(waited, after) ? ok(waited) : await this.readFromStore(jobId);
+    if (confirmed.isErr()) return err(confirmed.error);
+    const known = confirmed.value ?? waited;
     const total = known.job.items.length;
     const end = known.ledger.results.length;
     if (after >= end) return ok({ total, results: [] });
@@ -83,6 +85,18 @@
     return ok({ total, results: this.collect(known, after, end) });
   }
 
+  /** True where the store need not be asked before the answer. */
+  private isCertain({ job, ledger }: KnownJob, after: number): boolean {
+    const hasResult = ledger.results.length > after;
+    return hasResult || after >= job.items.length || this.options.tableAgeMs() < FRESH_MS;
+  }
+
+  private async readFromStore(jobId: string): Reply<KnownJob | undefined> {
+    const read = await this.options.jobs.read(jobId);
+    if (read !== undefined && 'code' in read) return err(read);
+    return ok(read);
+  }
+
   private collect({ job, ledger }: KnownJob, after: number, end: number): ListedResult[] {
     const results: ListedResult[] = [];
     let size = 0;
