Load only what the deployed programs use

The bundle had 2.3 MB, a third of it locales of zod and a third parts of undici that never run.

Ruled out: minified identifiers, which gave no further time and would make stack traces unreadable.

--- a/packages/batch-jobs/src/codec.ts
+++ b/packages/batch-jobs/src/codec.ts
@@ -7,7 +7,7 @@
   type SegmentReference,
 } from '@jujubelanding/types';
 import { ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { refuse } from './faults.js';
 
 const FORMAT_VERSION = 1;
--- a/packages/batch-ledger/src/job.ts
+++ b/packages/batch-ledger/src/job.ts
@@ -1,5 +1,5 @@
 /** Batch jobs, their ledgers and results. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const SCHEMA_VERSION = 1;
 
--- a/packages/caller-api/src/schemas.ts
+++ b/packages/caller-api/src/schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas of request bodies. */
 import type { Message } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const textPartSchema = z.object({ type: z.literal('text'), text: z.string() });
 
--- a/packages/claims/src/claim-log.ts
+++ b/packages/claims/src/claim-log.ts
@@ -1,7 +1,7 @@
 /** Stored form of claims and the keys under which they are kept. */
 import { describeThrown, FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MS_PER_HOUR = 3_600_000;
 
--- a/packages/cli/src/client/problem.ts
+++ b/packages/cli/src/client/problem.ts
@@ -1,6 +1,6 @@
 /** Conversion of unsuccessful HTTP answers and transport errors to faults. */
 import { describeThrown, type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const PROBLEM_PREFIX = 'urn:jujubelanding:problem:';
 
--- a/packages/cli/src/client/records.ts
+++ b/packages/cli/src/client/records.ts
@@ -2,7 +2,7 @@
 import { type Fault, FaultCode } from '@jujubelanding/errors';
 import { MemberState, type RecordKind } from '@jujubelanding/types';
 import { ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Client, Repetition } from './client.js';
 import { FLEET_STATUS, type FleetStatus, RECORD, type StoredRecord } from './shapes.js';
 
--- a/packages/cli/src/client/shapes.ts
+++ b/packages/cli/src/client/shapes.ts
@@ -1,6 +1,6 @@
 /** Shapes of the answers of entry VMs. */
 import { ItemStatus, JobStatus, MemberState, RecordKind } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const SPEC = z.record(z.string(), z.unknown());
 
--- a/packages/cli/src/commands/chat/read-answer.ts
+++ b/packages/cli/src/commands/chat/read-answer.ts
@@ -3,7 +3,7 @@
 import { describeThrown, type Fault, FaultCode, Outcome } from '@jujubelanding/errors';
 import { createParser } from 'eventsource-parser';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { toFault } from '../../client/problem.js';
 import { parseJson } from '../../input/files.js';
 
--- a/packages/cli/src/input/items.ts
+++ b/packages/cli/src/input/items.ts
@@ -1,7 +1,7 @@
 /** Batch items in an NDJSON file. */
 import { describeThrown } from '@jujubelanding/errors';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type OpenInput, parseJson, readLines } from './files.js';
 
 const TEXT_PART = z.object({ type: z.literal('text'), text: z.string() });
--- a/packages/cli/src/input/records.ts
+++ b/packages/cli/src/input/records.ts
@@ -1,6 +1,6 @@
 /** Records in a file: one JSON object, an array of them, or one per line. */
 import { Err, Ok, Result } from 'ts-results-es';
-import { z } from 'zod';
+import * as z from 'zod';
 import { RECORD } from '../client/shapes.js';
 import { parseJson } from './files.js';
 
--- a/packages/entry-vm-registry/src/registration.ts
+++ b/packages/entry-vm-registry/src/registration.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What an entry VM makes known about itself in the store. */
 export interface Registration {
--- a/packages/fleet-load/src/datagrams.ts
+++ b/packages/fleet-load/src/datagrams.ts
@@ -3,7 +3,7 @@
 import type { Log } from '@jujubelanding/log';
 import { err, ok } from 'neverthrow';
 import { pack, unpack } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { LoadMessage } from './message.js';
 
 const messageSchema: z.ZodType<LoadMessage> = z.object({
--- a/packages/peer-transport/src/datagram-channel.ts
+++ b/packages/peer-transport/src/datagram-channel.ts
@@ -5,7 +5,7 @@
 import { DatagramKind, type Datagram } from '@jujubelanding/peer-protocol';
 import { Packr } from 'msgpackr';
 import { err, ok } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseAddress, type HostPort } from './address.js';
 import { openDatagram, sealDatagram } from './authentication.js';
 import type { Handlers } from './handlers.js';
--- a/packages/peer-transport/src/input-schemas.ts
+++ b/packages/peer-transport/src/input-schemas.ts
@@ -1,6 +1,6 @@
 /** Checks of call inputs. Unknown fields pass, so that newer entry VMs can add some. */
 import { PeerMethod, type PeerCalls } from '@jujubelanding/peer-protocol';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const segmentSchema = z.looseObject({
   id: z.string().min(1),
--- a/packages/platform-clients/src/answers.ts
+++ b/packages/platform-clients/src/answers.ts
@@ -1,7 +1,7 @@
 /** Maps HTTP answers to values and faults. */
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Answer, ExchangeRequest } from './exchange.js';
 
 /** Header in which a server says what became of a request. */
--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -5,7 +5,7 @@
 import { CacheEventKind, WorkerRole } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
 import type { Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { expectSuccess, OUTCOME_HEADER, readHeader, toFault } from './answers.js';
 import { TimeoutKind } from './exchange.js';
 import { HttpPeer } from './http-peer.js';
--- a/packages/platform-clients/src/fleet-clients.ts
+++ b/packages/platform-clients/src/fleet-clients.ts
@@ -3,7 +3,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { VmRole, VmState } from '@jujubelanding/types';
 import { ok } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { expectSuccess, parseAnswer, readHeader } from './answers.js';
 import { HttpPeer } from './http-peer.js';
 import type { Closable } from './key-value-client.js';
--- a/packages/platform-clients/src/key-value-client.ts
+++ b/packages/platform-clients/src/key-value-client.ts
@@ -8,7 +8,7 @@
 } from '@jujubelanding/platform';
 import type { Timer } from '@jujubelanding/timer';
 import { SHARD_COUNT } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 import { HttpPeer, type CallRequest } from './http-peer.js';
 import { createQuery } from './query.js';
 
--- a/packages/platform-clients/src/token-stream.ts
+++ b/packages/platform-clients/src/token-stream.ts
@@ -4,7 +4,7 @@
 import { FinishReason, type StreamEnd, type Token } from '@jujubelanding/types';
 import { createParser, type EventSourceMessage, type EventSourceParser } from 'eventsource-parser';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const endSchema: z.ZodType<StreamEnd> = z.object({
   requestId: z.string(),
--- a/packages/records/src/fields.ts
+++ b/packages/records/src/fields.ts
@@ -1,5 +1,5 @@
 /** Building blocks of record schemas; each error message states what the field allows. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 
--- a/packages/records/src/schemas.ts
+++ b/packages/records/src/schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas of each record kind in each schema version. */
 import { FencingMode, JobControl, RecordKind, ServiceKind } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   booleanField,
   choiceField,
--- a/packages/replay/src/trace/events.ts
+++ b/packages/replay/src/trace/events.ts
@@ -1,6 +1,6 @@
 /** Events of a trace: what callers, operators and the environment did. */
 import { RecordKind } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 export enum EventKind {
   Chat = 'chat',
--- a/packages/replay/src/trace/expectations.ts
+++ b/packages/replay/src/trace/expectations.ts
@@ -1,6 +1,6 @@
 /** Expectations of a trace: the outcomes that a person stated for it. */
 import { JobStatus } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EventKind } from './events.js';
 
 export enum ExpectationKind {
--- a/packages/replay/src/trace/header.ts
+++ b/packages/replay/src/trace/header.ts
@@ -1,6 +1,6 @@
 /** Header of a trace: the deployment that it runs on. */
 import { FencingMode, RecordKind, ServiceKind } from '@jujubelanding/types';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Version of the format that this package reads. */
 export const FORMAT_VERSION = 1;
--- a/packages/replay/src/trace/parse-trace.ts
+++ b/packages/replay/src/trace/parse-trace.ts
@@ -1,6 +1,6 @@
 /** Parser of traces. */
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EVENT_SCHEMAS, type TraceEvent } from './events.js';
 import { EXPECTATION_SCHEMAS, type Expectation } from './expectations.js';
 import { headerSchema, type Header } from './header.js';
--- a/packages/settings/src/definition.ts
+++ b/packages/settings/src/definition.ts
@@ -1,6 +1,6 @@
 /** The description of one setting, and builders for the types that settings have. */
 import { isAbsolute } from 'node:path';
-import { z } from 'zod';
+import * as z from 'zod';
 import { isWildcard, MAX_PORT, parseAddress } from './address.js';
 import { DURATION_UNITS, formatDuration, parseDuration } from './duration.js';
 
--- a/packages/stand-ins/src/engine/stream-cache.ts
+++ b/packages/stand-ins/src/engine/stream-cache.ts
@@ -1,7 +1,7 @@
 /** KV caches of streams that have ended or been cancelled, for resuming without prefill. */
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const streamStateSchema = z.object({ promptDigest: z.string(), tokens: z.number().int() });
 
--- a/packages/stand-ins/src/http/control.ts
+++ b/packages/stand-ins/src/http/control.ts
@@ -1,6 +1,6 @@
 /** Endpoints that switch faults and read counters of a running emulator. */
 import type { Context } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Reachability, type LinkFaults } from '../link.js';
 import type { App } from './server.js';
 
--- a/packages/stand-ins/src/http/fleet-apps.ts
+++ b/packages/stand-ins/src/http/fleet-apps.ts
@@ -3,7 +3,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { VmRole, VmState } from '@jujubelanding/types';
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { VmListService } from '../vm-list-service.js';
 import type { WeightStoreService } from '../weight-store-service.js';
 import { addLinkControl } from './control.js';
--- a/packages/stand-ins/src/http/key-value-app.ts
+++ b/packages/stand-ins/src/http/key-value-app.ts
@@ -3,7 +3,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { Hono, type Context } from 'hono';
 import { ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { KeyValueService } from '../key-value-service.js';
 import { addLinkControl } from './control.js';
 import { applyFaults, sendFault, sendResult, type App, type Bindings } from './server.js';
--- a/packages/stand-ins/src/http/model-engine-app.ts
+++ b/packages/stand-ins/src/http/model-engine-app.ts
@@ -5,7 +5,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { OrderKind, type Generation } from '@jujubelanding/types';
 import { Hono, type Context, type MiddlewareHandler } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ModelEngine } from '../engine/model-engine.js';
 import { addControl, linkFaultsSchema, streamFaultsSchema } from './control.js';
 import { applyFaults, sendFault, sendResult, type App, type Bindings } from './server.js';
--- a/packages/stand-ins/src/http/plain-service-app.ts
+++ b/packages/stand-ins/src/http/plain-service-app.ts
@@ -2,7 +2,7 @@
 import type { Random } from '@jujubelanding/random';
 import type { Timer } from '@jujubelanding/timer';
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlainService } from '../plain-service.js';
 import { addControl, linkFaultsSchema, plainServiceFaultsSchema } from './control.js';
 import { applyFaults, sendFault, type App, type Bindings } from './server.js';
--- a/packages/stand-ins/src/http/programs.ts
+++ b/packages/stand-ins/src/http/programs.ts
@@ -5,7 +5,7 @@
 import { FencingMode, WorkerRole } from '@jujubelanding/types';
 import { err, ok, type Result } from 'neverthrow';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ModelEngine } from '../engine/model-engine.js';
 import type { FetchWeight } from '../engine/orders.js';
 import { KeyValueService } from '../key-value-service.js';
--- a/packages/store-relay/src/relay-http.ts
+++ b/packages/store-relay/src/relay-http.ts
@@ -6,7 +6,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { Hono } from 'hono';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Time for a call through a peer: the store's own time and the way to the peer. */
 const CALL_TIMEOUT_MS = 1000;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,7 +3,7 @@
 import { rm } from 'node:fs/promises';
 import { build } from 'esbuild';
 
-export const bundlePrograms = async (entryPoints, outdir) => {
+export const bundlePrograms = async (entryPoints, outdir, options = {}) => {
   await rm(outdir, { recursive: true, force: true });
   await build({
     entryPoints,
@@ -20,5 +20,6 @@
       // CommonJS dependencies inside an ESM bundle call require().
       js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
     },
+    ...options,
   });
 };
