Store the progress of batch items while they run

Cause: what had arrived of an item was in the memory of its job's owner and was stored only by a planned stop.

A part is conditional on the ownership and on its own number, so that a lost answer neither loses nor doubles it. The next owner reads the parts first and takes the job only with them.

JobStore loses its transactions and the progress. Outputs are no longer kept among the followed entries, where nobody read them.

Ruled out: one value with the whole progress per save, which writes each event several times.

--- a/packages/batch-ledger/src/index.ts
+++ b/packages/batch-ledger/src/index.ts
@@ -1,5 +1,12 @@
 /** Batch jobs whose record, ledger and results are values in the key-value store. */
 export * from './job.js';
+export {
+  ProgressParts,
+  joinParts,
+  type ItemProgress,
+  type JobProgress,
+  type ProgressPart,
+} from './progress.js';
 export { KeySpace } from './key-space.js';
 export { JobTable, type KnownJob } from './job-table.js';
 export {
@@ -10,3 +17,5 @@
   SubmitStatus,
 } from './job-store.js';
 export { ResultReader, type ListedResult, type ResultPage } from './result-reader.js';
+export { JobTransactions, type JobTransactionsOptions } from './job-transactions.js';
+export { ProgressStore, SaveStatus, type StoredProgress } from './progress-store.js';
--- a/packages/batch-ledger/src/job-store.test.ts
+++ b/packages/batch-ledger/src/job-store.test.ts
@@ -10,6 +10,7 @@
   ItemState,
   JobStore,
   JobTable,
+  JobTransactions,
   KeySpace,
   ResultReader,
   SCHEMA_VERSION,
@@ -37,17 +38,16 @@
     const store = service.createClient(name);
     const keys = new KeySpace('jj/', 'jd/');
     const table = new JobTable(keys, silentLog);
-    const jobs = new JobStore({
+    const leaseId = () => undefined;
+    const transactions = new JobTransactions({
       store,
-      timer,
-      log: silentLog,
       keys,
-      table,
       applyOwn: (changes) => table.apply(changes),
-      self: { entryVmId: name, bootId: `boot-${name}` },
-      leaseId: () => undefined,
+      leaseId,
       onLeaseEnded: () => {},
     });
+    const self = { entryVmId: name, bootId: `boot-${name}` };
+    const jobs = new JobStore({ store, transactions, timer, keys, table, self, leaseId });
     const reader = new ResultReader({
       store,
       timer,
--- a/packages/batch-ledger/src/job-store.ts
+++ b/packages/batch-ledger/src/job-store.ts
@@ -1,29 +1,19 @@
 import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
-import type { Log } from '@jujubelanding/log';
-import {
-  ChangeKind,
-  CommitStatus,
-  type CommitResult,
-  type KeyValueEntry,
-  type Transaction,
-  type TransactionalStore,
-} from '@jujubelanding/platform';
-import type { FollowedChange } from '@jujubelanding/store-follower';
+import { CommitStatus, type KeyValueEntry, type TransactionalStore } from '@jujubelanding/platform';
 import type { Timer } from '@jujubelanding/timer';
 import { err, ok } from 'neverthrow';
 import {
   decodeJob,
   decodeLedger,
-  decodeProgress,
   EMPTY_LEDGER,
   encode,
   type ItemState,
   type Job,
-  type JobProgress,
   type Ledger,
   type Ownership,
 } from './job.js';
 import type { JobTable, KnownJob } from './job-table.js';
+import type { JobTransactions } from './job-transactions.js';
 import type { KeySpace } from './key-space.js';
 
 /** Pause before a call is repeated whose outcome is unknown, or that was refused. */
@@ -48,17 +38,13 @@
 }
 
 export interface JobStoreOptions {
-  store: TransactionalStore;
+  store: Pick<TransactionalStore, 'get'>;
+  transactions: JobTransactions;
   timer: Timer;
-  log: Log;
   keys: KeySpace;
   table: JobTable;
-  /** Applies changes of this process to the followed entries, ahead of the watch. */
-  applyOwn: (changes: FollowedChange[]) => void;
   self: Ownership;
   leaseId: () => string | undefined;
-  /** Called when the store says that a lease has ended. */
-  onLeaseEnded: (leaseId: string) => void;
 }
 
 const createFault = (code: FaultCode, outcome: Outcome, step: string, message: string): Fault => ({
@@ -92,7 +78,7 @@
           : [{ key: keys.owner(job.id), value: encode(self), leaseId: lease }]),
       ];
       const conditions = [{ key: keys.job(job.id), revision: 0 }];
-      const reply = await this.commit({ conditions, writes, removals: [] });
+      const reply = await this.options.transactions.commit({ conditions, writes, removals: [] });
       if (reply.isOk() && reply.value.status === CommitStatus.Committed) {
         return ok(SubmitStatus.Accepted);
       }
@@ -123,7 +109,7 @@
       }
       if (known.ledger.isEnded) return ok(EndStatus.Ended);
       const ledger = { ...known.ledger, isEnded: true };
-      const reply = await this.commit({
+      const reply = await this.options.transactions.commit({
         conditions: [{ key: keys.ledger(jobId), revision: known.ledgerRevision }],
         writes: [{ key: keys.ledger(jobId), value: encode(ledger) }],
         removals: [keys.owner(jobId)],
@@ -155,7 +141,7 @@
         ...results.map(({ itemIndex, state }): Ledger['results'][number] => [itemIndex, state]),
       ],
     };
-    const reply = await this.commit({
+    const reply = await this.options.transactions.commit({
       conditions: [{ key: keys.ledger(job.id), revision: ledgerRevision }],
       writes: [
         { key: keys.ledger(job.id), value: encode(listed) },
@@ -174,7 +160,7 @@
     const { keys, self, leaseId } = this.options;
     const lease = leaseId();
     if (lease === undefined) return ok(false);
-    const reply = await this.commit({
+    const reply = await this.options.transactions.commit({
       conditions: [{ key: keys.owner(job.id), revision: ownerRevision }],
       writes: [{ key: keys.owner(job.id), value: encode(self), leaseId: lease }],
       removals: [],
@@ -182,27 +168,9 @@
     return reply.map(({ status }) => status === CommitStatus.Committed);
   }
 
-  /** Gives a job up to the other VMs, with what has arrived of its items. */
-  async release({ job, ownerRevision }: KnownJob, progress: JobProgress): Reply<boolean> {
-    const { keys } = this.options;
-    const hasProgress = Object.keys(progress).length > 0;
-    const reply = await this.commit({
-      conditions: [{ key: keys.owner(job.id), revision: ownerRevision }],
-      writes: hasProgress ? [{ key: keys.progress(job.id), value: encode(progress) }] : [],
-      removals: [keys.owner(job.id)],
-    });
-    return reply.map(({ status }) => status === CommitStatus.Committed);
-  }
-
-  /** Reads the progress that an earlier owner left. */
-  async readProgress(jobId: string): Reply<JobProgress> {
-    const reply = await this.options.store.get(this.options.keys.progress(jobId));
-    return reply.map((entry) => (entry === undefined ? {} : (decodeProgress(entry.value) ?? {})));
-  }
-
   /** Reads a job from the store; undefined when there is none. */
   async read(jobId: string): Promise<KnownJob | Fault | undefined> {
-    const { store, keys, table, applyOwn } = this.options;
+    const { store, transactions, keys, table } = this.options;
     const ledger = await store.get(keys.ledger(jobId));
     if (ledger.isErr()) return ledger.error;
     if (ledger.value === undefined) return undefined;
@@ -213,7 +181,7 @@
       if (job.value === undefined) return undefined;
       entries.push(job.value);
     }
-    applyOwn(entries.map((entry) => ({ kind: ChangeKind.Put, entry })));
+    transactions.applyRead(entries);
     const unreadable = entries.some(
       ({ value }) => decodeJob(value) === undefined && decodeLedger(value) === undefined,
     );
@@ -223,28 +191,4 @@
     }
     return table.find(jobId);
   }
-
-  private async commit(transaction: Transaction): Reply<CommitResult> {
-    const { store, applyOwn, leaseId, onLeaseEnded } = this.options;
-    const lease = leaseId();
-    const reply = await store.commit(transaction);
-    if (reply.isErr()) return reply;
-    if (reply.value.status === CommitStatus.Committed) {
-      const { revision } = reply.value;
-      const puts = transaction.writes.map((write) => ({
-        kind: ChangeKind.Put,
-        entry: { ...write, modRevision: revision },
-      }));
-      const removals = transaction.removals.map((key) => ({
-        kind: ChangeKind.Delete,
-        entry: { key, value: '', modRevision: revision },
-      }));
-      applyOwn([...puts, ...removals]);
-    } else if (reply.value.status === CommitStatus.Conflict) {
-      applyOwn(reply.value.current.map((entry) => ({ kind: ChangeKind.Put, entry })));
-    } else if (lease !== undefined) {
-      onLeaseEnded(lease);
-    }
-    return reply;
-  }
 }
--- /dev/null
+++ b/packages/batch-ledger/src/job-transactions.ts
@@ -0,0 +1,57 @@
+import type { Reply } from '@jujubelanding/errors';
+import {
+  ChangeKind,
+  CommitStatus,
+  type CommitResult,
+  type KeyValueEntry,
+  type Transaction,
+  type TransactionalStore,
+} from '@jujubelanding/platform';
+import type { FollowedChange } from '@jujubelanding/store-follower';
+import type { KeySpace } from './key-space.js';
+
+export interface JobTransactionsOptions {
+  store: Pick<TransactionalStore, 'commit'>;
+  keys: KeySpace;
+  /** Applies changes of this process to the followed entries, ahead of the watch. */
+  applyOwn: (changes: FollowedChange[]) => void;
+  leaseId: () => string | undefined;
+  /** Called when the store says that a lease has ended. */
+  onLeaseEnded: (leaseId: string) => void;
+}
+
+/** Commits changes of jobs; what they show is known here before the watch reports it. */
+export class JobTransactions {
+  constructor(private readonly options: JobTransactionsOptions) {}
+
+  async commit(transaction: Transaction): Reply<CommitResult> {
+    const { store, leaseId, onLeaseEnded } = this.options;
+    const lease = leaseId();
+    const reply = await store.commit(transaction);
+    if (reply.isErr()) return reply;
+    if (reply.value.status === CommitStatus.Committed) {
+      const modRevision = reply.value.revision;
+      const removed = transaction.removals.map((key) => ({ key, value: '', modRevision }));
+      const written = transaction.writes.map((write) => ({ ...write, modRevision }));
+      this.apply(ChangeKind.Put, written);
+      this.apply(ChangeKind.Delete, removed);
+    } else if (reply.value.status === CommitStatus.Conflict) {
+      this.apply(ChangeKind.Put, reply.value.current);
+    } else if (lease !== undefined) {
+      onLeaseEnded(lease);
+    }
+    return reply;
+  }
+
+  /** Applies entries that were read. */
+  applyRead(entries: readonly KeyValueEntry[]): void {
+    this.apply(ChangeKind.Put, entries);
+  }
+
+  /** Leaves out outputs and progress, which nobody follows and which would only fill the memory. */
+  private apply(kind: ChangeKind, entries: readonly KeyValueEntry[]): void {
+    const { applyOwn, keys } = this.options;
+    const followed = entries.filter(({ key }) => key.startsWith(keys.followedPrefix));
+    if (followed.length > 0) applyOwn(followed.map((entry) => ({ kind, entry })));
+  }
+}
--- a/packages/batch-ledger/src/job.ts
+++ b/packages/batch-ledger/src/job.ts
@@ -57,22 +57,7 @@
 /** The run of an entry VM that executes a job. */
 export type Ownership = z.infer<typeof ownershipSchema>;
 
-const itemProgressSchema = z.object({
-  /** Data of the events so far. */
-  events: z.array(z.string()),
-  lastEventId: z.string().optional(),
-  failures: z.number(),
-});
-
-const progressSchema = z.record(z.string(), itemProgressSchema);
-
-/** What has arrived of an unfinished item. */
-export type ItemProgress = z.infer<typeof itemProgressSchema>;
-
-/** Progress of unfinished items by index, left by an owner that stopped. */
-export type JobProgress = z.infer<typeof progressSchema>;
-
-const decodeWith =
+export const decodeWith =
   <T>(schema: z.ZodType<T>) =>
   (value: string): T | undefined => {
     try {
@@ -85,10 +70,8 @@
 export const decodeJob = decodeWith<Job>(jobSchema);
 export const decodeLedger = decodeWith<Ledger>(ledgerSchema);
 export const decodeOwnership = decodeWith<Ownership>(ownershipSchema);
-export const decodeProgress = decodeWith<JobProgress>(progressSchema);
 
-export const encode = (value: Job | Ledger | Ownership | JobProgress): string =>
-  JSON.stringify(value);
+export const encode = (value: Job | Ledger | Ownership): string => JSON.stringify(value);
 
 /** True when no item of the job has to run any more. */
 export const isFinished = (job: Job, ledger: Ledger): boolean =>
--- a/packages/batch-ledger/src/key-space.ts
+++ b/packages/batch-ledger/src/key-space.ts
@@ -1,6 +1,8 @@
 /** Keys of batch jobs in the store. */
 
-const POSITION_DIGITS = 5;
+const NUMBER_DIGITS = 5;
+
+const toDigits = (value: number): string => String(value).padStart(NUMBER_DIGITS, '0');
 
 const JOBS = 'job/';
 const LEDGERS = 'ledger/';
@@ -40,8 +42,13 @@
     return `${this.followedPrefix}${OWNERS}${jobId}`;
   }
 
-  progress(jobId: string): string {
-    return `${this.demandPrefix}progress/${jobId}`;
+  progressParts(jobId: string): string {
+    return `${this.demandPrefix}progress/${jobId}/`;
+  }
+
+  /** Parts sort in the order in which they were written. */
+  progressPart(jobId: string, sequence: number): string {
+    return `${this.progressParts(jobId)}${toDigits(sequence)}`;
   }
 
   outputs(jobId: string): string {
@@ -50,7 +57,7 @@
 
   /** Outputs sort by the position at which they are listed. */
   output(jobId: string, position: number): string {
-    return `${this.outputs(jobId)}${String(position).padStart(POSITION_DIGITS, '0')}`;
+    return `${this.outputs(jobId)}${toDigits(position)}`;
   }
 
   /** Returns the job and the kind of a followed key. */
--- a/packages/deployed-vm/src/parts.ts
+++ b/packages/deployed-vm/src/parts.ts
@@ -2,7 +2,9 @@
 import {
   JobStore,
   JobTable,
+  JobTransactions,
   KeySpace,
+  ProgressStore,
   ResultReader,
   type Ownership,
 } from '@jujubelanding/batch-ledger';
@@ -186,20 +188,19 @@
   const keySpace = new KeySpace(keys.followedPrefix, keys.demandPrefix);
   const log = createLog('jobs');
   const table = new JobTable(keySpace, log);
-  const jobs = new JobStore({
+  const leaseId = () => fleet.lease.current;
+  const transactions = new JobTransactions({
     store,
-    timer,
-    log,
     keys: keySpace,
-    table,
     applyOwn: (changes) => readFollower()?.apply(changes),
-    self,
-    leaseId: () => fleet.lease.current,
-    onLeaseEnded: (leaseId) => fleet.lease.replace(leaseId),
+    leaseId,
+    onLeaseEnded: (ended) => fleet.lease.replace(ended),
   });
+  const jobs = new JobStore({ store, transactions, timer, keys: keySpace, table, self, leaseId });
+  const progress = new ProgressStore({ store, transactions, keys: keySpace });
   const tableAgeMs = (): number => readFollower()?.ageMs() ?? Infinity;
   const reader = new ResultReader({ store, timer, keys: keySpace, table, jobs, tableAgeMs });
-  return { table, jobs, reader };
+  return { table, jobs, progress, reader };
 };
 
 /** The store by the own path, or through a peer while that is lost. */
--- a/packages/ledger-execution/src/owned-job.ts
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -1,4 +1,10 @@
-import type { ItemProgress, JobProgress, KnownJob } from '@jujubelanding/batch-ledger';
+import {
+  ProgressParts,
+  type ItemProgress,
+  type JobProgress,
+  type KnownJob,
+  type StoredProgress,
+} from '@jujubelanding/batch-ledger';
 import type { ItemRun } from './item-run.js';
 import type { ResultQueue } from './result-queue.js';
 
@@ -11,20 +17,25 @@
   notBefore: number;
 }
 
+export type RunningItem = OwnedItem & { run: ItemRun };
+
 const createProgress = (): ItemProgress => ({ events: [], failures: 0 });
 
 /** Work on one job while this VM owns it. */
 export class OwnedJob {
   readonly items = new Map<number, OwnedItem>();
 
+  readonly parts: ProgressParts;
+
   constructor(
     readonly jobId: string,
     /** Epoch milliseconds at which all results are due. */
     readonly dueAt: number,
     readonly results: ResultQueue,
     known: KnownJob,
-    progress: JobProgress,
+    { progress, sequence }: StoredProgress,
   ) {
+    this.parts = new ProgressParts(progress, sequence);
     known.job.items.forEach((_item, index) => {
       const left = progress[index];
       this.items.set(index, { index, progress: left ?? createProgress(), notBefore: 0 });
@@ -48,21 +59,17 @@
     );
   }
 
-  listRunning(): (OwnedItem & { run: ItemRun })[] {
-    return [...this.items.values()].filter(
-      (item): item is OwnedItem & { run: ItemRun } => item.run !== undefined,
-    );
+  listRunning(): RunningItem[] {
+    return [...this.items.values()].filter((item): item is RunningItem => item.run !== undefined);
   }
 
   cancelRuns(): void {
     this.listRunning().forEach(({ run }) => run.cancel());
   }
 
-  /** What has arrived of unfinished items. */
+  /** What has arrived of unfinished items; results that wait to be listed are whole. */
   collectProgress(): JobProgress {
-    const left = [...this.items.values()].filter(
-      ({ progress }) => progress.events.length > 0 || progress.failures > 0,
-    );
-    return Object.fromEntries(left.map(({ index, progress }) => [String(index), progress]));
+    const unfinished = [...this.items.values()].filter(({ index }) => !this.results.has(index));
+    return Object.fromEntries(unfinished.map(({ index, progress }) => [String(index), progress]));
   }
 }
