Give slots to batch items of all entry VMs in order of due time

A job of second 27 ended at second 60 while later ones were in time.

Load messages now carry the due times of items in progress and the items that wait. All VMs agree on which items give way, the ones due last, and leave free slots to waiting items of others that are due earlier. Items that cannot be in time any more come after all others, by an estimate from runs that have ended.

--- a/packages/fleet-load/src/datagrams.ts
+++ b/packages/fleet-load/src/datagrams.ts
@@ -11,7 +11,8 @@
   bootId: z.string(),
   sequence: z.number(),
   isLeaving: z.boolean(),
-  workers: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  workers: z.array(z.tuple([z.string(), z.number(), z.array(z.number())])),
+  waiting: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
 
 /** Sends and receives load messages as datagrams. */
--- a/packages/fleet-load/src/fleet-load.test.ts
+++ b/packages/fleet-load/src/fleet-load.test.ts
@@ -32,7 +32,7 @@
   const { timer, get } = setUp(['a', 'b', 'c']);
   get('a').begin('w');
   get('b').begin('w');
-  get('c').beginBatch('w');
+  get('c').beginBatch('w', 1000);
   await timer.advance(200);
   t.like(get('a').get('w'), { online: 2, batch: 1, slots: 8 });
   get('b').end('w');
@@ -51,7 +51,7 @@
 
 test('an online request on a worker full of batch items is told at once', async (t) => {
   const { timer, get } = setUp(['a', 'b']);
-  for (let index = 0; index < 7; index += 1) get('b').beginBatch('w');
+  for (let index = 0; index < 7; index += 1) get('b').beginBatch('w', 1000);
   await timer.advance(300);
   get('a').begin('w');
   await timer.advance(20);
@@ -68,3 +68,23 @@
   get('b').receive(sent[0]!);
   t.is(get('b').get('w').online, 0);
 });
+
+test('all VMs know which items are due when, in progress and waiting', async (t) => {
+  const { timer, get } = setUp(['a', 'b']);
+  get('a').beginBatch('w', 3000);
+  get('a').beginBatch('w', 1000);
+  get('a').endBatch('w', 3000);
+  get('a').setWaiting([
+    ['s', 2000, 3],
+    ['s', 5000, 4],
+    ['other', 1000, 9],
+  ]);
+  await timer.advance(200);
+  t.deepEqual(get('b').listBatch('w'), [
+    { entryVmId: 'a', due: [1000] },
+    { entryVmId: 'b', due: [] },
+  ]);
+  t.is(get('b').countWaitingBefore('s', 4000), 3);
+  t.is(get('b').countWaitingBefore('s', 2000), 0);
+  t.is(get('a').countWaitingBefore('s', 4000), 0);
+});
--- a/packages/fleet-load/src/fleet-load.ts
+++ b/packages/fleet-load/src/fleet-load.ts
@@ -1,6 +1,6 @@
 import type { WorkerLoad, WorkerLoads } from '@jujubelanding/interfaces';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import type { LoadMessage, WorkerCount } from './message.js';
+import type { LoadMessage, WaitingCount, WorkerCount } from './message.js';
 
 /** Changes within this time share a message. */
 const MESSAGE_INTERVAL_MS = 100;
@@ -19,7 +19,14 @@
 
 interface Count {
   online: number;
-  batch: number;
+  /** Due times of the batch items in progress. */
+  batchDue: number[];
+}
+
+/** Batch items that a VM has in progress on a worker, by their due times. */
+export interface BatchOfVm {
+  entryVmId: string;
+  due: readonly number[];
 }
 
 interface Peer {
@@ -28,6 +35,7 @@
   heardAt: number;
   isLeaving: boolean;
   workers: Map<string, Count>;
+  waiting: readonly WaitingCount[];
 }
 
 export interface FleetLoadOptions {
@@ -40,7 +48,7 @@
   slotsOf: (workerId: string) => number;
 }
 
-const NONE: Count = { online: 0, batch: 0 };
+const NONE: Count = { online: 0, batchDue: [] };
 
 /** Counts the work of this VM and knows that of the others from their messages. */
 export class FleetLoad implements WorkerLoads {
@@ -52,6 +60,8 @@
 
   private readonly subscriptions: Subscription[] = [];
 
+  private waiting: readonly WaitingCount[] = [];
+
   private sequence = 0;
 
   private sentAt = -Infinity;
@@ -86,45 +96,68 @@
   }
 
   get(workerId: string): WorkerLoad {
-    const total = { ...(this.own.get(workerId) ?? NONE) };
+    const own = this.own.get(workerId) ?? NONE;
+    const total = { online: own.online, batch: own.batchDue.length };
     for (const peer of this.freshPeers()) {
       const count = peer.workers.get(workerId) ?? NONE;
       total.online += count.online;
-      total.batch += count.batch;
+      total.batch += count.batchDue.length;
     }
     return { workerId, slots: this.options.slotsOf(workerId), ageMs: 0, ...total };
   }
 
   begin(workerId: string): void {
-    this.add(workerId, 1, 0);
+    this.change(workerId, ({ online, batchDue }) => ({ online: online + 1, batchDue }));
+    this.schedule(this.isScarce(workerId));
+    this.handlers.forEach((handler) => handler());
   }
 
   end(workerId: string): void {
-    this.add(workerId, -1, 0);
+    this.change(workerId, ({ online, batchDue }) => ({ online: online - 1, batchDue }));
+    this.schedule(false);
   }
 
-  beginBatch(workerId: string): void {
-    this.add(workerId, 0, 1);
+  beginBatch(workerId: string, dueAt: number): void {
+    this.change(workerId, ({ online, batchDue }) => ({ online, batchDue: [...batchDue, dueAt] }));
+    this.schedule(false);
   }
 
-  endBatch(workerId: string): void {
-    this.add(workerId, 0, -1);
+  endBatch(workerId: string, dueAt: number): void {
+    this.change(workerId, ({ online, batchDue }) => ({
+      online,
+      batchDue: batchDue.toSpliced(batchDue.indexOf(dueAt), 1),
+    }));
+    this.schedule(false);
   }
 
-  ownInFlight(workerId: string): number {
-    return this.own.get(workerId)?.online ?? 0;
+  /** Sets the batch items of this VM that wait for a worker. */
+  setWaiting(waiting: readonly WaitingCount[]): void {
+    const hasChanged = String(waiting) !== String(this.waiting);
+    this.waiting = waiting;
+    if (hasChanged) this.schedule(false);
+  }
+
+  /** Waiting batch items of a service at other VMs that are due before a time. */
+  countWaitingBefore(service: string, dueAt: number): number {
+    return this.freshPeers()
+      .flatMap(({ waiting }) => waiting)
+      .filter(([itsService, itsDueAt]) => itsService === service && itsDueAt < dueAt)
+      .reduce((sum, [, , items]) => sum + items, 0);
   }
 
-  ownBatch(workerId: string): number {
-    return this.own.get(workerId)?.batch ?? 0;
+  ownInFlight(workerId: string): number {
+    return this.own.get(workerId)?.online ?? 0;
   }
 
   /** Batch items of each VM on a worker, in order of VM ids. */
-  listBatch(workerId: string): { entryVmId: string; batch: number }[] {
-    const own = { entryVmId: this.options.entryVmId, batch: this.ownBatch(workerId) };
+  listBatch(workerId: string): BatchOfVm[] {
+    const own = {
+      entryVmId: this.options.entryVmId,
+      due: (this.own.get(workerId) ?? NONE).batchDue,
+    };
     const others = this.listFresh().map(([entryVmId, peer]) => ({
       entryVmId,
-      batch: peer.workers.get(workerId)?.batch ?? 0,
+      due: (peer.workers.get(workerId) ?? NONE).batchDue,
     }));
     return [own, ...others].toSorted((a, b) => (a.entryVmId < b.entryVmId ? -1 : 1));
   }
@@ -150,7 +183,8 @@
       sequence: message.sequence,
       heardAt: this.options.timer.now(),
       isLeaving: message.isLeaving,
-      workers: new Map(message.workers.map(([id, online, batch]) => [id, { online, batch }])),
+      workers: new Map(message.workers.map(([id, online, batchDue]) => [id, { online, batchDue }])),
+      waiting: message.waiting,
     });
     this.handlers.forEach((handler) => handler());
   }
@@ -161,14 +195,10 @@
     return { cancel: () => this.handlers.delete(handler) };
   }
 
-  private add(workerId: string, online: number, batch: number): void {
-    const count = this.own.get(workerId) ?? { ...NONE };
-    count.online += online;
-    count.batch += batch;
-    if (count.online === 0 && count.batch === 0) this.own.delete(workerId);
+  private change(workerId: string, update: (count: Count) => Count): void {
+    const count = update(this.own.get(workerId) ?? NONE);
+    if (count.online === 0 && count.batchDue.length === 0) this.own.delete(workerId);
     else this.own.set(workerId, count);
-    this.schedule(online > 0 && this.isScarce(workerId));
-    if (online > 0) this.handlers.forEach((handler) => handler());
   }
 
   private isScarce(workerId: string): boolean {
@@ -193,13 +223,14 @@
     this.sentAt = this.options.timer.now();
     this.sequence += 1;
     const { entryVmId, bootId } = this.options;
-    const workers = [...this.own].map(([id, { online, batch }]): WorkerCount => [
+    const workers = [...this.own].map(([id, { online, batchDue }]): WorkerCount => [
       id,
       online,
-      batch,
+      batchDue,
     ]);
     const { sequence, isLeaving } = this;
-    this.options.send({ entryVmId, bootId, sequence, isLeaving, workers });
+    const waiting = [...this.waiting];
+    this.options.send({ entryVmId, bootId, sequence, isLeaving, workers, waiting });
   }
 
   private listFresh(): [string, Peer][] {
--- a/packages/ledger-execution/src/capacity-share.test.ts
+++ b/packages/ledger-execution/src/capacity-share.test.ts
@@ -24,16 +24,23 @@
   t.deepEqual(rank(createLoad(0, 7)), []);
 });
 
-test('in a burst the VMs together give up exactly the items that online requests wait for', (t) => {
+// Guards against jobs that are due first but belong to the VM with the lowest id: it always gave way.
+test('in a burst the VMs together give up the items due last, exactly as many as online needs', (t) => {
   const byVm = [
-    { entryVmId: 'a', batch: 1 },
-    { entryVmId: 'b', batch: 0 },
-    { entryVmId: 'c', batch: 4 },
+    { entryVmId: 'a', due: [100] },
+    { entryVmId: 'b', due: [] },
+    { entryVmId: 'c', due: [90, 200, 300, 400] },
   ];
   const count = (online: number): number[] =>
     byVm.map(({ entryVmId }) => countToYield(createLoad(online, 5), byVm, entryVmId));
   t.deepEqual(count(3), [0, 0, 0]);
-  t.deepEqual(count(4), [1, 0, 0]);
-  t.deepEqual(count(6), [1, 0, 2]);
+  t.deepEqual(count(4), [0, 0, 1]);
+  t.deepEqual(count(7), [1, 0, 3]);
   t.deepEqual(count(20), [1, 0, 4]);
 });
+
+test('free slots are left to items of other VMs that are due earlier', (t) => {
+  const workers = [{ load: createLoad(0, 4), index: 0 }];
+  t.is(rankForBatch(workers, 2).length, 1);
+  t.is(rankForBatch(workers, 3).length, 0);
+});
--- a/packages/ledger-execution/src/capacity-share.ts
+++ b/packages/ledger-execution/src/capacity-share.ts
@@ -1,8 +1,10 @@
 /**
  * Decides how many batch items a worker may run, for engines that admit requests in order of arrival.
- * The pattern is a burst of online requests that meets workers full of batch items: batch leaves some
- * slots free for the first of the burst and gives up as many running items as online requests wait.
+ * The first pattern is a burst of online requests that meets workers full of batch items: batch leaves
+ * some slots free for the first of the burst and gives up as many running items as online requests wait.
+ * The second is more batch work than slots: items of all VMs get slots in the order in which they are due.
  */
+import type { BatchOfVm } from '@jujubelanding/fleet-load';
 import type { WorkerLoad } from '@jujubelanding/interfaces';
 
 /**
@@ -23,26 +25,36 @@
   return MIN_RESERVED_SLOTS + Math.ceil(online * ARRIVING_SHARE);
 };
 
-/** Workers on which a batch item may be started, the one with the most free slots first. */
-export const rankForBatch = <T extends { load: WorkerLoad }>(workers: readonly T[]): T[] => {
+/**
+ * Workers on which a batch item may be started, the one with the most free slots first. Slots for items
+ * of other VMs that wait and are due earlier are left to them.
+ */
+export const rankForBatch = <T extends { load: WorkerLoad }>(
+  workers: readonly T[],
+  waitingBefore = 0,
+): T[] => {
   const loads = workers.map(({ load }) => load);
   const free = loads.reduce((sum, load) => sum + countFree(load), 0);
-  if (free <= countReserved(loads)) return [];
+  if (free <= countReserved(loads) + waitingBefore) return [];
   return workers
     .filter(({ load }) => countFree(load) > 0)
     .toSorted((a, b) => countFree(b.load) - countFree(a.load));
 };
 
-/** Batch items that each VM runs on a worker, in an order that all VMs agree on. */
-export type BatchByVm = readonly { entryVmId: string; batch: number }[];
-
-/** Number of items that a VM gives up on a worker with more requests than slots. */
-export const countToYield = (load: WorkerLoad, batchByVm: BatchByVm, entryVmId: string): number => {
-  let excess = load.online + load.batch - load.slots;
-  for (const { entryVmId: id, batch } of batchByVm) {
-    if (excess <= 0) return 0;
-    if (id === entryVmId) return Math.min(batch, excess);
-    excess -= batch;
-  }
-  return 0;
+/**
+ * Number of items that a VM gives up on a worker with more requests than slots. All VMs agree on the
+ * order: the items that are due last go first.
+ */
+export const countToYield = (
+  load: WorkerLoad,
+  batchByVm: readonly BatchOfVm[],
+  entryVmId: string,
+): number => {
+  const excess = load.online + load.batch - load.slots;
+  if (excess <= 0) return 0;
+  return batchByVm
+    .flatMap(({ entryVmId: id, due }) => due.map((dueAt) => ({ id, dueAt })))
+    .toSorted((a, b) => b.dueAt - a.dueAt)
+    .slice(0, excess)
+    .filter(({ id }) => id === entryVmId).length;
 };
--- /dev/null
+++ b/packages/ledger-execution/src/item-order.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import { orderByDue, RunEstimate } from './item-order.js';
+
+interface Item {
+  dueAt: number;
+  events: number;
+}
+
+const EVENTS = 200;
+const MS_PER_EVENT = 25;
+const RUN_MS = EVENTS * MS_PER_EVENT;
+
+/** Runs items one after another in the order of the rule; returns how many end in time. */
+const countInTime = (
+  items: readonly Item[],
+  order: (item: Item, now: number) => number,
+): number => {
+  const waiting = [...items];
+  let now = 0;
+  let inTime = 0;
+  const compare = (a: Item, b: Item): number => order(a, now) - order(b, now);
+  while (waiting.length > 0) {
+    const { dueAt, events } = waiting.sort(compare).shift()!;
+    now += (EVENTS - events) * MS_PER_EVENT;
+    if (now <= dueAt) inTime += 1;
+  }
+  return inTime;
+};
+
+// Guards against the backlog after an outage: each item waited for all before it and was late as well.
+test('after an outage items that can still be in time go before those that cannot', (t) => {
+  const estimate = new RunEstimate();
+  estimate.recordRun(EVENTS, RUN_MS);
+  estimate.recordItem(EVENTS);
+  // Ten items came in while no slot was free; each is due 18 s after it came.
+  const items = Array.from({ length: 10 }, (_, index) => ({ dueAt: index * 3000, events: 0 }));
+  const byDue = countInTime(items, ({ dueAt }) => dueAt);
+  const byChance = countInTime(items, ({ dueAt, events }, now) =>
+    orderByDue(dueAt, now, estimate.remainingMs(events)),
+  );
+  t.is(byDue, 0);
+  t.is(byChance, 5);
+});
+
+test('nothing is late before a run is known, and short runs teach nothing', (t) => {
+  const estimate = new RunEstimate();
+  estimate.recordRun(2, 4000);
+  estimate.recordItem(EVENTS);
+  t.is(estimate.remainingMs(0), 0);
+  estimate.recordRun(100, 2500);
+  t.is(estimate.remainingMs(0), RUN_MS);
+  t.is(estimate.remainingMs(EVENTS + 10), 0);
+});
+
+test('late items keep their order among themselves', (t) => {
+  const late = [100, 300, 200].map((dueAt) => orderByDue(dueAt, 1000, 0));
+  t.deepEqual(
+    late.toSorted((a, b) => a - b),
+    [late[0], late[2], late[1]],
+  );
+  t.true(orderByDue(5000, 1000, 0) < late[0]!);
+});
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -33,6 +33,9 @@
   outcome: RunOutcome;
   fault?: Fault | undefined;
   firstEventMs?: number | undefined;
+  /** Events of this run alone. */
+  events: number;
+  durationMs: number;
 }
 
 export interface ItemRunOptions {
@@ -44,6 +47,8 @@
   /** Extended as events arrive. */
   progress: ItemProgress;
   remainingMs: number;
+  /** Epoch milliseconds by which the item was ordered among all when it got its slot. */
+  orderedBy: number;
 }
 
 /** One run of an item at a worker; continues after the events that are known. */
@@ -69,12 +74,17 @@
     this.parser = createParser({ onEvent: ({ id, data }) => this.addEvent(id, data) });
   }
 
+  get orderedBy(): number {
+    return this.options.orderedBy;
+  }
+
   get worker(): Worker {
     return this.options.worker;
   }
 
   async run(): Promise<RunResult> {
-    const { backends, worker, job, item, progress, remainingMs } = this.options;
+    const { backends, worker, job, item, progress, remainingMs, timer } = this.options;
+    const eventsBefore = progress.events.length;
     this.watch(FIRST_EVENT_MS);
     const reply = await backends.forward(
       worker,
@@ -95,7 +105,9 @@
     const firstEventMs =
       this.firstEventAt === undefined ? undefined : this.firstEventAt - this.startedAt;
     const fault = reply.isErr() ? reply.error : this.createFault();
-    return { outcome: this.judge(fault), fault, firstEventMs };
+    const events = progress.events.length - eventsBefore;
+    const durationMs = timer.now() - this.startedAt;
+    return { outcome: this.judge(fault), fault, firstEventMs, events, durationMs };
   }
 
   /** Closes the connection, which ends the run at the worker. */
