Give relayed watches connections of their own

Cause: the store client had four connections for watches. An entry VM has three watches, and three more for each VM that it relays for.

--- a/packages/store-relay/src/relay-http.ts
+++ b/packages/store-relay/src/relay-http.ts
@@ -13,7 +13,8 @@
 
 const CONNECT_TIMEOUT_MS = 300;
 
-const CONNECTIONS_PER_PEER = 8;
+/** Three watches and the calls of one entry VM. */
+const CONNECTIONS_PER_PEER = 16;
 
 const PATH = '/store';
 
