Drop missing workers when the grace after an outage ends

Timers fire up to a millisecond early, so that the grace sometimes was not over, and nothing dropped the worker afterwards. The timer itself now ends the grace. The test fires 0.4 ms early and failed before.

The grace began late because a read that failed on a path without trust was reported as the loss of the store. Such reads now go through a peer in the same call.

--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -19,6 +19,8 @@
   log: Log;
 }
 
+type Send<T> = (store: TransactionalStore) => Reply<T>;
+
 /** Faults that say something about the path or the store, not about the call. */
 const PATH_FAULTS = new Set([
   FaultCode.Unavailable,
@@ -49,27 +51,41 @@
     return this.path.isTrusted;
   }
 
-  readonly get: TransactionalStore['get'] = (key) => this.call('get', (store) => store.get(key));
+  readonly get: TransactionalStore['get'] = (key) => this.read('get', (store) => store.get(key));
 
   readonly list: TransactionalStore['list'] = (prefix, limit, afterKey) =>
-    this.call('list', (store) => store.list(prefix, limit, afterKey));
+    this.read('list', (store) => store.list(prefix, limit, afterKey));
+
+  readonly watch: TransactionalStore['watch'] = (prefix, afterRevision, waitMs) =>
+    this.read('watch', (store) => store.watch(prefix, afterRevision, waitMs));
 
   readonly commit: TransactionalStore['commit'] = (transaction) =>
-    this.call('commit', (store) => store.commit(transaction));
+    this.change('commit', (store) => store.commit(transaction));
 
   readonly grantLease: TransactionalStore['grantLease'] = (ttlMs) =>
-    this.call('grantLease', (store) => store.grantLease(ttlMs));
+    this.change('grantLease', (store) => store.grantLease(ttlMs));
 
   readonly renewLease: TransactionalStore['renewLease'] = (leaseId) =>
-    this.call('renewLease', (store) => store.renewLease(leaseId));
+    this.change('renewLease', (store) => store.renewLease(leaseId));
 
   readonly revokeLease: TransactionalStore['revokeLease'] = (leaseId) =>
-    this.call('revokeLease', (store) => store.revokeLease(leaseId));
+    this.change('revokeLease', (store) => store.revokeLease(leaseId));
 
-  readonly watch: TransactionalStore['watch'] = (prefix, afterRevision, waitMs) =>
-    this.call('watch', (store) => store.watch(prefix, afterRevision, waitMs));
+  /** A read may be repeated by another path whatever became of it. */
+  private read<T>(step: string, send: Send<T>): Reply<T> {
+    return this.call(step, send, () => true);
+  }
+
+  /** The caller decides on a change that may have taken effect. */
+  private change<T>(step: string, send: Send<T>): Reply<T> {
+    return this.call(step, send, ({ outcome }) => outcome === Outcome.NotRun);
+  }
 
-  private async call<T>(step: string, send: (store: TransactionalStore) => Reply<T>): Reply<T> {
+  private async call<T>(
+    step: string,
+    send: Send<T>,
+    mayRepeat: (fault: Fault) => boolean,
+  ): Reply<T> {
     const { direct, timer } = this.options;
     // Without peers the own path is the only one.
     const hasPeers = this.options.listPeers().length > 0;
@@ -78,13 +94,11 @@
     const fault = reply.isErr() ? reply.error : undefined;
     const isLost = fault !== undefined && PATH_FAULTS.has(fault.code);
     this.record(isLost, fault);
-    // The caller decides on a call that may have taken effect.
-    const mayRepeat = fault?.outcome === Outcome.NotRun;
-    const isForPeer = isLost && mayRepeat && hasPeers && !this.path.isTrusted;
+    const isForPeer = isLost && mayRepeat(fault) && hasPeers && !this.path.isTrusted;
     return isForPeer ? this.callPeer(step, send) : reply;
   }
 
-  private async callPeer<T>(step: string, send: (store: TransactionalStore) => Reply<T>): Reply<T> {
+  private async callPeer<T>(step: string, send: Send<T>): Reply<T> {
     const { relay, random, listPeers } = this.options;
     const peers = listPeers();
     const known = this.peer !== undefined && peers.includes(this.peer) ? this.peer : undefined;
--- /dev/null
+++ b/packages/worker-registry/src/worker-registry.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import { silentLog } from '@jujubelanding/log';
+import { ChangeKind } from '@jujubelanding/platform';
+import { VirtualTimer, type Subscription } from '@jujubelanding/timer';
+import { VmState } from '@jujubelanding/types';
+import { WorkerRegistry } from './index.js';
+
+/** Fires a fraction of a millisecond early, as timers of Node do, which count whole milliseconds. */
+class EarlyTimer extends VirtualTimer {
+  override after(delayMs: number, handler: () => void): Subscription {
+    return super.after(delayMs - 0.4, handler);
+  }
+}
+
+const setUp = (timer = new VirtualTimer()) => {
+  const registry = new WorkerRegistry({
+    timer,
+    log: silentLog,
+    prefix: 'servers/',
+    decode: (id) => ({
+      id,
+      service: 's',
+      address: `${id}:1`,
+      availabilityZone: 'a',
+      state: VmState.Live,
+      slots: 8,
+      startedAt: 1,
+    }),
+  });
+  const change = (kind: ChangeKind, id: string): void => {
+    const entry = { key: `servers/${id}`, value: 'x', modRevision: 1 };
+    registry.apply([{ kind, entry }]);
+  };
+  change(ChangeKind.Put, 'w');
+  return { timer, registry, change, ids: () => registry.workersOf('s').map(({ id }) => id) };
+};
+
+test('an entry that is removed while the store is reachable is gone at once', (t) => {
+  const { change, ids } = setUp();
+  change(ChangeKind.Delete, 'w');
+  t.deepEqual(ids(), []);
+});
+
+test('entries that lapsed in an outage stay in use until they can be back', async (t) => {
+  const { timer, registry, change, ids } = setUp();
+  change(ChangeKind.Put, 'v');
+  registry.setReachable(false);
+  registry.setReachable(true);
+  change(ChangeKind.Delete, 'w');
+  change(ChangeKind.Delete, 'v');
+  t.deepEqual(ids(), ['w', 'v']);
+  await timer.advance(1000);
+  change(ChangeKind.Put, 'v');
+  await timer.advance(1500);
+  t.deepEqual(ids(), ['v']);
+});
+
+// Guards against requests to a worker that had left: the end of the grace came a fraction of a
+// millisecond early, found it not over, and was never repeated.
+test('a missing worker is dropped also when the timer fires early', async (t) => {
+  const { timer, registry, change, ids } = setUp(new EarlyTimer());
+  registry.setReachable(true);
+  change(ChangeKind.Delete, 'w');
+  await timer.advance(5000);
+  t.deepEqual(ids(), []);
+});
+
+test('a second outage prolongs the grace of the first', async (t) => {
+  const { timer, registry, change, ids } = setUp();
+  registry.setReachable(true);
+  change(ChangeKind.Delete, 'w');
+  await timer.advance(2000);
+  registry.setReachable(false);
+  await timer.advance(5000);
+  t.deepEqual(ids(), ['w']);
+  registry.setReachable(true);
+  await timer.advance(2400);
+  t.deepEqual(ids(), []);
+});
--- a/packages/worker-registry/src/worker-registry.ts
+++ b/packages/worker-registry/src/worker-registry.ts
@@ -39,8 +39,8 @@
 
   private isReachable = true;
 
-  /** Until this time deletions may stem from an outage. */
-  private graceUntil = -Infinity;
+  /** Pending while deletions may stem from an outage. */
+  private grace: Subscription | undefined;
 
   constructor(private readonly options: WorkerRegistryOptions) {}
 
@@ -70,10 +70,10 @@
   /** Notes that the store was lost or is back. */
   setReachable(isReachable: boolean): void {
     this.isReachable = isReachable;
+    this.grace?.cancel();
+    this.grace = undefined;
     if (!isReachable) return;
-    const { timer } = this.options;
-    this.graceUntil = timer.now() + RETURN_GRACE_MS;
-    timer.after(RETURN_GRACE_MS, () => this.dropMissing());
+    this.grace = this.options.timer.after(RETURN_GRACE_MS, () => this.endGrace());
   }
 
   apply(changes: readonly FollowedChange[]): void {
@@ -100,7 +100,7 @@
   }
 
   private remove(id: string): void {
-    if (!this.isReachable || this.options.timer.now() < this.graceUntil) {
+    if (!this.isReachable || this.grace !== undefined) {
       this.missing.add(id);
       this.options.log.write('worker-missing', { worker: id });
       return;
@@ -108,8 +108,8 @@
     if (this.workers.delete(id)) this.options.log.write('worker-gone', { worker: id });
   }
 
-  private dropMissing(): void {
-    if (!this.isReachable || this.options.timer.now() < this.graceUntil) return;
+  private endGrace(): void {
+    this.grace = undefined;
     for (const id of this.missing) {
       this.workers.delete(id);
       this.options.log.write('worker-gone', { worker: id, reason: 'not back after an outage' });
