Remove jobs after their retention and show ages of what is known

Finished jobs stayed in the store for ever. One VM for each job now removes it with its results and progress, the record first, a minute after the retention, since clocks differ.

The lifetime of entry-point answers respects the platform's longest one, and a stopping VM stays for three lifetimes. A store that is being closed no longer reports its path as lost.

--- a/packages/batch-ledger/src/index.ts
+++ b/packages/batch-ledger/src/index.ts
@@ -19,3 +19,4 @@
 export { ResultReader, type ListedResult, type ResultPage } from './result-reader.js';
 export { JobTransactions, type JobTransactionsOptions } from './job-transactions.js';
 export { ProgressStore, SaveStatus, type StoredProgress } from './progress-store.js';
+export { JobRetention, type JobRetentionOptions } from './job-retention.js';
--- /dev/null
+++ b/packages/batch-ledger/src/job-retention.ts
@@ -0,0 +1,91 @@
+import { CommitStatus, type TransactionalStore } from '@jujubelanding/platform';
+import type { Log } from '@jujubelanding/log';
+import { rankNodes } from '@jujubelanding/random';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { isFinished } from './job.js';
+import type { JobTable, KnownJob } from './job-table.js';
+import type { JobTransactions } from './job-transactions.js';
+import type { KeySpace } from './key-space.js';
+
+const CHECK_INTERVAL_MS = 10_000;
+
+/** Clocks of VMs differ by seconds; nothing hurries. */
+const SLACK_MS = 60_000;
+
+/** The store takes at most 32 entries in a transaction. */
+const MAX_REMOVALS = 30;
+
+export interface JobRetentionOptions {
+  store: Pick<TransactionalStore, 'list'>;
+  transactions: JobTransactions;
+  timer: Timer;
+  log: Log;
+  keys: KeySpace;
+  table: JobTable;
+  self: string;
+  listServing: () => readonly string[];
+  /** Time from the submission of a job for which its results stay readable. */
+  retentionMs: number;
+}
+
+/** Removes finished jobs from the store after their retention; one VM for each job. */
+export class JobRetention {
+  private subscription: Subscription | undefined;
+
+  constructor(private readonly options: JobRetentionOptions) {}
+
+  start(): void {
+    this.subscription = this.options.timer.every(CHECK_INTERVAL_MS, () => {
+      void this.removeExpired();
+    });
+  }
+
+  stop(): void {
+    this.subscription?.cancel();
+  }
+
+  private async removeExpired(): Promise<void> {
+    const expired = this.options.table.list().filter((known) => this.isExpired(known));
+    for (const known of expired) await this.remove(known);
+  }
+
+  private isExpired({ job, ledger }: KnownJob): boolean {
+    const { timer, retentionMs, self, listServing } = this.options;
+    const isOver = timer.wallClock() > job.submittedAt + retentionMs + SLACK_MS;
+    if (!isOver || !isFinished(job, ledger)) return false;
+    return rankNodes(job.id, [self, ...listServing()])[0] === self;
+  }
+
+  /** The record goes first, so that no job is readable whose results are gone. */
+  private async remove({ job, ledgerRevision }: KnownJob): Promise<void> {
+    const { transactions, keys, log } = this.options;
+    const reply = await transactions.commit({
+      conditions: [{ key: keys.ledger(job.id), revision: ledgerRevision }],
+      writes: [],
+      removals: [keys.job(job.id), keys.ledger(job.id), keys.owner(job.id)],
+    });
+    const status = reply.isOk() ? reply.value.status : reply.error.code;
+    log.write('job-removed', { job: job.id, status });
+    if (status !== CommitStatus.Committed) return;
+    await this.removePrefix(keys.outputs(job.id));
+    await this.removePrefix(keys.progressParts(job.id));
+  }
+
+  private async removePrefix(prefix: string): Promise<void> {
+    const { store, transactions, log } = this.options;
+    for (;;) {
+      const page = await store.list(prefix);
+      const removals = page.isOk()
+        ? page.value.entries.slice(0, MAX_REMOVALS).map(({ key }) => key)
+        : [];
+      if (page.isOk() && removals.length === 0) return;
+      const reply = page.isErr()
+        ? page
+        : await transactions.commit({ conditions: [], writes: [], removals });
+      if (reply.isErr()) {
+        log.write('values-not-removed', { prefix, code: reply.error.code });
+        return;
+      }
+    }
+  }
+}
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -4,13 +4,20 @@
 import type { EntryPointAnswer } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import { openRelayServer, type RelayServer } from '@jujubelanding/store-relay';
-import type { BatchCalls } from './batch-calls.js';
+import type { Subscription } from '@jujubelanding/timer';
 import type { DeployedVmOptions } from './options.js';
 import { createParts } from './parts.js';
 
-/** Callers keep the addresses this long, and some three times as long. */
+/** Time for which callers keep the addresses, where the platform allows as much. */
 const ENTRY_POINT_LIFETIME_MS = 2000;
 
+/** Some callers keep addresses for this many times as long, and a request is on its way after that. */
+const LONGEST_LIFETIMES = 3;
+const MOVE_SLACK_MS = 300;
+
+/** Ages of what this VM knows are measured this often. */
+const AGE_INTERVAL_MS = 1000;
+
 /** Addresses in one answer; callers use no more. */
 const MAX_ENTRY_POINTS = 64;
 
@@ -23,6 +30,8 @@
 
   private relayServer: RelayServer | undefined;
 
+  private ages: Subscription | undefined;
+
   private isLeaving = false;
 
   constructor(private readonly options: DeployedVmOptions) {
@@ -32,13 +41,9 @@
     });
   }
 
-  get batchCalls(): BatchCalls {
-    return this.parts.batchCalls;
-  }
-
   async start(): Promise<void> {
     const { settings, createLog } = this.options;
-    const { loads, lease, router, execution } = this.parts;
+    const { loads, lease, router, execution, retention } = this.parts;
     const opened = await openDatagrams(settings.peerAddress, createLog('datagrams'), (message) => {
       loads.receive(message);
     });
@@ -54,6 +59,8 @@
     loads.start();
     router.start();
     execution.start();
+    retention.start();
+    this.ages = this.options.timer.every(AGE_INTERVAL_MS, () => this.measureAges());
     const { entryVmId: vm, availabilityZone: zone, storeAddress: store } = settings;
     this.log.write('start', { vm, zone, store });
   }
@@ -78,7 +85,12 @@
     const entryPoints = usable
       .slice(0, MAX_ENTRY_POINTS)
       .map(({ callerAddress, availabilityZone }) => ({ address: callerAddress, availabilityZone }));
-    return { entryPoints, lifetimeMs: ENTRY_POINT_LIFETIME_MS };
+    return { entryPoints, lifetimeMs: this.entryPointLifetimeMs };
+  }
+
+  /** Time for which callers still come after this VM has left the answers, in milliseconds. */
+  get callersMoveMs(): number {
+    return this.entryPointLifetimeMs * LONGEST_LIFETIMES + MOVE_SLACK_MS;
   }
 
   /** Takes this VM out of the answers and hands its jobs over; requests go on being served. */
@@ -93,7 +105,10 @@
 
   /** Ends everything. */
   async close(): Promise<void> {
-    const { loads, router, lease, execution, registry } = this.parts;
+    const { loads, router, lease, execution, registry, retention, store } = this.parts;
+    this.ages?.cancel();
+    retention.stop();
+    store.close();
     registry.leave();
     execution.close();
     lease.close();
@@ -105,6 +120,23 @@
     await this.options.backends.close();
   }
 
+  private get entryPointLifetimeMs(): number {
+    return Math.min(ENTRY_POINT_LIFETIME_MS, this.options.settings.longestEntryPointLifetimeMs);
+  }
+
+  /** Time since the store last answered for the configuration, the workers and the jobs. */
+  private measureAges(): void {
+    const { operatorFollower, workerFollower, jobFollower } = this.parts;
+    const followers = {
+      configuration: operatorFollower,
+      workers: workerFollower,
+      jobs: jobFollower,
+    };
+    Object.entries(followers).forEach(([subject, follower]) => {
+      this.options.metrics.gauge('store.age', follower.ageMs(), { subject });
+    });
+  }
+
   private listFollowers() {
     const { operatorFollower, workerFollower, jobFollower } = this.parts;
     return [operatorFollower, workerFollower, jobFollower];
--- a/packages/deployed-vm/src/parts.ts
+++ b/packages/deployed-vm/src/parts.ts
@@ -1,5 +1,6 @@
 /** Creates the parts of an entry VM and connects them. */
 import {
+  JobRetention,
   JobStore,
   JobTable,
   JobTransactions,
@@ -180,7 +181,7 @@
 
 /** Parts that keep batch jobs. */
 const createJobs = (
-  { timer, store, createLog, keys }: DeployedVmOptions,
+  { timer, store, createLog, keys, settings }: DeployedVmOptions,
   self: Ownership,
   fleet: Fleet,
   readFollower: () => StoreFollower | undefined,
@@ -200,7 +201,18 @@
   const progress = new ProgressStore({ store, transactions, keys: keySpace });
   const tableAgeMs = (): number => readFollower()?.ageMs() ?? Infinity;
   const reader = new ResultReader({ store, timer, keys: keySpace, table, jobs, tableAgeMs });
-  return { table, jobs, progress, reader };
+  const retention = new JobRetention({
+    store,
+    transactions,
+    timer,
+    log,
+    keys: keySpace,
+    table,
+    self: self.entryVmId,
+    listServing: () => fleet.loads.listServing(),
+    retentionMs: settings.resultRetentionMs,
+  });
+  return { table, jobs, progress, reader, retention };
 };
 
 /** The store by the own path, or through a peer while that is lost. */
@@ -275,5 +287,6 @@
     waitForKnowledge: () => knowledge.wait(),
     batch: options.createBatchRequests(batchCalls),
   });
-  return { ...fleet, ...followed, store, workers, router, execution, batchCalls, gateway };
+  const { retention } = batch;
+  return { ...fleet, ...followed, store, workers, router, execution, retention, gateway };
 };
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -44,8 +44,15 @@
   /** The peer that relayed last. */
   private peer: string | undefined;
 
+  private isClosed = false;
+
   constructor(private readonly options: RelayedStoreOptions) {}
 
+  /** Calls that end with the process say nothing about the path. */
+  close(): void {
+    this.isClosed = true;
+  }
+
   /** True while this VM may relay for others. */
   get isDirect(): boolean {
     return this.path.isTrusted;
@@ -111,6 +118,7 @@
   }
 
   private record(isLost: boolean, fault: Fault | undefined): void {
+    if (this.isClosed) return;
     const wasTrusted = this.path.isTrusted;
     if (isLost) this.path.recordFailure(this.options.timer.now());
     else this.path.recordSuccess();
