--- /dev/null
+++ b/packages/deployed-vm/src/connection-share.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
+import type { ForwardedRequest, WorkerAnswer } from '@jujubelanding/platform';
+import { VmState, type Worker } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { computeConnectionShare, ConnectionShare } from './connection-share.js';
+
+const worker: Worker = {
+  id: 'w',
+  service: 's',
+  address: 'w:1',
+  availabilityZone: 'a',
+  state: VmState.Live,
+};
+
+const RECEIVER = { onStart: () => {}, onChunk: () => true };
+
+const ANSWER: WorkerAnswer = { status: 200, headers: {}, load: undefined };
+
+test('all VMs together stay within what a worker accepts', (t) => {
+  t.is(computeConnectionShare(300, 7), 38);
+  t.is(computeConnectionShare(100, 7), 12);
+  t.is(computeConnectionShare(100, 410), 4);
+});
+
+// Guards against connections that a worker resets because other VMs have opened as many.
+test('a request beyond the share is refused as not run, and a place is free again after an answer', async (t) => {
+  const answers: (() => void)[] = [];
+  const share = new ConnectionShare({
+    backends: {
+      forward: () =>
+        new Promise((resolve) => {
+          answers.push(() => resolve(ok(ANSWER)));
+        }),
+      close: () => Promise.resolve(),
+    },
+    maxConnectionsOf: () => 10,
+    countEntryVms: () => 2,
+  });
+  const { signal } = new AbortController();
+  const send = () => share.forward(worker, {} as ForwardedRequest, RECEIVER, signal);
+  const sent = Array.from({ length: 4 }, send);
+  const refused = await send();
+  t.like(refused.isErr() && refused.error, {
+    code: FaultCode.Overloaded,
+    outcome: Outcome.NotRun,
+  });
+  answers.shift()!();
+  t.true((await sent[0]!).isOk());
+  const next = send();
+  answers.forEach((answer) => answer());
+  t.true((await next).isOk());
+});
--- a/packages/deployed-vm/src/parts.ts
+++ b/packages/deployed-vm/src/parts.ts
@@ -24,6 +24,7 @@
 import { WorkerRegistry } from '@jujubelanding/worker-registry';
 import { BatchCalls } from './batch-calls.js';
 import { ConfigurationState } from './configuration-state.js';
+import { ConnectionShare } from './connection-share.js';
 import { FirstKnowledge } from './first-knowledge.js';
 import type { DeployedVmOptions } from './options.js';
 import { Retirement } from './retirement.js';
@@ -227,7 +228,7 @@
   const peers: { list: () => readonly string[] } = { list: () => [] };
   const store = createStore(given, () => peers.list());
   const options = { ...given, store };
-  const { settings, timer, random, createLog, metrics, backends, keys } = options;
+  const { settings, timer, random, createLog, metrics, keys } = options;
   const { entryVmId, availabilityZone, acknowledgeMs } = settings;
   const self = { entryVmId, bootId: random.createId() };
   const workers = createWorkers(options);
@@ -237,6 +238,11 @@
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
   const readTable = () => followers.configuration?.table;
+  const backends = new ConnectionShare({
+    backends: options.backends,
+    maxConnectionsOf: (service) => readTable()?.findService(service)?.maxConnections,
+    countEntryVms: () => loads.listServing().length + 1,
+  });
   const batch = createJobs(options, self, fleet, () => followers.jobs);
   const knowledge = new FirstKnowledge(
     timer,
