Add the command explain, which tells a story from log files

On-call engineers have log files of several machines whose clocks differ. `jujubelanding explain ID FILE...` prints the lines about one request, item, job or worker in order. Ruled out: ordering by the times as written, which put the takeover of a job before its submission where a clock is ahead.

--- a/packages/cli/src/command-line/command.ts
+++ b/packages/cli/src/command-line/command.ts
@@ -7,7 +7,7 @@
 
 /** The arguments of one command, checked against its definition. */
 export interface Arguments {
-  /** As many as the command defines. */
+  /** As many as the command defines, or more where it allows. */
   positional: string[];
   values: Partial<Record<Flag, string>>;
   switches: ReadonlySet<Flag>;
@@ -23,8 +23,10 @@
 
 export interface Command {
   description: string;
-  /** Names of the positional arguments. */
+  /** Names of the positional arguments; one that ends with `...` stands for one or more. */
   positional: readonly string[];
+  /** True where the command sends nothing to entry VMs. */
+  isLocal?: boolean;
   /** Accepted flags besides the global ones. */
   flags: readonly Flag[];
   credential: Credential;
--- a/packages/cli/src/command-line/parse.ts
+++ b/packages/cli/src/command-line/parse.ts
@@ -126,7 +126,9 @@
     return [`${given}; allowed: ${Object.keys(commands).join(', ')}`];
   }
   const count = words.length - name.split(' ').length;
-  if (count === command.positional.length) return [];
+  const isRepeatable = command.positional.at(-1)?.endsWith('...') === true;
+  const wanted = command.positional.length;
+  if (count === wanted || (isRepeatable && count > wanted)) return [];
   const usage = ['jujubelanding', name, ...command.positional].join(' ');
   return [`${name}: arguments given: ${count}; allowed: ${usage}`];
 };
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -4,6 +4,7 @@
 import { chat } from './chat/index.js';
 import { deleteRecord } from './delete/index.js';
 import { entryPoints } from './entry-points/index.js';
+import { explain } from './explain/index.js';
 import { get } from './get/index.js';
 import { history } from './history/index.js';
 import { jobsCancel } from './jobs-cancel/index.js';
@@ -28,4 +29,5 @@
   'jobs results': jobsResults,
   'entry-points': entryPoints,
   chat,
+  explain,
 };
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -47,7 +47,7 @@
 ): Promise<ExitCode> => {
   const timeout = readDuration(args, Flag.Timeout);
   const faults = [
-    ...checkEntryVms(entryVms),
+    ...(command.isLocal === true ? [] : checkEntryVms(entryVms)),
     ...checkCredential(command, args),
     ...(timeout.isErr() ? [timeout.error] : []),
   ];
