--- a/packages/batch-ledger/src/job-retention.test.ts
+++ b/packages/batch-ledger/src/job-retention.test.ts
@@ -1,37 +1,13 @@
 import test from 'ava';
 import { silentLog } from '@jujubelanding/log';
-import { createRandom } from '@jujubelanding/random';
-import { KeyValueService } from '@jujubelanding/stand-ins';
-import { VirtualTimer } from '@jujubelanding/timer';
-import {
-  ItemState,
-  JobRetention,
-  JobStore,
-  JobTable,
-  JobTransactions,
-  KeySpace,
-  SCHEMA_VERSION,
-  type Job,
-} from './index.js';
+import { createJob, createJobWorld } from './fixtures/index.js';
+import { ItemState, JobRetention } from './index.js';
 
 const RETENTION_MS = 120_000;
 
 const setUp = () => {
-  const timer = new VirtualTimer();
-  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
-  const store = service.createClient('one');
-  const keys = new KeySpace('jj/', 'jd/');
-  const table = new JobTable(keys, silentLog);
-  const leaseId = () => undefined;
-  const transactions = new JobTransactions({
-    store,
-    keys,
-    applyOwn: (changes) => table.apply(changes),
-    leaseId,
-    onLeaseEnded: () => {},
-  });
-  const self = { entryVmId: 'one', bootId: 'boot' };
-  const jobs = new JobStore({ store, transactions, timer, keys, table, self, leaseId });
+  const { timer, run, createVm } = createJobWorld();
+  const { store, keys, table, transactions, jobs } = createVm('one');
   const retention = new JobRetention({
     store,
     transactions,
@@ -43,27 +19,8 @@
     listServing: () => [],
     retentionMs: RETENTION_MS,
   });
-  const job: Job = {
-    schemaVersion: SCHEMA_VERSION,
-    id: 'job-1',
-    host: 'a.example',
-    target: '/jobs/1',
-    submittedAt: timer.wallClock(),
-    dueMs: 18_000,
-    itemLifetimeMs: 60_000,
-    maxAttempts: 3,
-    items: Array.from({ length: 40 }, (_, index) => ({
-      id: `i${index}`,
-      target: '/x',
-      headers: {},
-      body: '',
-      tokens: 1,
-    })),
-  };
-  const run = async <T>(call: Promise<T>): Promise<T> => {
-    await timer.advance(100);
-    return call;
-  };
+  const itemIds = Array.from({ length: 40 }, (_, index) => `i${index}`);
+  const job = createJob(itemIds, timer.wallClock());
   const listKeys = async (): Promise<string[]> => {
     const page = await run(store.list('j'));
     return page.isOk() ? page.value.entries.map(({ key }) => key) : [];
--- a/packages/batch-ledger/src/job-store.test.ts
+++ b/packages/batch-ledger/src/job-store.test.ts
@@ -1,68 +1,16 @@
 import test from 'ava';
 import { Outcome } from '@jujubelanding/errors';
-import { silentLog } from '@jujubelanding/log';
-import { createRandom } from '@jujubelanding/random';
-import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
-import { VirtualTimer } from '@jujubelanding/timer';
+import { Reachability } from '@jujubelanding/stand-ins';
 import { CommitStatus } from '@jujubelanding/platform';
-import {
-  EndStatus,
-  ItemState,
-  JobStore,
-  JobTable,
-  JobTransactions,
-  KeySpace,
-  ResultReader,
-  SCHEMA_VERSION,
-  SubmitStatus,
-  type Job,
-} from './index.js';
+import { createJob, createJobWorld } from './fixtures/index.js';
+import { EndStatus, ItemState, SubmitStatus } from './index.js';
 
-const job: Job = {
-  schemaVersion: SCHEMA_VERSION,
-  id: 'job-1',
-  host: 'a.example',
-  target: '/jobs/1',
-  submittedAt: 0,
-  dueMs: 18_000,
-  itemLifetimeMs: 60_000,
-  maxAttempts: 3,
-  items: ['a', 'b', 'c'].map((id) => ({ id, target: '/x', headers: {}, body: '', tokens: 1 })),
-};
+const job = createJob(['a', 'b', 'c']);
 
-/** Two VMs on one store, each with the entries that it has seen itself. */
+/** Two VMs on one store. */
 const setUp = () => {
-  const timer = new VirtualTimer();
-  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
-  const createVm = (name: string) => {
-    const store = service.createClient(name);
-    const keys = new KeySpace('jj/', 'jd/');
-    const table = new JobTable(keys, silentLog);
-    const leaseId = () => undefined;
-    const transactions = new JobTransactions({
-      store,
-      keys,
-      applyOwn: (changes) => table.apply(changes),
-      leaseId,
-      onLeaseEnded: () => {},
-    });
-    const self = { entryVmId: name, bootId: `boot-${name}` };
-    const jobs = new JobStore({ store, transactions, timer, keys, table, self, leaseId });
-    const reader = new ResultReader({
-      store,
-      timer,
-      keys,
-      table,
-      jobs,
-      tableAgeMs: () => Infinity,
-    });
-    return { store, table, jobs, reader };
-  };
-  const run = async <T>(call: Promise<T>, durationMs = 100): Promise<T> => {
-    await timer.advance(durationMs);
-    return call;
-  };
-  return { timer, service, run, one: createVm('one'), two: createVm('two') };
+  const { createVm, ...world } = createJobWorld();
+  return { ...world, one: createVm('one'), two: createVm('two') };
 };
 
 const listResult = (vm: ReturnType<typeof setUp>['one'], itemIndex: number, output: string) =>
--- a/packages/ledger-execution/src/progress-saver.test.ts
+++ b/packages/ledger-execution/src/progress-saver.test.ts
@@ -1,17 +1,6 @@
 import test from 'ava';
-import {
-  JobStore,
-  JobTable,
-  JobTransactions,
-  KeySpace,
-  ProgressStore,
-  SCHEMA_VERSION,
-  type Job,
-} from '@jujubelanding/batch-ledger';
+import { createJob, createJobWorld } from '@jujubelanding/batch-ledger/fixtures';
 import { silentLog } from '@jujubelanding/log';
-import { createRandom } from '@jujubelanding/random';
-import { KeyValueService } from '@jujubelanding/stand-ins';
-import { VirtualTimer } from '@jujubelanding/timer';
 import { OwnedJob } from './owned-job.js';
 import { ProgressSaver } from './progress-saver.js';
 import type { ResultQueue } from './result-queue.js';
@@ -20,48 +9,15 @@
 
 const NO_RESULTS = { has: () => false } as unknown as ResultQueue;
 
-const job: Job = {
-  schemaVersion: SCHEMA_VERSION,
-  id: 'job-1',
-  host: 'a.example',
-  target: '/jobs/1',
-  submittedAt: 0,
-  dueMs: 18_000,
-  itemLifetimeMs: 60_000,
-  maxAttempts: 3,
-  items: ['a', 'b'].map((id) => ({ id, target: '/x', headers: {}, body: '', tokens: 1 })),
-};
-
 const setUp = async () => {
-  const timer = new VirtualTimer();
-  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
+  const { timer, service, run, createVm: createVmWith } = createJobWorld();
   const createVm = async (name: string) => {
-    const store = service.createClient(name);
-    const lease = store.grantLease(60_000);
-    await timer.advance(20);
-    const granted = await lease;
-    const leaseId = () => (granted.isOk() ? granted.value.leaseId : undefined);
-    const keys = new KeySpace('jj/', 'jd/');
-    const table = new JobTable(keys, silentLog);
-    const transactions = new JobTransactions({
-      store,
-      keys,
-      applyOwn: (changes) => table.apply(changes),
-      leaseId,
-      onLeaseEnded: () => {},
-    });
-    const self = { entryVmId: name, bootId: `boot-${name}` };
-    const jobs = new JobStore({ store, transactions, timer, keys, table, self, leaseId });
-    const progress = new ProgressStore({ store, transactions, keys });
-    return { store, table, jobs, progress };
-  };
-  const run = async <T>(call: Promise<T>, durationMs = 100): Promise<T> => {
-    await timer.advance(durationMs);
-    return call;
+    const granted = await run(service.createClient(name).grantLease(60_000));
+    return createVmWith(name, () => (granted.isOk() ? granted.value.leaseId : undefined));
   };
   const one = await createVm('one');
   const two = await createVm('two');
-  await run(one.jobs.submit(job, timer.now() + 1000));
+  await run(one.jobs.submit(createJob(['a', 'b']), timer.now() + 1000));
   const owned = new OwnedJob('job-1', 18_000, NO_RESULTS, one.table.find('job-1')!, {
     progress: {},
     sequence: 0,
