Log the age of a configuration with a refusal, and the length of an outage

A refusal for a missing route named the version and not how old the VM's copy was, and store-regained did not say whether one call that was sent in the outage or several attempts delayed it. Both are needed to tell a slow recovery from a lost change.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -280,6 +280,7 @@
     backends,
     log: createLog('gateway'),
     readTable,
+    configurationAgeMs: () => followed.operatorFollower.ageMs(),
     waitUntilReady: () => startupGate.wait(),
     batch: options.createBatchRequests(batchJobApi),
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,8 @@
 export interface GatewayOptions extends OnlineForwarderOptions {
   /** Route table of the active configuration; undefined until one is known. */
   readTable: () => RouteTable | undefined;
+  /** Time since the store last confirmed the active configuration, in milliseconds. */
+  configurationAgeMs: () => number;
   /** Resolves once the configuration and workers have been known, or after a maximum wait. */
   waitUntilReady: () => Promise<void>;
   batch: BatchRequests;
@@ -116,6 +118,7 @@
       outcome: fault.outcome,
       message: fault.message,
       configuration: table?.version,
+      configurationAgeMs: table && Math.round(this.options.configurationAgeMs()),
     });
   }
 }
--- a/packages/store-follower/src/store-follower.ts
+++ b/packages/store-follower/src/store-follower.ts
@@ -71,6 +71,9 @@
 
   private failures = 0;
 
+  /** Time of the first failed call of the current outage. */
+  private lostAt = -Infinity;
+
   /** Revisions of deletions since the last list, so that late events do not restore deleted entries. */
   private readonly deletions = new Map<string, number>();
 
@@ -188,13 +191,17 @@
   private recordSuccess(source?: CopySource): void {
     const now = this.options.timer.now();
     this.lastSuccessAt = now - (source?.ageMs ?? 0);
+    const { failures } = this;
     this.failures = 0;
     const hasRegained = this.recordRegained(source, now);
     if (this.isReachable && !hasRegained) return;
+    const outageMs = this.isReachable ? undefined : Math.round(now - this.lostAt);
     if (this.isReachable) this.options.onContact?.(false);
     else this.regainedAt = now;
     this.isReachable = true;
-    this.options.log.write('store-regained', { prefix: this.options.prefix });
+    const { prefix } = this.options;
+    const isCopy = source !== undefined;
+    this.options.log.write('store-regained', { prefix, outageMs, failures, isCopy });
     this.options.onContact?.(true);
   }
 
@@ -216,6 +223,7 @@
     this.failures += 1;
     if (this.isReachable) {
       this.isReachable = false;
+      this.lostAt = this.options.timer.now();
       const { code, message } = fault;
       this.options.log.write('store-lost', { prefix: this.options.prefix, code, message });
       this.options.onContact?.(false);
