Bound the time until a VM follows the store again after an outage

Cause: waits add up. A watch that is sent just before the store returns gets no answer. Its time limit contains its wait, the same call was then made through a peer with another such limit, and the pause before the next attempt grew to 0.8 s. The path works again meanwhile, but the follower still waits for a call of the outage.

A watch no longer waits while the store is not reachable, one through a peer waits for 0.4 s at most, and attempts are at most 0.4 s apart. The longest chain, a watch of 1.7 s and one through a silent peer of 1.4 s, is only possible when the loss itself is not yet known.

--- a/packages/store-follower/src/store-follower.ts
+++ b/packages/store-follower/src/store-follower.ts
@@ -12,7 +12,13 @@
 /** Delay after the first failed call; doubles up to the maximum. */
 const INITIAL_RETRY_DELAY_MS = 100;
 
-const MAX_RETRY_DELAY_MS = 800;
+const MAX_RETRY_DELAY_MS = 400;
+
+/**
+ * Wait of a watch while the store is not reachable. A watch without an answer delays the next attempt by its
+ * wait and its timeout, also when the store is back meanwhile.
+ */
+const UNREACHABLE_WAIT_MS = 1;
 
 /** Two reports of a regained contact belong to the same event if their times differ by at most this. */
 const SAME_EVENT_MS = 300;
@@ -156,7 +162,8 @@
 
   private async watch(): Promise<number> {
     const { store, prefix, watchMs, pauseMs, log } = this.options;
-    const reply = await store.watch(prefix, this.revision, watchMs);
+    const waitMs = this.isReachable ? watchMs : UNREACHABLE_WAIT_MS;
+    const reply = await store.watch(prefix, this.revision, waitMs);
     if (this.isStopped) return 0;
     if (reply.isErr()) return this.recordFailure(reply.error);
     const { source } = reply.value;
--- a/packages/store-relay/src/relayed-store.ts
+++ b/packages/store-relay/src/relayed-store.ts
@@ -19,7 +19,17 @@
   log: Log;
 }
 
-type Send<T> = (store: TransactionalStore) => Reply<T>;
+/** How a call is made. */
+interface Call<T> {
+  step: string;
+  send: (store: TransactionalStore) => Reply<T>;
+  /** Sends the call through a peer; the same as `send` unless it may not wait as long there. */
+  sendToPeer: (store: TransactionalStore) => Reply<T>;
+  mayRepeat: (fault: Fault) => boolean;
+}
+
+/** Maximum wait of a watch through a peer, so that a peer that does not answer is noticed soon. */
+const PEER_WATCH_WAIT_MS = 400;
 
 /** Faults caused by the path or the store, not by the call itself. */
 const PATH_FAULT_CODES = new Set([
@@ -66,8 +76,14 @@
   readonly listStale: TransactionalStore['listStale'] = (prefix, afterKey) =>
     this.read('listStale', (store) => store.listStale(prefix, afterKey));
 
-  readonly watch: TransactionalStore['watch'] = (prefix, afterRevision, waitMs) =>
-    this.read('watch', (store) => store.watch(prefix, afterRevision, waitMs));
+  readonly watch: TransactionalStore['watch'] = (prefix, afterRevision, waitMs) => {
+    const peerWaitMs = Math.min(waitMs, PEER_WATCH_WAIT_MS);
+    return this.read(
+      'watch',
+      (store) => store.watch(prefix, afterRevision, waitMs),
+      (store) => store.watch(prefix, afterRevision, peerWaitMs),
+    );
+  };
 
   readonly commit: TransactionalStore['commit'] = (transaction) =>
     this.sendWrite('commit', (store) => store.commit(transaction));
@@ -82,40 +98,41 @@
     this.sendWrite('revokeLease', (store) => store.revokeLease(leaseId));
 
   /** Reads have no effect, so they may always be repeated through a peer. */
-  private read<T>(step: string, send: Send<T>): Reply<T> {
-    return this.call(step, send, () => true);
+  private read<T>(
+    step: string,
+    send: Call<T>['send'],
+    sendToPeer: Call<T>['sendToPeer'] = send,
+  ): Reply<T> {
+    return this.call({ step, send, sendToPeer, mayRepeat: () => true });
   }
 
   /** Writes are repeated through a peer only if they did not run; otherwise the caller decides. */
-  private sendWrite<T>(step: string, send: Send<T>): Reply<T> {
-    return this.call(step, send, ({ outcome }) => outcome === Outcome.NotRun);
+  private sendWrite<T>(step: string, send: Call<T>['send']): Reply<T> {
+    const mayRepeat = ({ outcome }: Fault): boolean => outcome === Outcome.NotRun;
+    return this.call({ step, send, sendToPeer: send, mayRepeat });
   }
 
-  private async call<T>(
-    step: string,
-    send: Send<T>,
-    mayRepeat: (fault: Fault) => boolean,
-  ): Reply<T> {
+  private async call<T>(call: Call<T>): Reply<T> {
     const { direct, timer } = this.options;
     // Without peers the direct path is the only one.
     const hasPeers = this.options.listPeers().length > 0;
-    if (hasPeers && !this.path.shouldTry(timer.now())) return this.callPeer(step, send);
-    const reply = await send(direct);
+    if (hasPeers && !this.path.shouldTry(timer.now())) return this.callPeer(call);
+    const reply = await call.send(direct);
     const fault = reply.isErr() ? reply.error : undefined;
     const isPathFault = fault !== undefined && PATH_FAULT_CODES.has(fault.code);
     this.record(isPathFault, fault);
-    const shouldUsePeer = isPathFault && mayRepeat(fault) && hasPeers && !this.path.isHealthy;
-    return shouldUsePeer ? this.callPeer(step, send) : reply;
+    const shouldUsePeer = isPathFault && call.mayRepeat(fault) && hasPeers && !this.path.isHealthy;
+    return shouldUsePeer ? this.callPeer(call) : reply;
   }
 
-  private async callPeer<T>(step: string, send: Send<T>): Reply<T> {
+  private async callPeer<T>({ step, sendToPeer }: Call<T>): Reply<T> {
     const { relay, random, listPeers } = this.options;
     const peers = listPeers();
     const lastPeer = this.peer !== undefined && peers.includes(this.peer) ? this.peer : undefined;
     const peer = lastPeer ?? (peers.length > 0 ? random.pick(peers) : undefined);
     if (peer === undefined) return err(createFault(step));
     this.peer = peer;
-    const reply = await send(relay(peer));
+    const reply = await sendToPeer(relay(peer));
     if (reply.isErr()) this.peer = undefined;
     return reply;
   }
