Use new connections after a call without an answer

A part of the delay: after a watch had timed out, the next call was sent on an idle connection that the outage had killed as well, and took a timeout of its own.

--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -22,6 +22,9 @@
   /** Pools by address, least recently used first. */
   private readonly entries = new Map<string, PoolEntry>();
 
+  /** Replaced pools whose requests have not ended. */
+  private readonly replaced = new Set<Pool>();
+
   private isClosed = false;
 
   constructor(private readonly limits: ConnectionLimits) {}
@@ -45,7 +48,21 @@
     this.isClosed = true;
     const entries = [...this.entries.values()];
     this.entries.clear();
-    await Promise.all(entries.map(({ pool }) => pool.destroy()));
+    const pools = [...entries.map(({ pool }) => pool), ...this.replaced];
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  /**
+   * Makes further requests use new connections. A path that dropped one request has often dropped the idle
+   * connections as well, and each would cost a timeout. Requests in progress go on.
+   */
+  replaceIdle(address: string): void {
+    const entry = this.entries.get(address);
+    if (this.isClosed || entry === undefined) return;
+    const { pool } = entry;
+    entry.pool = this.createPool(address);
+    this.replaced.add(pool);
+    void pool.close().finally(() => this.replaced.delete(pool));
   }
 
   /** Stops accepting requests and resolves when none is in progress. */
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -194,5 +194,8 @@
     connection.pool.dispatch({ method, path, headers, body, blocking: false }, handler);
   });
   connection.release();
+  if (response.isErr() && response.error.code === FaultCode.Timeout) {
+    pools.replaceIdle(request.address);
+  }
   return response;
 };
