--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -47,6 +47,9 @@
   /** Time of the first event or, for other responses, of the first chunk. */
   private firstDataAt: number | undefined;
 
+  /** True once the attempt in progress has received an event or, for other responses, a chunk. */
+  private hasAttemptData = false;
+
   /** First-token watch of the attempt in progress; undefined for plain services. */
   private firstTokenWatch: FirstTokenWatch | undefined;
 
@@ -58,6 +61,7 @@
   ) {
     this.relay = new ResponseRelay(exchange, route, () => {
       this.firstDataAt ??= options.timer.now();
+      this.hasAttemptData = true;
       this.firstTokenWatch?.recordToken();
     });
   }
@@ -105,6 +109,7 @@
     const { request } = this.exchange;
     const sentAt = timer.now();
     this.sends += 1;
+    this.hasAttemptData = false;
     loads.beginRequest(worker.id);
     // Plain services stream no tokens, and their requests may take longer.
     const isStream = this.route.kind === RouteKind.Streaming;
@@ -136,14 +141,17 @@
 
   private recordFault(worker: Worker, fault: Fault): void {
     const { router, log, metrics } = this.options;
+    const { requestId, promptPrefixes } = this.exchange.request;
     if (this.abortController.signal.aborted) return;
     log.write('attempt-failed', {
-      request: this.exchange.request.requestId,
+      request: requestId,
       worker: worker.id,
       code: fault.code,
       outcome: fault.outcome,
       message: fault.message,
       sends: this.sends,
+      hasData: this.hasAttemptData,
+      parts: promptPrefixes,
     });
     metrics.increment('online.attempt_failed', { code: fault.code });
     if (fault.code !== FaultCode.Overloaded) router.recordFault(worker);
