Refuse requests with prompt parts that crash workers

Cause: nothing connected the crashes. Routing took each as a fault of the worker and sent the next request with the part to the next worker; each of seven VMs saw a seventh of the crashes, and callers repeated what was lost.

prompt-quarantine suspects the shared parts of requests that a broken connection ends before their first event, counts crashes over all VMs through the store, and clears parts by answers. Three crashes (five for a part with earlier answers) and a second for other VMs to object block it. It works because the dangerous request is the only one that is certainly among those without an event at each crash. Parts that are in the same crashes are blocked in combination until an answer tells them apart. Gateway and batch execution ask before each run; items wait.

Without the refusal, the property test fails on its first run, and the tests of blocks fail.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -14,6 +14,7 @@
 import { Gateway } from '@jujubelanding/gateway';
 import { JobExecution } from '@jujubelanding/ledger-execution';
 import { ChangeKind } from '@jujubelanding/platform';
+import { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import { RelayedStore, WatchHub, type SharedCopy } from '@jujubelanding/store-relay';
 import { Router } from '@jujubelanding/routing';
 import {
@@ -193,6 +194,24 @@
   return { table, quota, requests, jobs, progress, reader, retention };
 };
 
+const createQuarantine = (
+  { timer, store, createLog, metrics, keys, settings }: DeployedVmOptions,
+  { lease, loads }: Fleet,
+  workers: WorkerRegistry,
+): PromptQuarantine =>
+  new PromptQuarantine({
+    timer,
+    log: createLog('quarantine'),
+    metrics,
+    store,
+    lease: () => lease,
+    evidencePrefix: `${keys.followedPrefix}crash/`,
+    blockPrefix: `${keys.followedPrefix}blocked/`,
+    self: settings.entryVmId,
+    listServing: () => loads.listServing(),
+    runIdOf: (workerId) => `${workerId}@${workers.find(workerId)?.startedAt ?? 0}`,
+  });
+
 /** Creates the store that uses the direct path, or a peer while the direct path does not work. */
 const createStore = (
   { store, relay, timer, random, createLog }: DeployedVmOptions,
@@ -221,6 +240,7 @@
     countEntryVms: () => loads.listServing().length + 1,
   });
   const batch = createJobs(options, self, fleet, () => followers.jobs);
+  const quarantine = createQuarantine(options, fleet, workers);
   const startupGate = new StartupGate(
     timer,
     () => readTable() !== undefined && workers.all().length > 0,
@@ -236,6 +256,7 @@
       changes.filter(isVm).forEach((change) => fleet.registry.apply(change));
       batch.table.apply(changes);
       batch.quota.apply(changes);
+      quarantine.apply(changes);
     },
     () => startupGate.releaseIfReady(),
   );
@@ -255,6 +276,8 @@
     ...batch,
     log: createLog('execution'),
     loads,
+    quarantine,
+    readPromptParts: options.readPromptParts,
     directory: workers,
     backends,
     readTable,
@@ -277,6 +300,7 @@
     ...io,
     router,
     loads,
+    quarantine,
     backends,
     log: createLog('gateway'),
     readTable,
@@ -295,6 +319,7 @@
     planner,
     retention,
     quota,
+    quarantine,
     gateway,
   };
 };
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -43,7 +43,7 @@
 
   async start(): Promise<void> {
     const { settings, createLog } = this.options;
-    const { loads, lease, registry, router, execution, planner, retention, quota } =
+    const { loads, lease, registry, router, execution, planner, retention, quota, quarantine } =
       this.components;
     const opened = await openLoadSocket(settings.peerAddress, createLog('datagrams'), (message) => {
       loads.receive(message);
@@ -64,6 +64,7 @@
     execution.start();
     planner.start();
     retention.start();
+    quarantine.start();
     this.subscriptions.push(
       quota.start(),
       this.options.timer.every(AGE_REPORT_INTERVAL_MS, () => this.reportDataAges()),
@@ -115,10 +116,11 @@
 
   /** Stops all components and closes all connections. */
   async close(): Promise<void> {
-    const { loads, router, lease, execution, planner, registry, retention, store } =
+    const { loads, router, lease, execution, planner, registry, retention, store, quarantine } =
       this.components;
     this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
     retention.stop();
+    quarantine.stop();
     store.close();
     registry.leave();
     execution.close();
--- a/packages/deployed-vm/src/options.ts
+++ b/packages/deployed-vm/src/options.ts
@@ -1,7 +1,7 @@
 import type { BatchRequests } from '@jujubelanding/gateway';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type { RequestForwarder, TransactionalStore } from '@jujubelanding/platform';
+import type { HeaderFields, RequestForwarder, TransactionalStore } from '@jujubelanding/platform';
 import type { Random } from '@jujubelanding/random';
 import type { RouteTable, RoutingConfiguration } from '@jujubelanding/route-table';
 import type { PrefixReader } from '@jujubelanding/store-relay';
@@ -45,6 +45,8 @@
   keys: StoreKeys;
   decodeConfiguration: (value: string) => Result<RoutingConfiguration, string>;
   decodeWorker: (id: string, value: string) => RegisteredWorker | undefined;
+  /** Reads the parts of a prompt, those shared with most requests first, from the headers of a request. */
+  readPromptParts: (headers: HeaderFields) => string[];
   /** Status value from which the operator learns that a VM with a disk may be removed. */
   retiredValue: string;
 }
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -4,6 +4,7 @@
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
 import type { RequestForwarder, WorkerResponse } from '@jujubelanding/platform';
+import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import type { Random } from '@jujubelanding/random';
 import { RouteKind, RouteTable, type Route } from '@jujubelanding/route-table';
 import type { FirstTokenWatch, Router } from '@jujubelanding/routing';
@@ -19,6 +20,7 @@
   random: Random;
   router: Router;
   loads: WorkerLoads;
+  quarantine: Pick<PromptQuarantine, 'findBlock' | 'recordAnswer' | 'recordLoss'>;
   backends: RequestForwarder;
   metrics: Metrics;
   log: Log;
@@ -61,6 +63,7 @@
   ) {
     this.relay = new ResponseRelay(exchange, route, () => {
       this.firstDataAt ??= options.timer.now();
+      if (!this.hasAttemptData) options.quarantine.recordAnswer(exchange.request.promptPrefixes);
       this.hasAttemptData = true;
       this.firstTokenWatch?.recordToken();
     });
@@ -83,11 +86,13 @@
   }
 
   private async runAttempts(): Promise<Attempt | Fault> {
-    const { router, random } = this.options;
+    const { router, random, quarantine } = this.options;
     const { requestId, promptPrefixes } = this.exchange.request;
     const service = RouteTable.chooseService(this.route, random.next()) ?? '';
     const prefixes = promptPrefixes;
     for (;;) {
+      const block = quarantine.findBlock(prefixes);
+      if (block !== undefined) return block;
       const routed = router.route({
         requestId,
         service,
@@ -140,7 +145,7 @@
   }
 
   private recordFault(worker: Worker, fault: Fault): void {
-    const { router, log, metrics } = this.options;
+    const { router, log, metrics, quarantine } = this.options;
     const { requestId, promptPrefixes } = this.exchange.request;
     if (this.abortController.signal.aborted) return;
     log.write('attempt-failed', {
@@ -155,6 +160,9 @@
     });
     metrics.increment('online.attempt_failed', { code: fault.code });
     if (fault.code !== FaultCode.Overloaded) router.recordFault(worker);
+    if (fault.code === FaultCode.Interrupted && !this.hasAttemptData) {
+      quarantine.recordLoss(worker.id, promptPrefixes);
+    }
   }
 
   private decide({ fault, response }: Attempt): NextStep {
--- a/packages/ledger-execution/src/item-run.test.ts
+++ b/packages/ledger-execution/src/item-run.test.ts
@@ -44,6 +44,7 @@
     item: { id: 'item', tokens: 1, target: '/', headers: {}, body: '' },
     progress,
     remainingMs: 60_000,
+    onFirstEvent: () => {},
   });
   const play = async (durationMs: number) => {
     const result = run.run();
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -58,6 +58,7 @@
   /** Updated as events arrive. */
   progress: ItemProgress;
   remainingMs: number;
+  onFirstEvent: () => void;
 }
 
 /** One run of an item on a worker; resumes after the events already received. */
@@ -154,6 +155,7 @@
       return;
     }
     this.pendingBytes = 0;
+    if (this.firstEventAt === undefined) this.options.onFirstEvent();
     this.firstEventAt ??= timer.now();
     progress.events.push(data);
     progress.lastEventId = id ?? last;
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -1,10 +1,12 @@
 /** Publishes the items of owned jobs that wait, and starts and preempts items as the planner decides. */
 import { ItemState, type JobTable, type JobSnapshot } from '@jujubelanding/batch-ledger';
+import { FaultCode } from '@jujubelanding/errors';
 import type { FleetLoad, Plan, WaitingCount } from '@jujubelanding/fleet-load';
 import type { Directory } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type { RequestForwarder } from '@jujubelanding/platform';
+import type { HeaderFields, RequestForwarder } from '@jujubelanding/platform';
+import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import { hashText } from '@jujubelanding/random';
 import { RouteTable, type Route } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
@@ -23,6 +25,9 @@
   metrics: Metrics;
   table: JobTable;
   loads: FleetLoad;
+  quarantine: Pick<PromptQuarantine, 'hasBlocks' | 'isBlocked' | 'recordAnswer' | 'recordLoss'>;
+  /** Reads the parts of an item's prompt from the headers of its request. */
+  readPromptParts: (headers: HeaderFields) => string[];
   directory: Pick<Directory, 'find'>;
   backends: RequestForwarder;
   readTable: () => RouteTable | undefined;
@@ -120,7 +125,7 @@
       if (snapshot === undefined) continue;
       ownedJob.listWaiting(now).forEach((item) => {
         const service = this.chooseService(ownedJob, snapshot, item);
-        if (service === undefined) return;
+        if (service === undefined || this.isBlocked(ownedJob, item)) return;
         const remainingMs = this.runTimeEstimator.remainingMs(item.progress.events.length);
         const effectiveDueAt = computeEffectiveDueAt(ownedJob.dueAt, wallClock, remainingMs);
         all.push({ ownedJob, snapshot, item, service, effectiveDueAt });
@@ -158,6 +163,16 @@
     return true;
   }
 
+  /** A blocked item waits until the block or its lifetime ends, because it might run then. */
+  private isBlocked(ownedJob: OwnedJob, item: OwnedItem): boolean {
+    const { quarantine } = this.options;
+    return quarantine.hasBlocks && quarantine.isBlocked(this.listParts(ownedJob, item));
+  }
+
+  private listParts({ requests }: OwnedJob, { index }: OwnedItem): string[] {
+    return this.options.readPromptParts(requests[index]!.headers);
+  }
+
   private giveUp(ownedJob: OwnedJob, item: OwnedItem, reason: string): void {
     this.options.log.write('item-given-up', { job: ownedJob.jobId, item: item.index, reason });
     ownedJob.results.add({ itemIndex: item.index, state: ItemState.GivenUp, output: '' });
@@ -165,7 +180,7 @@
 
   private async run(candidate: Candidate, worker: Worker, runId: string): Promise<void> {
     const { snapshot, item, effectiveDueAt } = candidate;
-    const { timer, backends, loads } = this.options;
+    const { timer, backends, loads, quarantine } = this.options;
     const { job } = snapshot;
     const run = new ItemRun({
       runId,
@@ -176,6 +191,7 @@
       item: { ...job.items[item.index]!, ...candidate.ownedJob.requests[item.index]! },
       progress: item.progress,
       remainingMs: job.submittedAt + job.itemLifetimeMs - timer.wallClock(),
+      onFirstEvent: () => quarantine.recordAnswer(this.listParts(candidate.ownedJob, item)),
     });
     // OwnedJob.listRunning finds runs through their items.
     Object.assign(item, { run });
@@ -192,6 +208,9 @@
     const now = this.options.timer.now();
     this.logRun(candidate, worker, result);
     this.recordRun(worker.id, result, now);
+    if (result.fault?.code === FaultCode.Interrupted && result.events === 0) {
+      this.options.quarantine.recordLoss(worker.id, this.listParts(ownedJob, item));
+    }
     if (outcome === RunOutcome.Completed) {
       this.runTimeEstimator.recordItem(item.progress.events.length);
       const output = item.progress.events.join('\n');
--- /dev/null
+++ b/packages/prompt-quarantine/src/block-list.ts
@@ -0,0 +1,79 @@
+/** Blocked combinations of prompt parts on this VM. Times are passed in. */
+
+/** A combination stays blocked until no request with it has come for this long. */
+export const BLOCK_MS = 600_000;
+
+const SEPARATOR = '+';
+
+export const toBlockId = (parts: readonly string[]): string => parts.toSorted().join(SEPARATOR);
+
+export const parseBlockId = (id: string): string[] => id.split(SEPARATOR);
+
+export interface Block {
+  id: string;
+  /** A request is refused if it has all of them. */
+  parts: readonly string[];
+  /** Time of the block, or of the last request with it on a VM that stored it. */
+  renewedAt: number;
+  /** Time of the last request that was refused on this VM. */
+  lastHitAt: number;
+  /** Revision of the stored block; 0 if it is not stored. */
+  revision: number;
+}
+
+export class BlockList {
+  private readonly blocks = new Map<string, Block>();
+
+  get isEmpty(): boolean {
+    return this.blocks.size === 0;
+  }
+
+  /** Blocks a combination of parts; returns false if it is blocked already. */
+  add(id: string, now: number): boolean {
+    if (this.blocks.has(id)) return false;
+    const parts = parseBlockId(id);
+    this.blocks.set(id, { id, parts, renewedAt: now, lastHitAt: -Infinity, revision: 0 });
+    return true;
+  }
+
+  /** Records a stored block, also one of another VM; returns true if it is new. */
+  recordStored(id: string, revision: number, now: number): boolean {
+    const isNew = this.add(id, now);
+    Object.assign(this.blocks.get(id)!, { revision, renewedAt: now });
+    return isNew;
+  }
+
+  /** Records that the stored block is gone, for example with its lease; it stays in force here. */
+  recordMissing(id: string): void {
+    const block = this.blocks.get(id);
+    if (block !== undefined) block.revision = 0;
+  }
+
+  has(id: string): boolean {
+    return this.blocks.has(id);
+  }
+
+  remove(id: string): void {
+    this.blocks.delete(id);
+  }
+
+  /** Finds a block that applies to a request with these parts. */
+  find(parts: readonly string[]): Block | undefined {
+    return this.list().find((block) => block.parts.every((part) => parts.includes(part)));
+  }
+
+  list(): Block[] {
+    return [...this.blocks.values()];
+  }
+
+  prune(now: number): void {
+    this.list()
+      .filter((block) => this.remainingMs(block, now) <= 0)
+      .forEach(({ id }) => this.blocks.delete(id));
+  }
+
+  /** Time until the block ends if no further request comes. */
+  remainingMs({ renewedAt, lastHitAt }: Block, now: number): number {
+    return Math.max(renewedAt, lastHitAt) + BLOCK_MS - now;
+  }
+}
--- /dev/null
+++ b/packages/prompt-quarantine/src/crash-evidence.ts
@@ -0,0 +1,164 @@
+/** Decides from the reports of all entry VMs which prompt parts crash workers. */
+import * as z from 'zod';
+
+/** Crashes after which the VMs report answers to requests with a part. */
+const CRASHES_OF_SUSPECT = 2;
+
+/** Crashes after which a part counts as dangerous if no VM has seen an answer to a request with it. */
+const CRASHES_OF_NEW_PART = 3;
+
+/**
+ * The same for a part with answers before these crashes. Such parts are in many prompts, so a few of them
+ * are in progress at any crash, whatever its cause.
+ */
+const CRASHES_OF_ANSWERED_PART = 5;
+
+/** The same for a part that is blocked in combination with others, because one of them is dangerous. */
+const CRASHES_OF_AMBIGUOUS_PART = 2;
+
+/** A dangerous part is involved in at least this share of the crashes since its first one. */
+const MIN_CRASH_SHARE = 0.5;
+
+/** Time between the last crash needed and the decision, in which other VMs report answers. */
+const CONFIRMATION_MS = 1000;
+
+/** Crashes are forgotten after this time. */
+const EVIDENCE_LIFETIME_MS = 60_000;
+
+export const evidenceSchema = z.object({
+  /** Crash id, and the parts of this VM's requests that had not begun to receive an answer. */
+  crashes: z.array(z.tuple([z.string(), z.array(z.string())])),
+  /** Part that was in a request with an answer, and the ids of the crashes known at that time. */
+  answers: z.array(z.tuple([z.string(), z.array(z.string())])),
+});
+
+/** What one VM has seen. */
+export type VmEvidence = z.infer<typeof evidenceSchema>;
+
+interface Crash {
+  id: string;
+  seenAt: number;
+  parts: Set<string>;
+}
+
+/** Crashes and answers as reported by all VMs; times are those at which this VM learned of them. */
+export class CrashEvidence {
+  /** By crash id, oldest first. */
+  private readonly crashes = new Map<string, Crash>();
+
+  /** Crashes that a dangerous part explains, with the time at which they were explained. */
+  private readonly explained = new Map<string, number>();
+
+  /** Time since which a part is blocked only in combination with others. */
+  private readonly ambiguousSince = new Map<string, number>();
+
+  /** Crashes for which a part is known to be harmless, because an answer came after them. */
+  private readonly cleared = new Map<string, Set<string>>();
+
+  /** Parts that were answered before some crash, with the time of the report. */
+  private readonly answeredAt = new Map<string, number>();
+
+  add({ crashes, answers }: VmEvidence, now: number): void {
+    crashes.forEach(([id, parts]) => this.addCrash(id, parts, now));
+    answers.forEach(([part, crashIds]) => this.addAnswer(part, crashIds, now));
+  }
+
+  addCrash(id: string, parts: readonly string[], now: number): void {
+    if (this.explained.has(id)) return;
+    const crash = this.crashes.get(id) ?? { id, seenAt: now, parts: new Set() };
+    parts.forEach((part) => crash.parts.add(part));
+    this.crashes.set(id, crash);
+  }
+
+  /** Records an answer to a request with the part; the crashes known before it have another cause. */
+  addAnswer(part: string, crashIds: readonly string[], now: number): void {
+    const cleared = this.cleared.get(part) ?? new Set();
+    crashIds.forEach((id) => cleared.add(id));
+    this.cleared.set(part, cleared);
+    if (crashIds.length > 0) this.ambiguousSince.delete(part);
+    this.answeredAt.set(part, now);
+  }
+
+  /** Ids of the crashes with the part that no answer has cleared. */
+  listOpenCrashes(part: string): string[] {
+    return this.listCrashesWith(part).map(({ id }) => id);
+  }
+
+  /** Parts that are involved in several crashes, so that answers to requests with them matter. */
+  listSuspected(): string[] {
+    return this.listParts().filter((part) => this.isSuspected(part));
+  }
+
+  isSuspected(part: string): boolean {
+    return this.listCrashesWith(part).length >= CRASHES_OF_SUSPECT;
+  }
+
+  /**
+   * Returns the parts that are involved in most crashes, if they count as dangerous. They are several if
+   * each crash involved all of them, so that the evidence does not tell which of them is dangerous.
+   */
+  findDangerous(now: number): string[] {
+    const [strongest, ...rest] = this.listParts()
+      .filter((part) => this.isDangerous(part, now))
+      .toSorted((a, b) => this.listOpenCrashes(b).length - this.listOpenCrashes(a).length);
+    if (strongest === undefined) return [];
+    const crashIds = String(this.listOpenCrashes(strongest));
+    const equals = rest.filter((part) => String(this.listOpenCrashes(part)) === crashIds);
+    return [strongest, ...equals].toSorted();
+  }
+
+  /** Removes the crashes that dangerous parts explain, so that other parts are not blamed for them. */
+  explain(parts: readonly string[], now: number): void {
+    for (const { id } of this.listCrashesWith(parts[0]!)) {
+      if (parts.every((part) => this.crashes.get(id)!.parts.has(part))) {
+        this.crashes.delete(id);
+        this.explained.set(id, now);
+      }
+    }
+    if (parts.length > 1) parts.forEach((part) => this.ambiguousSince.set(part, now));
+  }
+
+  get isEmpty(): boolean {
+    return this.crashes.size === 0;
+  }
+
+  prune(now: number): void {
+    for (const [id, { seenAt }] of this.crashes) {
+      if (now - seenAt > EVIDENCE_LIFETIME_MS) this.crashes.delete(id);
+    }
+    [this.explained, this.ambiguousSince].forEach((times) => {
+      for (const [key, at] of times) if (now - at > EVIDENCE_LIFETIME_MS) times.delete(key);
+    });
+    for (const [part, at] of this.answeredAt) {
+      if (now - at > EVIDENCE_LIFETIME_MS) {
+        this.answeredAt.delete(part);
+        this.cleared.delete(part);
+      }
+    }
+  }
+
+  private isDangerous(part: string, now: number): boolean {
+    const crashes = this.listCrashesWith(part);
+    const last = crashes[this.countNeeded(part) - 1];
+    if (last === undefined || now - last.seenAt < CONFIRMATION_MS) return false;
+    const since = crashes[0]!.seenAt;
+    const all = [...this.crashes.values()].filter(({ seenAt }) => seenAt >= since);
+    return crashes.length >= all.length * MIN_CRASH_SHARE;
+  }
+
+  private countNeeded(part: string): number {
+    if (this.ambiguousSince.has(part)) return CRASHES_OF_AMBIGUOUS_PART;
+    return this.answeredAt.has(part) ? CRASHES_OF_ANSWERED_PART : CRASHES_OF_NEW_PART;
+  }
+
+  private listCrashesWith(part: string): Crash[] {
+    const cleared = this.cleared.get(part);
+    return [...this.crashes.values()].filter(
+      ({ id, parts }) => parts.has(part) && cleared?.has(id) !== true,
+    );
+  }
+
+  private listParts(): string[] {
+    return [...new Set([...this.crashes.values()].flatMap(({ parts }) => [...parts]))];
+  }
+}
--- /dev/null
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -0,0 +1,138 @@
+// Guards against requests of one kind that crash worker after worker: each VM saw only some of the crashes,
+// and none connected them with the prompt part that the lost requests had in common.
+import test from 'ava';
+import fc from 'fast-check';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { createRandom } from '@jujubelanding/random';
+import { KeyValueService } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { createFleet, type TaintedLoad } from './fixtures/index.js';
+import { PromptQuarantine } from './index.js';
+
+/** Time from the fifth crash after which requests with the part are counted. */
+const CONTACT_MS = 3000;
+
+/** Number of requests with the part that may still reach workers then. */
+const MAX_LATE_REQUESTS = 3;
+
+const DEADLY = 'deadly';
+
+const loadArbitrary: fc.Arbitrary<TaintedLoad> = fc.record({
+  seed: fc.nat(),
+  vmCount: fc.integer({ min: 2, max: 12 }),
+  taintedShare: fc.double({ min: 0.02, max: 0.6, noNaN: true }),
+  /** Other parts that come with the dangerous one; one means that it never comes without that part. */
+  companions: fc.integer({ min: 1, max: 20 }),
+});
+
+test('at most three requests with a dangerous part reach workers later than the contact time', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(loadArbitrary, async (load) => {
+      const fleet = createFleet(load, DEADLY);
+      await fleet.run(40_000);
+      const { crashes, taintedSends } = fleet;
+      const fifth = crashes[4];
+      if (fifth === undefined) return true;
+      return taintedSends.filter((at) => at > fifth + CONTACT_MS).length <= MAX_LATE_REQUESTS;
+    }),
+    { numRuns: 60, seed: 22 },
+  );
+  t.pass();
+});
+
+test('requests without the part are still sent, those with its companions too', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(loadArbitrary, async (load) => {
+      const fleet = createFleet(load, DEADLY);
+      await fleet.run(40_000);
+      return fleet.refusedSound <= fleet.sound * 0.01;
+    }),
+    { numRuns: 60, seed: 22 },
+  );
+  t.pass();
+});
+
+// Workers also crash for other reasons, several at once, while requests wait at them.
+test('crashes that no part explains block nothing', async (t) => {
+  const fleet = createFleet({ seed: 5, vmCount: 7, taintedShare: 0, companions: 20 }, DEADLY);
+  for (let round = 0; round < 12; round += 1) {
+    await fleet.run(2500);
+    fleet.crashWorkers(round % 4);
+  }
+  t.true(fleet.crashes.length > 10);
+  t.is(fleet.refusedSound, 0);
+});
+
+const BLOCK_PREFIX = 'q/blocked/';
+
+const createVm = (service: KeyValueService, timer: VirtualTimer, name: string) =>
+  new PromptQuarantine({
+    timer,
+    log: silentLog,
+    metrics: silentMetrics,
+    store: service.createClient(name),
+    lease: () => ({ current: undefined, replace: () => {} }),
+    evidencePrefix: 'q/crash/',
+    blockPrefix: BLOCK_PREFIX,
+    self: name,
+    listServing: () => [],
+    runIdOf: (workerId) => workerId,
+  });
+
+const listBlocks = (service: KeyValueService) =>
+  service.state.list(BLOCK_PREFIX, Infinity).entries.map(({ key, value, modRevision }) => ({
+    kind: 'put' as never,
+    entry: { key, value, modRevision },
+  }));
+
+test('a block outlives the VM that found it and the loss of its key', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const vm = createVm(service, timer, 'a');
+  vm.start();
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, ['x', DEADLY, 'own']));
+  await timer.advance(3000);
+  vm.stop();
+  const blocks = listBlocks(service);
+  t.snapshot(blocks.map(({ entry }) => [entry.key, entry.value]));
+  const restarted = createVm(service, timer, 'a');
+  restarted.apply(blocks);
+  const fault = restarted.findBlock(['x', DEADLY, 'another']);
+  t.snapshot(fault && { ...fault, retryAfterMs: Math.round(fault.retryAfterMs! / 1000) });
+  t.is(restarted.findBlock([DEADLY, 'another']), undefined);
+  const [{ entry }] = blocks as [(typeof blocks)[0]];
+  restarted.apply([{ kind: 'delete' as never, entry: { ...entry, value: '' } }]);
+  t.not(restarted.findBlock(['x', DEADLY, 'another']), undefined);
+});
+
+test('an answer to a request with one part of a blocked combination narrows the block', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const vm = createVm(service, timer, 'a');
+  vm.start();
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, ['x', DEADLY, 'own']));
+  await timer.advance(3000);
+  t.false(vm.isBlocked(['x', 'another']));
+  vm.recordAnswer(['x', 'another']);
+  await timer.advance(100);
+  t.true(vm.isBlocked([DEADLY, 'another']));
+  t.snapshot(listBlocks(service).map(({ entry }) => [entry.key, entry.value]));
+  vm.stop();
+});
+
+test('a block ends some time after the last request to which it applied', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const vm = createVm(service, timer, 'a');
+  vm.start();
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, [DEADLY, 'own']));
+  await timer.advance(3000);
+  await timer.advance(500_000);
+  t.not(vm.findBlock([DEADLY, 'another']), undefined);
+  await timer.advance(500_000);
+  t.true(vm.isBlocked([DEADLY, 'another']));
+  await timer.advance(700_000);
+  t.false(vm.isBlocked([DEADLY, 'another']));
+  vm.stop();
+});
--- /dev/null
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -0,0 +1,235 @@
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import type { Metrics } from '@jujubelanding/metrics';
+import { ChangeKind, type KeyValueChange, type TransactionalStore } from '@jujubelanding/platform';
+import { rankOf } from '@jujubelanding/random';
+import type { Subscription, Timer } from '@jujubelanding/timer';
+import { BlockList, parseBlockId, toBlockId } from './block-list.js';
+import { BlockStore } from './block-store.js';
+import { CrashEvidence } from './crash-evidence.js';
+import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
+import { OwnEvidence } from './own-evidence.js';
+import { RecentAnswers } from './recent-answers.js';
+
+/** Interval at which the evidence is evaluated while there is any. */
+const CHECK_INTERVAL_MS = 250;
+
+/** Interval at which stored blocks are compared with those in force here. */
+const STORE_INTERVAL_MS = 1000;
+
+export interface PromptQuarantineOptions {
+  timer: Timer;
+  log: Log;
+  metrics: Metrics;
+  store: Pick<TransactionalStore, 'commit' | 'grantLease'>;
+  lease: () => VmLease;
+  /** Key prefix of what the VMs have seen; the id of the VM follows. */
+  evidencePrefix: string;
+  /** Key prefix of blocked parts; the part follows. */
+  blockPrefix: string;
+  self: string;
+  /** Ids of the other VMs that are alive. */
+  listServing: () => readonly string[];
+  /** Identifies a run of a worker, which may restart under its id. */
+  runIdOf: (workerId: string) => string;
+}
+
+enum BlockReason {
+  /** Crashes that this VM knows of. */
+  Crashes = 'crashes',
+  /** Stored by another VM. */
+  Stored = 'stored',
+  /** What remains of a combination after an answer to a request with a part of it. */
+  Narrowed = 'narrowed',
+}
+
+/** The last part belongs to the request or its session, so it does not identify other requests. */
+const selectShared = (parts: readonly string[]): readonly string[] => parts.slice(0, -1);
+
+/**
+ * Learns which prompt parts crash workers and refuses requests with them. What a VM has seen is stored under
+ * its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
+ */
+export class PromptQuarantine {
+  private readonly evidence = new CrashEvidence();
+
+  private readonly own = new OwnEvidence();
+
+  private readonly answered = new RecentAnswers();
+
+  private readonly blocks = new BlockList();
+
+  private readonly publisher: EvidencePublisher;
+
+  private readonly blockStore: BlockStore;
+
+  private readonly subscriptions: Subscription[] = [];
+
+  constructor(private readonly options: PromptQuarantineOptions) {
+    const { evidencePrefix, self } = options;
+    this.publisher = new EvidencePublisher({
+      ...options,
+      key: `${evidencePrefix}${self}`,
+      readReport: () => this.own.report(options.timer.now()),
+    });
+    this.blockStore = new BlockStore({ ...options, prefix: options.blockPrefix });
+  }
+
+  start(): void {
+    const { timer } = this.options;
+    this.subscriptions.push(
+      timer.every(CHECK_INTERVAL_MS, () => this.evaluate()),
+      timer.every(STORE_INTERVAL_MS, () => this.storeBlocks()),
+    );
+  }
+
+  stop(): void {
+    this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
+    this.publisher.stop();
+  }
+
+  /** Returns the fault with which a request is refused if a combination of its parts is blocked. */
+  findBlock(parts: readonly string[]): Fault | undefined {
+    const block = this.blocks.find(selectShared(parts));
+    if (block === undefined) return undefined;
+    const now = this.options.timer.now();
+    block.lastHitAt = now;
+    this.options.metrics.increment('quarantine.refused');
+    return {
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step: 'prompt-quarantine',
+      message: `workers crash on prompts with ${block.parts.join(' and ')}, which are blocked`,
+      retryAfterMs: this.blocks.remainingMs(block, now),
+    };
+  }
+
+  /** True while anything is blocked. */
+  get hasBlocks(): boolean {
+    return !this.blocks.isEmpty;
+  }
+
+  /** True if a combination of the parts is blocked. */
+  isBlocked(parts: readonly string[]): boolean {
+    return this.blocks.find(selectShared(parts)) !== undefined;
+  }
+
+  /** Records that a request with these parts has begun to receive its answer. */
+  recordAnswer(parts: readonly string[]): void {
+    const shared = selectShared(parts);
+    const now = this.options.timer.now();
+    shared.forEach((part) => this.answered.add(part));
+    if (this.hasBlocks) this.narrowBlocks(shared, now);
+    if (!this.evidence.isEmpty) shared.forEach((part) => this.clear(part, now));
+  }
+
+  /** Records that a worker's connection broke before a request with these parts received an answer. */
+  recordLoss(workerId: string, parts: readonly string[]): void {
+    const shared = selectShared(parts);
+    if (shared.length === 0) return;
+    const now = this.options.timer.now();
+    const crashId = this.options.runIdOf(workerId);
+    this.evidence.addCrash(crashId, shared, now);
+    if (this.own.addCrash(crashId, shared, now)) this.publisher.schedule();
+    this.reportAnswered(now);
+  }
+
+  /** Applies changes of the keys under both prefixes; other keys are ignored. */
+  apply(changes: readonly KeyValueChange[]): void {
+    const { evidencePrefix, blockPrefix, self, timer } = this.options;
+    const now = timer.now();
+    for (const { kind, entry } of changes) {
+      const { key, value, modRevision } = entry;
+      if (key.startsWith(blockPrefix)) {
+        this.applyBlock(key.slice(blockPrefix.length), kind, value, modRevision);
+      } else if (key.startsWith(evidencePrefix) && kind === ChangeKind.Put) {
+        const reported = key === `${evidencePrefix}${self}` ? undefined : decodeEvidence(value);
+        if (reported !== undefined) this.evidence.add(reported, now);
+      }
+    }
+    this.reportAnswered(now);
+  }
+
+  private applyBlock(id: string, kind: ChangeKind, value: string, revision: number): void {
+    const now = this.options.timer.now();
+    if (kind === ChangeKind.Delete) this.blocks.recordMissing(id);
+    else if (this.blockStore.isBlocking(value)) {
+      if (this.blocks.recordStored(id, revision, now)) this.logBlock(id, BlockReason.Stored);
+      this.evidence.explain(parseBlockId(id), now);
+    } else this.blocks.remove(id);
+  }
+
+  /** Removes answered parts from blocked combinations; a block without further parts is released. */
+  private narrowBlocks(answered: readonly string[], now: number): void {
+    for (const { id, parts } of this.blocks.list()) {
+      const rest = parts.filter((part) => !answered.includes(part));
+      if (rest.length < parts.length) {
+        this.options.log.write('prompt-part-cleared', { block: id, rest });
+        this.blocks.remove(id);
+        void this.blockStore.write(id, false);
+        if (rest.length > 0) this.block(rest, BlockReason.Narrowed, now);
+      }
+    }
+  }
+
+  private block(parts: readonly string[], reason: BlockReason, now: number): void {
+    const id = toBlockId(parts);
+    if (!this.blocks.add(id, now)) return;
+    this.logBlock(id, reason);
+    const isFirst = rankOf(id, this.options.self, this.options.listServing()) === 0;
+    if (isFirst || reason === BlockReason.Narrowed) this.store(id);
+  }
+
+  /** Clears the part of the crashes known so far, and reports it if the other VMs suspect the part. */
+  private clear(part: string, now: number): void {
+    const crashIds = this.evidence.listOpenCrashes(part);
+    if (crashIds.length === 0) return;
+    const isSuspected = this.evidence.isSuspected(part);
+    this.evidence.addAnswer(part, crashIds, now);
+    if (isSuspected && this.own.addAnswer(part, crashIds, now)) this.publisher.schedule();
+  }
+
+  /** Reports suspected parts that this VM has seen answered before the crashes. */
+  private reportAnswered(now: number): void {
+    if (this.evidence.isEmpty) return;
+    for (const part of this.evidence.listSuspected().filter((id) => this.answered.has(id))) {
+      this.evidence.addAnswer(part, [], now);
+      if (this.own.addAnswer(part, [], now)) this.publisher.schedule();
+    }
+  }
+
+  private evaluate(): void {
+    const now = this.options.timer.now();
+    this.evidence.prune(now);
+    let parts = this.evidence.findDangerous(now);
+    while (parts.length > 0) {
+      this.evidence.explain(parts, now);
+      this.block(parts, BlockReason.Crashes, now);
+      parts = this.evidence.findDangerous(now);
+    }
+  }
+
+  private logBlock(block: string, reason: BlockReason): void {
+    this.options.log.write('prompt-part-blocked', { block, reason });
+    this.options.metrics.increment('quarantine.blocked', { reason });
+  }
+
+  /** Stores blocks that are not stored yet or due for renewal, on one VM and later on others. */
+  private storeBlocks(): void {
+    const { timer, self, listServing } = this.options;
+    const now = timer.now();
+    this.blocks.prune(now);
+    this.blocks
+      .list()
+      .filter(({ id }) => !this.blockStore.isWriting(id))
+      .filter((block) => this.blockStore.isDue(block, rankOf(block.id, self, listServing()), now))
+      .forEach(({ id }) => this.store(id));
+  }
+
+  private store(id: string): void {
+    void this.blockStore.write(id, true).then((revision) => {
+      if (revision === undefined || !this.blocks.has(id)) return;
+      this.blocks.recordStored(id, revision, this.options.timer.now());
+    });
+  }
+}
