Do not list an item as completed when its stream ends inside an event

Callers could read a result without the end of its text: an answer without a length ends with its connection, also when the worker crashes, and a run counted as complete whenever its connection ended without an error.

An item's stream must now end with the empty line after an event, and have events unless it continued after earlier ones.

item-run.test.ts ends a stream inside an event and without events; before, both were completed.

--- a/packages/ledger-execution/src/item-run.test.ts
+++ b/packages/ledger-execution/src/item-run.test.ts
@@ -104,3 +104,18 @@
   await play(10);
   t.deepEqual(progress.events, ['ü']);
 });
+
+// An answer without a length ends with its connection, also if the worker crashes. Its item was listed as
+// completed without the rest of its text.
+test('a stream that ends inside an event, or without any event, is not complete', async (t) => {
+  const outcomes: Record<string, RunOutcome> = {};
+  const streams = ['', 'id: 1\ndata: a\n\nid: 2\ndata: b', 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'];
+  for (const stream of streams) {
+    const { play } = setUp((handler) => {
+      if (stream !== '') handler.onChunk(Buffer.from(stream));
+      return Promise.resolve();
+    });
+    outcomes[stream] = (await play(10)).outcome;
+  }
+  t.snapshot(outcomes);
+});
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -20,6 +20,14 @@
 /** Maximum number of bytes without a complete event. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
+/** The empty line after an event. */
+const EVENT_END = /\n\r?\n$/;
+
+/** Number of characters that {@link EVENT_END} needs. */
+const EVENT_END_LENGTH = 3;
+
+const NO_EVENTS = 'the stream has no events';
+
 const SUCCESS = 200;
 const UNPROCESSABLE_CONTENT = 422;
 const MIN_ERROR_STATUS = 400;
@@ -82,6 +90,9 @@
 
   private firstEventAt: number | undefined;
 
+  /** Last characters of the stream. */
+  private tail = '';
+
   /** Bytes received since the last complete event. */
   private pendingBytes = 0;
 
@@ -120,7 +131,7 @@
     this.eventTimeout?.cancel();
     const firstEventMs =
       this.firstEventAt === undefined ? undefined : this.firstEventAt - this.startedAt;
-    const fault = reply.isErr() ? reply.error : this.createFault();
+    const fault = reply.isErr() ? reply.error : this.createFault(eventsBefore);
     const events = progress.events.length - eventsBefore;
     const durationMs = timer.now() - this.startedAt;
     return { outcome: this.classifyOutcome(fault), fault, firstEventMs, events, durationMs };
@@ -143,7 +154,9 @@
       return false;
     }
     if (this.status !== SUCCESS) return true;
-    this.parser.feed(this.decoder.write(chunk));
+    const text = this.decoder.write(chunk);
+    this.tail = (this.tail + text).slice(-EVENT_END_LENGTH);
+    this.parser.feed(text);
     return this.streamError === undefined;
   };
 
@@ -170,11 +183,24 @@
     });
   }
 
-  private createFault(): Fault | undefined {
+  /**
+   * Returns what is wrong with a stream that has ended. One without a length ends with its connection, also
+   * when the worker crashes.
+   */
+  private findStreamError(eventsBefore: number): string | undefined {
+    if (this.streamError !== undefined || this.status !== SUCCESS) return this.streamError;
+    const { events } = this.options.progress;
+    if (events.length === 0 && eventsBefore === 0) return NO_EVENTS;
+    if (this.tail !== '' && !EVENT_END.test(this.tail)) return 'the stream ends inside an event';
+    return undefined;
+  }
+
+  private createFault(eventsBefore: number): Fault | undefined {
+    this.streamError = this.findStreamError(eventsBefore);
     if (this.streamError === undefined) return undefined;
     const { worker } = this.options;
     return {
-      code: FaultCode.InvalidStream,
+      code: this.streamError === NO_EVENTS ? FaultCode.Interrupted : FaultCode.InvalidStream,
       outcome: Outcome.OutcomeUnknown,
       step: 'run-item',
       peer: worker.id,
