Do not refuse a request as not run after one of its attempts ran

Callers got 503 with Retry-After, which promises that a request has not run, when an attempt had been lost and no worker was left for the next one: the fault of the routing replaced the outcome of the request. Found by reading the path of a refusal by the quarantine, which would have made it frequent.

The outcome is unknown once an attempt has run, and the status 502. The test of a stream with a lost attempt and no second worker got 503 before.

--- /dev/null
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -0,0 +1,113 @@
+import test from 'ava';
+import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import type { ResponseHandler, WorkerResponse } from '@jujubelanding/platform';
+import { createRandom } from '@jujubelanding/random';
+import { RouteKind, type Route } from '@jujubelanding/route-table';
+import type { Router } from '@jujubelanding/routing';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { VmState } from '@jujubelanding/types';
+import { err, ok } from 'neverthrow';
+import { OnlineForwarder } from './online-forwarder.js';
+
+const WORKER = {
+  id: 'w',
+  service: 's',
+  address: '',
+  availabilityZone: 'z',
+  state: VmState.Live,
+};
+
+const createFault = (code: FaultCode, outcome: Outcome): Fault => ({
+  code,
+  outcome,
+  step: 'test',
+  message: 'test',
+});
+
+const ROUTE: Route = {
+  name: 'stream',
+  host: 'h',
+  prefix: '/',
+  kind: RouteKind.Streaming,
+  timeoutMs: 1000,
+  objectiveMs: 300,
+  priority: 0,
+  targets: [{ service: 's', weight: 1 }],
+  maxAttempts: 2,
+  isResumable: true,
+};
+
+/** Forwards one request; the second attempt finds no worker. */
+const forward = async (send: (handler: ResponseHandler) => Reply<WorkerResponse>) => {
+  const timer = new VirtualTimer();
+  const seen: unknown[] = [];
+  let attempts = 0;
+  const router = {
+    route: () => {
+      attempts += 1;
+      return attempts === 1 ? ok(WORKER) : err(createFault(FaultCode.Unavailable, Outcome.NotRun));
+    },
+    watchFirstToken: () => ({ recordToken: () => {}, end: () => {} }),
+    recordSuccess: () => seen.push('success'),
+    recordCompletion: () => {},
+    recordFault: () => seen.push('fault'),
+  } as unknown as Router;
+  const exchange = {
+    request: {
+      requestId: 'r',
+      method: 'POST',
+      target: '/',
+      host: 'h',
+      headers: {},
+      body: Buffer.alloc(0),
+      arrivedAt: 0,
+      promptPrefixes: ['a', 'own'],
+    },
+    signal: new AbortController().signal,
+    hasStarted: () => false,
+    start: (status: number) => seen.push(`start ${status}`),
+    write: () => true,
+    onDrain: () => {},
+    end: () => seen.push('end'),
+    respond: (status: number) => seen.push(`respond ${status}`),
+    abort: () => seen.push('abort'),
+  };
+  const forwarder = new OnlineForwarder(
+    {
+      timer,
+      random: createRandom(1),
+      router,
+      loads: {
+        get: () => ({ workerId: 'w', slots: 8, ageMs: 0, online: 0, batch: 0 }),
+        beginRequest: () => {},
+        endRequest: () => {},
+      } as never,
+      quarantine: {
+        findBlock: () => undefined,
+        recordAnswer: () => seen.push('answer'),
+        recordLoss: (workerId, parts) => seen.push(`loss ${workerId} ${String(parts)}`),
+      },
+      backends: {
+        forward: (_worker, _request, handler) => send(handler),
+        close: () => Promise.resolve(),
+      },
+      metrics: silentMetrics,
+      log: silentLog,
+    },
+    exchange,
+    ROUTE,
+    1,
+  );
+  await forwarder.run();
+  return seen;
+};
+
+// 503 is a promise that the request has not run, which is false if an attempt before the last one ran.
+test('a request of which an attempt ran is not refused as not run when no other worker is left', async (t) => {
+  const seen = await forward(() =>
+    Promise.resolve(err(createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown))),
+  );
+  t.snapshot(seen);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -193,7 +193,7 @@
       this.logEnd('answered', attempt, fault);
       return;
     }
-    const outcome = this.runs === 0 ? Outcome.NotRun : fault.outcome;
+    const outcome = this.chooseOutcome(fault);
     const timedOut = this.isTimedOut
       ? { ...fault, code: FaultCode.Timeout, message: 'the deadline of the request has passed' }
       : fault;
@@ -201,6 +201,12 @@
     sendError(this.exchange, { ...timedOut, outcome });
   }
 
+  /** A request counts as not run only if no attempt has run, even if the last one did not. */
+  private chooseOutcome({ outcome }: Fault): Outcome {
+    if (this.runs === 0) return Outcome.NotRun;
+    return outcome === Outcome.NotRun ? Outcome.OutcomeUnknown : outcome;
+  }
+
   private logEnd(outcome: string, attempt: Attempt | undefined, fault: Fault | undefined): void {
     const { log, metrics, timer, loads } = this.options;
     const { requestId, arrivedAt } = this.exchange.request;
