Do not deliver a stream without events as a complete answer

A worker that crashes before its first event, in an answer without a length, ends the connection like one that has answered. Callers got 200 with an empty stream, the worker counted as healthy, and the crash was not seen as one.

A stream must have an event unless the caller continues an earlier one. Otherwise the worker is lost, like with a reset, and the request is sent again where it may run twice. The test got 200 and a success before.

--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -111,3 +111,14 @@
   );
   t.snapshot(seen);
 });
+
+// An answer without a length ends with its connection. A worker that crashed before its first event looked
+// like one that answered with an empty stream.
+test('a stream that ends before its first event is not a complete answer', async (t) => {
+  const head = { status: 200, headers: { 'content-type': 'text/event-stream' } };
+  const seen = await forward((handler) => {
+    handler.onStart(head, () => {});
+    return Promise.resolve(ok(head));
+  });
+  t.snapshot(seen);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -135,10 +135,14 @@
       return { worker, fault: reply.error };
     }
     this.runs += 1;
+    const fault = this.relay.validate();
+    if (fault?.code === FaultCode.Interrupted) {
+      this.recordFault(worker, fault);
+      return { worker, fault };
+    }
     router.recordSuccess(worker);
     // Responses do not state how many tokens were cached; any number but 0 keeps the indexed prefixes.
     router.recordCompletion(worker.id, request.promptPrefixes, 1);
-    const fault = this.relay.validate();
     return fault === undefined
       ? { worker, response: reply.value }
       : { worker, response: reply.value, fault };
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -34,6 +34,9 @@
 
   private lastNumericId: number | undefined;
 
+  /** True once an event of any attempt has been forwarded. */
+  private hasEvents = false;
+
   /** Fault in the format of the response, as the predicate of a message about it. */
   private formatError: string | undefined;
 
@@ -93,6 +96,15 @@
 
   /** Returns a fault if the response that has ended is invalid. */
   validate(): Fault | undefined {
+    if (this.isStream && !this.hasEvents && this.exchange.request.resumeAfter === undefined) {
+      // A stream without a length ends with its connection, also when the worker crashes.
+      return {
+        code: FaultCode.Interrupted,
+        outcome: Outcome.OutcomeUnknown,
+        step: 'relay',
+        message: 'the answer ended before its first event',
+      };
+    }
     if (this.isStream && this.framer.hasPartialEvent) this.formatError ??= 'ended inside an event';
     if (this.formatError === undefined) return undefined;
     return {
@@ -128,6 +140,7 @@
       return false;
     }
     this.lastNumericId = id ?? this.lastNumericId;
+    this.hasEvents = true;
     this.onData();
     if (!this.exchange.hasStarted() && this.head !== undefined) this.startResponse(this.head);
     this.send(bytes);
