Do not blame a common prompt part for the loss of all workers

A part in at least 5% of the answers that a VM has seen lately is expected at any crash until it is missing among further answers, three times as many as it takes it to come once on average. VMs report crashes as cleared for such parts. The test fails without this.

--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -64,6 +64,19 @@
   t.is(fleet.refusedSound, 0);
 });
 
+// A part of all prompts is in each lost request, and while no worker is left, no answer clears it.
+test('the loss of all workers does not block a part that is common to the requests', async (t) => {
+  for (const firstParts of [1, 5, 10, 20]) {
+    const load = { seed: firstParts, vmCount: 7, taintedShare: 0, companions: 20, firstParts };
+    const fleet = createFleet({ ...load, requestIntervalMs: 5 }, DEADLY);
+    for (let round = 0; round < 10; round += 1) {
+      await fleet.run(6000);
+      fleet.crashWorkers(6);
+    }
+    t.is(fleet.refusedSound, 0, `${firstParts} first parts`);
+  }
+});
+
 const BLOCK_PREFIX = 'q/blocked/';
 
 const createVm = (service: KeyValueService, timer: VirtualTimer, name: string) =>
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -118,7 +118,7 @@
   recordAnswer(parts: readonly string[]): void {
     const shared = selectShared(parts);
     const now = this.options.timer.now();
-    shared.forEach((part) => this.answered.add(part));
+    this.answered.add(shared);
     if (this.hasBlocks) this.narrowBlocks(shared, now);
     if (!this.evidence.isEmpty) shared.forEach((part) => this.clear(part, now));
   }
@@ -189,12 +189,16 @@
     if (isSuspected && this.own.addAnswer(part, crashIds, now)) this.publisher.schedule();
   }
 
-  /** Reports suspected parts that this VM has seen answered before the crashes. */
+  /**
+   * Reports suspected parts that this VM has seen answered before the crashes, and clears those that are
+   * expected at any crash.
+   */
   private reportAnswered(now: number): void {
     if (this.evidence.isEmpty) return;
     for (const part of this.evidence.listSuspected().filter((id) => this.answered.has(id))) {
-      this.evidence.addAnswer(part, [], now);
-      if (this.own.addAnswer(part, [], now)) this.publisher.schedule();
+      const cleared = this.answered.isExpected(part) ? this.evidence.listOpenCrashes(part) : [];
+      this.evidence.addAnswer(part, cleared, now);
+      if (this.own.addAnswer(part, cleared, now)) this.publisher.schedule();
     }
   }
 
