Do not block the parts of one request that is lost several times

After the loss of a network path, a request is sent again by its VM and by its caller and lost at each worker, up to four times. Its rare part was then in enough crashes, with no answer, to be blocked on all VMs.

A part must have been in three different requests, told apart by their last part, which reports now contain.

--- a/packages/prompt-quarantine/src/crash-evidence.ts
+++ b/packages/prompt-quarantine/src/crash-evidence.ts
@@ -16,6 +16,12 @@
 /** The same for a part that is blocked in combination with others, because one of them is dangerous. */
 const CRASHES_OF_AMBIGUOUS_PART = 2;
 
+/**
+ * Number of different requests that a dangerous part must have been in. A request that is sent again after a
+ * loss is at several crashes with all its parts.
+ */
+const MIN_REQUESTS = 3;
+
 /** A dangerous part is involved in at least this share of the crashes since its first one. */
 const MIN_CRASH_SHARE = 0.5;
 
@@ -26,8 +32,8 @@
 const EVIDENCE_LIFETIME_MS = 60_000;
 
 export const evidenceSchema = z.object({
-  /** Crash id, and the parts of this VM's requests that had not begun to receive an answer. */
-  crashes: z.array(z.tuple([z.string(), z.array(z.string())])),
+  /** Crash id, and the parts of each request of this VM that had not begun to receive an answer. */
+  crashes: z.array(z.tuple([z.string(), z.array(z.array(z.string()))])),
   /** Part that was in a request with an answer, and the ids of the crashes known at that time. */
   answers: z.array(z.tuple([z.string(), z.array(z.string())])),
 });
@@ -38,9 +44,13 @@
 interface Crash {
   id: string;
   seenAt: number;
-  parts: Set<string>;
+  /** The last parts of the lost requests, by shared part. */
+  requests: Map<string, Set<string>>;
 }
 
+/** The last part belongs to the request or its session, so it does not identify other requests. */
+export const selectShared = (parts: readonly string[]): readonly string[] => parts.slice(0, -1);
+
 /** Crashes and answers as reported by all VMs; times are those at which this VM learned of them. */
 export class CrashEvidence {
   /** By crash id, oldest first. */
@@ -59,15 +69,19 @@
   private readonly answeredAt = new Map<string, number>();
 
   add({ crashes, answers }: VmEvidence, now: number): void {
-    crashes.forEach(([id, parts]) => this.addCrash(id, parts, now));
+    crashes.forEach(([id, requests]) => requests.forEach((parts) => this.addLoss(id, parts, now)));
     answers.forEach(([part, crashIds]) => this.addAnswer(part, crashIds, now));
   }
 
-  addCrash(id: string, parts: readonly string[], now: number): void {
-    if (this.explained.has(id)) return;
-    const crash = this.crashes.get(id) ?? { id, seenAt: now, parts: new Set() };
-    parts.forEach((part) => crash.parts.add(part));
-    this.crashes.set(id, crash);
+  /** Records that a request with these parts was lost at a crash. */
+  addLoss(crashId: string, parts: readonly string[], now: number): void {
+    if (this.explained.has(crashId)) return;
+    const crash = this.crashes.get(crashId) ?? { id: crashId, seenAt: now, requests: new Map() };
+    selectShared(parts).forEach((part) => {
+      const requests = crash.requests.get(part) ?? new Set();
+      crash.requests.set(part, requests.add(parts.at(-1)!));
+    });
+    this.crashes.set(crashId, crash);
   }
 
   /** Records an answer to a request with the part; the crashes known before it have another cause. */
@@ -110,7 +124,7 @@
   /** Removes the crashes that dangerous parts explain, so that other parts are not blamed for them. */
   explain(parts: readonly string[], now: number): void {
     for (const { id } of this.listCrashesWith(parts[0]!)) {
-      if (parts.every((part) => this.crashes.get(id)!.parts.has(part))) {
+      if (parts.every((part) => this.crashes.get(id)!.requests.has(part))) {
         this.crashes.delete(id);
         this.explained.set(id, now);
       }
@@ -141,6 +155,8 @@
     const crashes = this.listCrashesWith(part);
     const last = crashes[this.countNeeded(part) - 1];
     if (last === undefined || now - last.seenAt < CONFIRMATION_MS) return false;
+    const requests = new Set(crashes.flatMap((crash) => [...crash.requests.get(part)!]));
+    if (requests.size < Math.min(MIN_REQUESTS, this.countNeeded(part))) return false;
     const since = crashes[0]!.seenAt;
     const all = [...this.crashes.values()].filter(({ seenAt }) => seenAt >= since);
     return crashes.length >= all.length * MIN_CRASH_SHARE;
@@ -154,11 +170,11 @@
   private listCrashesWith(part: string): Crash[] {
     const cleared = this.cleared.get(part);
     return [...this.crashes.values()].filter(
-      ({ id, parts }) => parts.has(part) && cleared?.has(id) !== true,
+      ({ id, requests }) => requests.has(part) && cleared?.has(id) !== true,
     );
   }
 
   private listParts(): string[] {
-    return [...new Set([...this.crashes.values()].flatMap(({ parts }) => [...parts]))];
+    return [...new Set([...this.crashes.values()].flatMap(({ requests }) => [...requests.keys()]))];
   }
 }
--- a/packages/prompt-quarantine/src/own-evidence.ts
+++ b/packages/prompt-quarantine/src/own-evidence.ts
@@ -6,6 +6,9 @@
 /** Maximum number of crashes, and of parts with answers, in a report. */
 const MAX_ENTRIES = 32;
 
+/** Joins the parts of a request; ids of parts contain no commas. */
+const SEPARATOR = ',';
+
 interface Timed<T> {
   at: number;
   values: Set<T>;
@@ -36,8 +39,8 @@
   private readonly answers = new Map<string, Timed<string>>();
 
   /** Returns true if the report changes. */
-  addCrash(id: string, parts: readonly string[], now: number): boolean {
-    return addTo(this.crashes, id, parts, now);
+  addLoss(crashId: string, parts: readonly string[], now: number): boolean {
+    return addTo(this.crashes, crashId, [parts.join(SEPARATOR)], now);
   }
 
   /** Returns true if the report changes. */
@@ -49,6 +52,10 @@
     [this.crashes, this.answers].forEach((map) => {
       for (const [key, { at }] of map) if (now - at > REPORT_MS) map.delete(key);
     });
-    return { crashes: toEntries(this.crashes), answers: toEntries(this.answers) };
+    const crashes = toEntries(this.crashes).map(([id, requests]): [string, string[][]] => [
+      id,
+      requests.map((parts) => parts.split(SEPARATOR)),
+    ]);
+    return { crashes, answers: toEntries(this.answers) };
   }
 }
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -6,7 +6,7 @@
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { BlockList, parseBlockId, toBlockId } from './block-list.js';
 import { BlockStore } from './block-store.js';
-import { CrashEvidence } from './crash-evidence.js';
+import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
 import { OwnEvidence } from './own-evidence.js';
 import { RecentAnswers } from './recent-answers.js';
@@ -25,7 +25,7 @@
   lease: () => VmLease;
   /** Key prefix of what the VMs have seen; the id of the VM follows. */
   evidencePrefix: string;
-  /** Key prefix of blocked parts; the part follows. */
+  /** Key prefix of blocks; the id of the block follows. */
   blockPrefix: string;
   self: string;
   /** Ids of the other VMs that are alive. */
@@ -43,9 +43,6 @@
   Narrowed = 'narrowed',
 }
 
-/** The last part belongs to the request or its session, so it does not identify other requests. */
-const selectShared = (parts: readonly string[]): readonly string[] => parts.slice(0, -1);
-
 /**
  * Learns which prompt parts crash workers and refuses requests with them. What a VM has seen is stored under
  * its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
@@ -125,12 +122,11 @@
 
   /** Records that a worker's connection broke before a request with these parts received an answer. */
   recordLoss(workerId: string, parts: readonly string[]): void {
-    const shared = selectShared(parts);
-    if (shared.length === 0) return;
+    if (selectShared(parts).length === 0) return;
     const now = this.options.timer.now();
     const crashId = this.options.runIdOf(workerId);
-    this.evidence.addCrash(crashId, shared, now);
-    if (this.own.addCrash(crashId, shared, now)) this.publisher.schedule();
+    this.evidence.addLoss(crashId, parts, now);
+    if (this.own.addLoss(crashId, parts, now)) this.publisher.schedule();
     this.reportAnswered(now);
   }
 
