--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -7,7 +7,7 @@
 import { createRandom } from '@jujubelanding/random';
 import { KeyValueService } from '@jujubelanding/stand-ins';
 import { VirtualTimer } from '@jujubelanding/timer';
-import { createFleet, type TaintedLoad } from './fixtures/index.js';
+import { TaintedFleet, type TaintedLoad } from './fixtures/index.js';
 import { PromptQuarantine } from './index.js';
 
 /** Time from the fifth crash after which requests with the part are counted. */
@@ -29,7 +29,7 @@
 test('at most three requests with a dangerous part reach workers later than the contact time', async (t) => {
   await fc.assert(
     fc.asyncProperty(loadArbitrary, async (load) => {
-      const fleet = createFleet(load, DEADLY);
+      const fleet = new TaintedFleet(load, DEADLY);
       await fleet.run(40_000);
       const { crashes, taintedSends } = fleet;
       const fifth = crashes[4];
@@ -44,7 +44,7 @@
 test('requests without the part are still sent, those with its companions too', async (t) => {
   await fc.assert(
     fc.asyncProperty(loadArbitrary, async (load) => {
-      const fleet = createFleet(load, DEADLY);
+      const fleet = new TaintedFleet(load, DEADLY);
       await fleet.run(40_000);
       return fleet.refusedSound <= fleet.sound * 0.01;
     }),
@@ -55,7 +55,7 @@
 
 // Workers also crash for other reasons, several at once, while requests wait at them.
 test('crashes that no part explains block nothing', async (t) => {
-  const fleet = createFleet({ seed: 5, vmCount: 7, taintedShare: 0, companions: 20 }, DEADLY);
+  const fleet = new TaintedFleet({ seed: 5, vmCount: 7, taintedShare: 0, companions: 20 }, DEADLY);
   for (let round = 0; round < 12; round += 1) {
     await fleet.run(2500);
     fleet.crashWorkers(round % 4);
@@ -68,7 +68,7 @@
 test('the loss of all workers does not block a part that is common to the requests', async (t) => {
   for (const firstParts of [1, 5, 10, 20]) {
     const load = { seed: firstParts, vmCount: 7, taintedShare: 0, companions: 20, firstParts };
-    const fleet = createFleet({ ...load, requestIntervalMs: 5 }, DEADLY);
+    const fleet = new TaintedFleet({ ...load, requestIntervalMs: 5 }, DEADLY);
     for (let round = 0; round < 10; round += 1) {
       await fleet.run(6000);
       fleet.crashWorkers(6);
