--- a/packages/online/src/online-dispatch.test.ts
+++ b/packages/online/src/online-dispatch.test.ts
@@ -239,6 +239,6 @@
       await fleet.timer.advance(100);
     }
     const fifth = fleet.promptCrashes[4] ?? Infinity;
-  t.true(fleet.promptCrashes.filter((at) => at > fifth + 3000).length <= 3);
+    t.true(fleet.promptCrashes.filter((at) => at > fifth + 3000).length <= 3);
   },
 );
