Do not execute a job that ended while its progress was read

Cause: a VM reads the progress of a job before it executes it. A job that ended meanwhile was executed all the same; its results were not accepted, and nothing stopped it, as only unfinished jobs were reconciled.

A job that has ended is not opened, and jobs that are executed here are reconciled whether finished or not.

--- a/packages/ledger-execution/src/owned-jobs.ts
+++ b/packages/ledger-execution/src/owned-jobs.ts
@@ -73,7 +73,8 @@
 
   /** Reconciles all jobs and saves progress that is due. */
   tick(): void {
-    this.options.table.listUnfinishedIds().forEach((jobId) => this.reconcile(jobId));
+    const jobIds = new Set([...this.options.table.listUnfinishedIds(), ...this.entries.keys()]);
+    jobIds.forEach((jobId) => this.reconcile(jobId));
     this.entries.forEach(({ saver }) => {
       void saver.saveIfDue();
     });
@@ -181,6 +182,8 @@
     this.unreadProgressJobIds.delete(job.id);
     const current = table.find(job.id);
     if (current === undefined || this.isStopping || this.entries.has(job.id)) return;
+    // The job may have ended while its progress was read; nothing would stop its items then.
+    if (isFinished(current.job, current.ledger)) return;
     const results = new ResultQueue({ jobs, table, reader, timer, log, jobId: job.id });
     const dueAt = job.submittedAt + job.dueMs;
     const ownedJob = new OwnedJob(job.id, dueAt, results, current, ...loaded.value);
