Store what remains of a block before the block is released

Cause: VMs that learn of crashes in another order come to different blocks. A VM with the narrow block saw an answer to the other part and released the combination; it did not store its own block, as it had it already and ranked behind VMs that had not come to it, so that after that three VMs had neither.

The rest is stored first, by the VM that releases the combination, and any VM stores a block that is missing in the store within 0.1 s for each VM ranked before it, instead of 2 s. The test finds the release alone before.

--- a/packages/prompt-quarantine/src/block-store.ts
+++ b/packages/prompt-quarantine/src/block-store.ts
@@ -7,8 +7,11 @@
 /** A stored block is renewed after this time if requests to which it applies still come. */
 const RENEWAL_MS = BLOCK_MS / 2;
 
-/** VMs that do not rank first wait this long for each one before them. */
-const TAKEOVER_MS = 2000;
+/**
+ * VMs that do not rank first wait this long for each one before them. The first one may have come to another
+ * conclusion from the same crashes, so the wait is short.
+ */
+const TAKEOVER_MS = 100;
 
 export interface BlockStoreOptions {
   log: Log;
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -79,7 +79,12 @@
 
 const BLOCK_PREFIX = 'q/blocked/';
 
-const createVm = (service: KeyValueService, timer: VirtualTimer, name: string) =>
+const createVm = (
+  service: KeyValueService,
+  timer: VirtualTimer,
+  name: string,
+  others: readonly string[] = [],
+) =>
   new PromptQuarantine({
     timer,
     log: silentLog,
@@ -89,7 +94,7 @@
     evidencePrefix: 'q/crash/',
     blockPrefix: BLOCK_PREFIX,
     self: name,
-    listServing: () => [],
+    listServing: () => others,
     runIdOf: (workerId) => workerId,
   });
 
@@ -134,6 +139,28 @@
   vm.stop();
 });
 
+// VMs that learn of crashes in another order come to different blocks. A VM that had the narrower one already
+// released the wider one of the others without storing its own, and they let the requests through.
+test('what remains of a narrowed block is stored before the block is released', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const others = Array.from({ length: 20 }, (_value, index) => `vm-${index}`);
+  const vm = createVm(service, timer, 'a', others);
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, [DEADLY, worker]));
+  vm.start();
+  await timer.advance(1000);
+  vm.stop();
+  const wide = { key: `${BLOCK_PREFIX}${DEADLY}+x`, value: 'blocked', modRevision: 1 };
+  vm.apply([{ kind: 'put' as never, entry: wide }]);
+  const writes: string[] = [];
+  vm.recordAnswer(['x', 'another']);
+  await timer.advance(500);
+  listBlocks(service)
+    .toSorted((a, b) => a.entry.modRevision - b.entry.modRevision)
+    .forEach(({ entry }) => writes.push(`${entry.key} ${entry.value}`));
+  t.snapshot(writes);
+});
+
 test('a block ends some time after the last request to which it applied', async (t) => {
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -11,12 +11,9 @@
 import { OwnEvidence } from './own-evidence.js';
 import { RecentAnswers } from './recent-answers.js';
 
-/** Interval at which the evidence is evaluated while there is any. */
+/** Interval at which the evidence is evaluated and blocks are stored. */
 const CHECK_INTERVAL_MS = 250;
 
-/** Interval at which stored blocks are compared with those in force here. */
-const STORE_INTERVAL_MS = 1000;
-
 export interface PromptQuarantineOptions {
   timer: Timer;
   log: Log;
@@ -74,10 +71,7 @@
 
   start(): void {
     const { timer } = this.options;
-    this.subscriptions.push(
-      timer.every(CHECK_INTERVAL_MS, () => this.evaluate()),
-      timer.every(STORE_INTERVAL_MS, () => this.storeBlocks()),
-    );
+    this.subscriptions.push(timer.every(CHECK_INTERVAL_MS, () => this.evaluate()));
   }
 
   stop(): void {
@@ -162,18 +156,24 @@
       if (rest.length < parts.length) {
         this.options.log.write('prompt-part-cleared', { block: id, rest });
         this.blocks.remove(id);
-        void this.blockStore.write(id, false);
-        if (rest.length > 0) this.block(rest, BlockReason.Narrowed, now);
+        void this.replaceStored(id, rest, now);
       }
     }
   }
 
+  /** Stores what remains of a block before the block is released, so that no VM is without either. */
+  private async replaceStored(id: string, rest: readonly string[], now: number): Promise<void> {
+    if (rest.length > 0) {
+      this.block(rest, BlockReason.Narrowed, now);
+      await this.store(toBlockId(rest));
+    }
+    await this.blockStore.write(id, false);
+  }
+
   private block(parts: readonly string[], reason: BlockReason, now: number): void {
     const id = toBlockId(parts);
     if (!this.blocks.add(id, now)) return;
     this.logBlock(id, reason);
-    const isFirst = rankOf(id, this.options.self, this.options.listServing()) === 0;
-    if (isFirst || reason === BlockReason.Narrowed) this.store(id);
   }
 
   /** Clears the part of the crashes known so far, and reports it if the other VMs suspect the part. */
@@ -207,6 +207,7 @@
       this.block(parts, BlockReason.Crashes, now);
       parts = this.evidence.findDangerous(now);
     }
+    this.storeBlocks();
   }
 
   private logBlock(block: string, reason: BlockReason): void {
@@ -223,13 +224,14 @@
       .list()
       .filter(({ id }) => !this.blockStore.isWriting(id))
       .filter((block) => this.blockStore.isDue(block, rankOf(block.id, self, listServing()), now))
-      .forEach(({ id }) => this.store(id));
+      .forEach(({ id }) => {
+        void this.store(id);
+      });
   }
 
-  private store(id: string): void {
-    void this.blockStore.write(id, true).then((revision) => {
-      if (revision === undefined || !this.blocks.has(id)) return;
-      this.blocks.recordStored(id, revision, this.options.timer.now());
-    });
+  private async store(id: string): Promise<void> {
+    const revision = await this.blockStore.write(id, true);
+    if (revision === undefined || !this.blocks.has(id)) return;
+    this.blocks.recordStored(id, revision, this.options.timer.now());
   }
 }
