Replace the connections of an outage once

Calls that an outage has cut off time out one after another, and each timeout closed the connections to that address again, also those made meanwhile: a new connection for each lost call. Found on reading.

A call replaces only the pool that it was sent on. The test fails before.

--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -56,10 +56,10 @@
    * Makes further requests use new connections. A path that dropped one request has often dropped the idle
    * connections as well, and each would cost a timeout. Requests in progress go on.
    */
-  replaceIdle(address: string): void {
+  replaceIdle(address: string, pool: Pool): void {
     const entry = this.entries.get(address);
-    if (this.isClosed || entry === undefined) return;
-    const { pool } = entry;
+    // Requests that time out together replace their pool once, and not the one that replaced it.
+    if (this.isClosed || entry?.pool !== pool) return;
     entry.pool = this.createPool(address);
     this.replaced.add(pool);
     void pool.close().finally(() => this.replaced.delete(pool));
--- a/packages/platform-clients/src/http-client.test.ts
+++ b/packages/platform-clients/src/http-client.test.ts
@@ -1,49 +1,80 @@
 // Guards against a recovery that takes one timeout for each idle connection that an outage has killed.
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type ServerResponse,
+} from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import { SystemTimer } from '@jujubelanding/timer';
 import { HttpClient } from './index.js';
 
-test('after a timeout, calls use new connections instead of idle ones', async (t) => {
-  const deadPorts = new Set<number>();
-  const seenPorts = new Set<number>();
-  const waiting: ServerResponse[] = [];
-  const server = createServer((message: IncomingMessage, response) => {
-    const port = message.socket.remotePort!;
-    seenPorts.add(port);
-    if (deadPorts.has(port)) return;
-    waiting.push(response);
-    // Both calls of the first round are in progress at once, so that they use two connections.
-    if (seenPorts.size >= 2) waiting.splice(0).forEach((open) => open.end());
-  });
+const setUp = async (listener: RequestListener) => {
+  const server = createServer(listener);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const client = new HttpClient(
-    new SystemTimer(),
-    { connections: 4, connectTimeoutMs: 1000 },
-    10_000,
-  );
-  const call = (timeoutMs?: number) =>
+  const limits = { connections: 4, connectTimeoutMs: 1000 };
+  const client = new HttpClient(new SystemTimer(), limits, 10_000);
+  const call = (path: string, timeoutMs?: number) =>
     client.send({
       step: 'test',
       peer: 'server',
       address: `127.0.0.1:${port}`,
       method: 'GET',
-      path: '/',
+      path,
       ...(timeoutMs === undefined ? {} : { timeoutMs }),
     });
-  const first = await Promise.all([call(), call()]);
-  t.true(first.every((reply) => reply.isOk()));
-  // The client counts a connection as idle only after it has handled the end of the response.
-  await new Promise((resolve) => {
+  const close = async () => {
+    await client.close();
+    server.close();
+  };
+  return { call, close };
+};
+
+/** The client counts a connection as idle only after it has handled the end of the response. */
+const waitUntilIdle = () =>
+  new Promise((resolve) => {
     setImmediate(resolve);
   });
+
+test('after a timeout, calls use new connections instead of idle ones', async (t) => {
+  const deadPorts = new Set<number>();
+  const seenPorts = new Set<number>();
+  const waiting: ServerResponse[] = [];
+  const { call, close } = await setUp((message: IncomingMessage, response) => {
+    const port = message.socket.remotePort!;
+    seenPorts.add(port);
+    if (deadPorts.has(port)) return;
+    waiting.push(response);
+    // Both calls of the first round are in progress at once, so that they use two connections.
+    if (seenPorts.size >= 2) waiting.splice(0).forEach((open) => open.end());
+  });
+  const first = await Promise.all([call('/'), call('/')]);
+  t.true(first.every((reply) => reply.isOk()));
+  await waitUntilIdle();
   seenPorts.forEach((dead) => deadPorts.add(dead));
-  t.true((await call(200)).isErr());
-  t.true((await call(2000)).isOk());
-  await client.close();
-  server.close();
+  t.true((await call('/', 200)).isErr());
+  t.true((await call('/', 2000)).isOk());
+  await close();
+});
+
+// Calls that were lost together time out one after another, and each closed the connections made meanwhile.
+test('a later timeout of the same outage does not close the new connections', async (t) => {
+  const ports: number[] = [];
+  const { call, close } = await setUp((message, response) => {
+    if (message.url === '/lost') return;
+    ports.push(message.socket.remotePort!);
+    response.end();
+  });
+  const lost = [call('/lost', 100), call('/lost', 300)];
+  await lost[0];
+  await call('/');
+  await lost[1];
+  await waitUntilIdle();
+  await call('/');
+  t.is(new Set(ports).size, 1);
+  await close();
 });
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -195,7 +195,7 @@
   });
   connection.release();
   if (response.isErr() && response.error.code === FaultCode.Timeout) {
-    pools.replaceIdle(request.address);
+    pools.replaceIdle(request.address, connection.pool);
   }
   return response;
 };
