Keep a block in the store until what remains of it is stored

If the store refused the narrower block, the wider one was released all the same, and the other VMs had neither: requests with the dangerous part would crash workers again.

The wider block is released only after the narrower one is stored. The test finds it released before.

--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -5,7 +5,8 @@
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import { createRandom } from '@jujubelanding/random';
-import { KeyValueService } from '@jujubelanding/stand-ins';
+import { ChangeKind } from '@jujubelanding/platform';
+import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { TaintedFleet, type TaintedLoad } from './fixtures/index.js';
 import { PromptQuarantine } from './index.js';
@@ -100,7 +101,7 @@
 
 const listBlocks = (service: KeyValueService) =>
   service.state.list(BLOCK_PREFIX, Infinity).entries.map(({ key, value, modRevision }) => ({
-    kind: 'put' as never,
+    kind: ChangeKind.Put,
     entry: { key, value, modRevision },
   }));
 
@@ -120,7 +121,7 @@
   t.snapshot(fault && { ...fault, retryAfterMs: Math.round(fault.retryAfterMs! / 1000) });
   t.is(restarted.findBlock([DEADLY, 'another']), undefined);
   const [{ entry }] = blocks as [(typeof blocks)[0]];
-  restarted.apply([{ kind: 'delete' as never, entry: { ...entry, value: '' } }]);
+  restarted.apply([{ kind: ChangeKind.Delete, entry: { ...entry, value: '' } }]);
   t.not(restarted.findBlock(['x', DEADLY, 'another']), undefined);
 });
 
@@ -151,7 +152,7 @@
   await timer.advance(1000);
   vm.stop();
   const wide = { key: `${BLOCK_PREFIX}${DEADLY}+x`, value: 'blocked', modRevision: 1 };
-  vm.apply([{ kind: 'put' as never, entry: wide }]);
+  vm.apply([{ kind: ChangeKind.Put, entry: wide }]);
   const writes: string[] = [];
   vm.recordAnswer(['x', 'another']);
   await timer.advance(500);
@@ -161,6 +162,25 @@
   t.snapshot(writes);
 });
 
+test('a block is not released while what remains of it cannot be stored', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1), timeoutMs: 700 });
+  const vm = createVm(service, timer, 'a');
+  vm.start();
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, ['x', DEADLY, worker]));
+  await timer.advance(3000);
+  // Only the first call is refused.
+  service.faults.latency.floorMs = 2;
+  service.faults.reachability = Reachability.Refusing;
+  vm.recordAnswer(['x', 'another']);
+  timer.after(3, () => {
+    service.faults.reachability = Reachability.Up;
+  });
+  await timer.advance(100);
+  vm.stop();
+  t.snapshot(listBlocks(service).map(({ entry }) => [entry.key, entry.value]));
+});
+
 test('a block ends some time after the last request to which it applied', async (t) => {
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -161,13 +161,14 @@
     }
   }
 
-  /** Stores what remains of a block before the block is released, so that no VM is without either. */
+  /**
+   * Stores what remains of a block and then releases the block. If the rest cannot be stored, the block stays
+   * in the store, so that no VM is without either.
+   */
   private async replaceStored(id: string, rest: readonly string[], now: number): Promise<void> {
-    if (rest.length > 0) {
-      this.block(rest, BlockReason.Narrowed, now);
-      await this.store(toBlockId(rest));
-    }
-    await this.blockStore.write(id, false);
+    if (rest.length > 0) this.block(rest, BlockReason.Narrowed, now);
+    const isRestStored = rest.length === 0 || (await this.store(toBlockId(rest)));
+    if (isRestStored) await this.blockStore.write(id, false);
   }
 
   private block(parts: readonly string[], reason: BlockReason, now: number): void {
@@ -229,9 +230,11 @@
       });
   }
 
-  private async store(id: string): Promise<void> {
+  /** Returns whether the block was stored. */
+  private async store(id: string): Promise<boolean> {
     const revision = await this.blockStore.write(id, true);
-    if (revision === undefined || !this.blocks.has(id)) return;
-    this.blocks.recordStored(id, revision, this.options.timer.now());
+    if (revision === undefined) return false;
+    if (this.blocks.has(id)) this.blocks.recordStored(id, revision, this.options.timer.now());
+    return true;
   }
 }
