Log values of the quarantine that cannot be read, and keep blocks then

A report of another VM that could not be decoded was dropped without a log line, and a block with an unknown state counted as released, so that a later version could have released the blocks of this one. Found on reading.

Both are skipped with a log line. The test finds the block released before.

--- a/packages/prompt-quarantine/src/block-store.ts
+++ b/packages/prompt-quarantine/src/block-store.ts
@@ -19,11 +19,15 @@
   prefix: string;
 }
 
-enum BlockState {
+export enum BlockState {
   Blocked = 'blocked',
   Released = 'released',
 }
 
+/** Returns undefined for a value that is not a state. */
+export const decodeBlockState = (value: string): BlockState | undefined =>
+  Object.values(BlockState).find((state) => String(state) === value);
+
 /**
  * Stores blocks for VMs that start later. Each has a lease of its own, so that it disappears some time after
  * the last request to which it applied.
@@ -34,10 +38,6 @@
 
   constructor(private readonly options: BlockStoreOptions) {}
 
-  isBlocking(value: string): boolean {
-    return value === String(BlockState.Blocked);
-  }
-
   /** True if this VM, with its rank among the VMs for the block, should store the block. */
   isDue({ revision, renewedAt, lastHitAt }: Block, rank: number, now: number): boolean {
     const waitMs = rank * TAKEOVER_MS;
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -2,7 +2,7 @@
 // and none connected them with the prompt part that the lost requests had in common.
 import test from 'ava';
 import fc from 'fast-check';
-import { silentLog } from '@jujubelanding/log';
+import { silentLog, type Log } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import { createRandom } from '@jujubelanding/random';
 import { ChangeKind } from '@jujubelanding/platform';
@@ -84,11 +84,11 @@
   service: KeyValueService,
   timer: VirtualTimer,
   name: string,
-  others: readonly string[] = [],
+  { others = [], log = silentLog }: { others?: readonly string[]; log?: Log } = {},
 ) =>
   new PromptQuarantine({
     timer,
-    log: silentLog,
+    log,
     metrics: silentMetrics,
     store: service.createClient(name),
     lease: () => ({ current: undefined, replace: () => {} }),
@@ -146,7 +146,7 @@
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
   const others = Array.from({ length: 20 }, (_value, index) => `vm-${index}`);
-  const vm = createVm(service, timer, 'a', others);
+  const vm = createVm(service, timer, 'a', { others });
   ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, [DEADLY, worker]));
   vm.start();
   await timer.advance(1000);
@@ -181,6 +181,22 @@
   t.snapshot(listBlocks(service).map(({ entry }) => [entry.key, entry.value]));
 });
 
+// A value of a later version that was not understood released the block.
+test('values that cannot be read are logged and change nothing', (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const events: string[] = [];
+  const log: Log = { ...silentLog, write: (event) => events.push(event) };
+  const vm = createVm(service, timer, 'a', { log });
+  const put = (key: string, value: string): void =>
+    vm.apply([{ kind: ChangeKind.Put, entry: { key, value, modRevision: 1 } }]);
+  put(`${BLOCK_PREFIX}${DEADLY}`, 'blocked');
+  put(`${BLOCK_PREFIX}${DEADLY}`, 'a state of a later version');
+  put('q/crash/b', 'not a report');
+  t.true(vm.isBlocked([DEADLY, 'own']));
+  t.deepEqual(events, ['prompt-part-blocked', 'block-skipped', 'evidence-skipped']);
+});
+
 test('a block ends some time after the last request to which it applied', async (t) => {
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -5,7 +5,7 @@
 import { rankOf } from '@jujubelanding/random';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { BlockList, parseBlockId, toBlockId } from './block-list.js';
-import { BlockStore } from './block-store.js';
+import { BlockState, BlockStore, decodeBlockState } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
 import { OwnEvidence } from './own-evidence.js';
@@ -133,8 +133,7 @@
       if (key.startsWith(blockPrefix)) {
         this.applyBlock(key.slice(blockPrefix.length), kind, value, modRevision);
       } else if (key.startsWith(evidencePrefix) && kind === ChangeKind.Put) {
-        const reported = key === `${evidencePrefix}${self}` ? undefined : decodeEvidence(value);
-        if (reported !== undefined) this.evidence.add(reported, now);
+        if (key !== `${evidencePrefix}${self}`) this.applyReport(key, value, now);
       }
     }
     this.reportAnswered(now);
@@ -142,11 +141,22 @@
 
   private applyBlock(id: string, kind: ChangeKind, value: string, revision: number): void {
     const now = this.options.timer.now();
+    const state = decodeBlockState(value);
     if (kind === ChangeKind.Delete) this.blocks.recordMissing(id);
-    else if (this.blockStore.isBlocking(value)) {
+    else if (state === undefined) {
+      this.options.log.write('block-skipped', { block: id, reason: 'unreadable' });
+    } else if (state === BlockState.Released) this.blocks.remove(id);
+    else {
       if (this.blocks.recordStored(id, revision, now)) this.logBlock(id, BlockReason.Stored);
       this.evidence.explain(parseBlockId(id), now);
-    } else this.blocks.remove(id);
+    }
+  }
+
+  private applyReport(key: string, value: string, now: number): void {
+    const report = decodeEvidence(value);
+    if (report === undefined) {
+      this.options.log.write('evidence-skipped', { key, reason: 'unreadable' });
+    } else this.evidence.add(report, now);
   }
 
   /** Removes answered parts from blocked combinations; a block without further parts is released. */
