Let few VMs store a block again after its key was lost

When the lease of a block ended, for example in an outage of the store, every VM stored the block again at once, two calls each, as the wait by rank began with the block and was long over. Each VM also ranked itself among all VMs four times a second for each block.

The wait begins when the key is lost, and the rank is computed only when a block has to be stored. In the test, 100 VMs lose the key; it fails before.

--- a/packages/prompt-quarantine/src/block-list.ts
+++ b/packages/prompt-quarantine/src/block-list.ts
@@ -17,8 +17,8 @@
   renewedAt: number;
   /** Time of the last request that was refused on this VM. */
   lastHitAt: number;
-  /** Revision of the stored block; 0 if it is not stored. */
-  revision: number;
+  /** Time since which the block is not in the store; undefined if it is. */
+  unstoredSince: number | undefined;
 }
 
 export class BlockList {
@@ -32,21 +32,21 @@
   add(id: string, now: number): boolean {
     if (this.blocks.has(id)) return false;
     const parts = parseBlockId(id);
-    this.blocks.set(id, { id, parts, renewedAt: now, lastHitAt: -Infinity, revision: 0 });
+    this.blocks.set(id, { id, parts, renewedAt: now, lastHitAt: -Infinity, unstoredSince: now });
     return true;
   }
 
   /** Records a stored block, also one of another VM; returns true if it is new. */
-  recordStored(id: string, revision: number, now: number): boolean {
+  recordStored(id: string, now: number): boolean {
     const isNew = this.add(id, now);
-    Object.assign(this.blocks.get(id)!, { revision, renewedAt: now });
+    Object.assign(this.blocks.get(id)!, { unstoredSince: undefined, renewedAt: now });
     return isNew;
   }
 
   /** Records that the stored block is gone, for example with its lease; it stays in force here. */
-  recordMissing(id: string): void {
+  recordMissing(id: string, now: number): void {
     const block = this.blocks.get(id);
-    if (block !== undefined) block.revision = 0;
+    if (block !== undefined) block.unstoredSince ??= now;
   }
 
   has(id: string): boolean {
--- a/packages/prompt-quarantine/src/block-store.ts
+++ b/packages/prompt-quarantine/src/block-store.ts
@@ -34,22 +34,29 @@
  */
 export class BlockStore {
   /** The last write of each block, so that writes of one block are made in order. */
-  private readonly writes = new Map<string, Promise<number | undefined>>();
+  private readonly writes = new Map<string, Promise<boolean>>();
 
   constructor(private readonly options: BlockStoreOptions) {}
 
-  /** True if this VM, with its rank among the VMs for the block, should store the block. */
-  isDue({ revision, renewedAt, lastHitAt }: Block, rank: number, now: number): boolean {
-    const waitMs = rank * TAKEOVER_MS;
-    if (revision === 0) return now - renewedAt >= waitMs;
-    return lastHitAt > renewedAt && now - renewedAt >= RENEWAL_MS + waitMs;
+  /**
+   * True if this VM should store the block. Its rank among the VMs is read only if any VM should, since it
+   * is compared with all of them.
+   */
+  isDue(
+    { unstoredSince, renewedAt, lastHitAt }: Block,
+    readRank: () => number,
+    now: number,
+  ): boolean {
+    const isRenewal = unstoredSince === undefined;
+    if (isRenewal && lastHitAt <= renewedAt) return false;
+    const overdueMs = isRenewal ? now - renewedAt - RENEWAL_MS : now - unstoredSince;
+    return overdueMs >= 0 && overdueMs >= readRank() * TAKEOVER_MS;
   }
 
-  /** Stores the state of a block; returns the revision, or undefined if it was not stored. */
-  write(blockId: string, isBlocked: boolean): Promise<number | undefined> {
-    const value = isBlocked ? BlockState.Blocked : BlockState.Released;
-    const former = this.writes.get(blockId) ?? Promise.resolve(undefined);
-    const write = former.then(() => this.tryWrite(blockId, value));
+  /** Stores the state of a block; returns whether it was stored. */
+  write(blockId: string, state: BlockState): Promise<boolean> {
+    const former = this.writes.get(blockId) ?? Promise.resolve(true);
+    const write = former.then(() => this.tryWrite(blockId, state));
     this.writes.set(blockId, write);
     return write.finally(() => {
       if (this.writes.get(blockId) === write) this.writes.delete(blockId);
@@ -60,14 +67,12 @@
     return this.writes.has(blockId);
   }
 
-  private async tryWrite(blockId: string, value: BlockState): Promise<number | undefined> {
-    const committed = await this.commit(blockId, value);
-    if (committed.isOk() && committed.value.status === CommitStatus.Committed) {
-      return committed.value.revision;
-    }
+  private async tryWrite(blockId: string, state: BlockState): Promise<boolean> {
+    const committed = await this.commit(blockId, state);
+    if (committed.isOk() && committed.value.status === CommitStatus.Committed) return true;
     const code = committed.isErr() ? committed.error.code : committed.value.status;
-    this.options.log.write('block-not-stored', { block: blockId, code });
-    return undefined;
+    this.options.log.write('block-not-stored', { block: blockId, state, code });
+    return false;
   }
 
   private async commit(blockId: string, value: BlockState): Reply<CommitResult> {
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -78,6 +78,9 @@
   }
 });
 
+/** Time until all VMs see a change: the pause between watches of these keys. */
+const WATCH_DELAY_MS = 450;
+
 const BLOCK_PREFIX = 'q/blocked/';
 
 const createVm = (
@@ -197,6 +200,28 @@
   t.deepEqual(events, ['prompt-part-blocked', 'block-skipped', 'evidence-skipped']);
 });
 
+// The lease of a block can end in an outage. All VMs noticed that at once and stored the block again.
+test('in a large fleet, few VMs store a block again after its key was lost', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const names = Array.from({ length: 100 }, (_value, index) => `vm-${index}`);
+  const vms = names.map((name) => createVm(service, timer, name, { others: names }));
+  const key = `${BLOCK_PREFIX}${DEADLY}`;
+  const put = { kind: ChangeKind.Put, entry: { key, value: 'blocked', modRevision: 1 } };
+  vms.forEach((vm) => {
+    vm.start();
+    vm.apply([put]);
+  });
+  await timer.advance(60_000);
+  const writesBefore = service.readCounters().commit ?? 0;
+  vms.forEach((vm) => vm.apply([{ kind: ChangeKind.Delete, entry: { ...put.entry, value: '' } }]));
+  await timer.advance(WATCH_DELAY_MS);
+  listBlocks(service).forEach((change) => vms.forEach((vm) => vm.apply([change])));
+  await timer.advance(5000);
+  vms.forEach((vm) => vm.stop());
+  t.true((service.readCounters().commit ?? 0) - writesBefore <= names.length / 10);
+});
+
 test('a block ends some time after the last request to which it applied', async (t) => {
   const timer = new VirtualTimer();
   const service = new KeyValueService({ timer, random: createRandom(1) });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -129,25 +129,24 @@
     const { evidencePrefix, blockPrefix, self, timer } = this.options;
     const now = timer.now();
     for (const { kind, entry } of changes) {
-      const { key, value, modRevision } = entry;
+      const { key, value } = entry;
+      const isReport = key.startsWith(evidencePrefix) && key !== `${evidencePrefix}${self}`;
       if (key.startsWith(blockPrefix)) {
-        this.applyBlock(key.slice(blockPrefix.length), kind, value, modRevision);
-      } else if (key.startsWith(evidencePrefix) && kind === ChangeKind.Put) {
-        if (key !== `${evidencePrefix}${self}`) this.applyReport(key, value, now);
-      }
+        const id = key.slice(blockPrefix.length);
+        if (kind === ChangeKind.Delete) this.blocks.recordMissing(id, now);
+        else this.applyBlock(id, value, now);
+      } else if (isReport && kind === ChangeKind.Put) this.applyReport(key, value, now);
     }
     this.reportAnswered(now);
   }
 
-  private applyBlock(id: string, kind: ChangeKind, value: string, revision: number): void {
-    const now = this.options.timer.now();
+  private applyBlock(id: string, value: string, now: number): void {
     const state = decodeBlockState(value);
-    if (kind === ChangeKind.Delete) this.blocks.recordMissing(id);
-    else if (state === undefined) {
+    if (state === undefined) {
       this.options.log.write('block-skipped', { block: id, reason: 'unreadable' });
     } else if (state === BlockState.Released) this.blocks.remove(id);
     else {
-      if (this.blocks.recordStored(id, revision, now)) this.logBlock(id, BlockReason.Stored);
+      if (this.blocks.recordStored(id, now)) this.logBlock(id, BlockReason.Stored);
       this.evidence.explain(parseBlockId(id), now);
     }
   }
@@ -178,7 +177,7 @@
   private async replaceStored(id: string, rest: readonly string[], now: number): Promise<void> {
     if (rest.length > 0) this.block(rest, BlockReason.Narrowed, now);
     const isRestStored = rest.length === 0 || (await this.store(toBlockId(rest)));
-    if (isRestStored) await this.blockStore.write(id, false);
+    if (isRestStored) await this.blockStore.write(id, BlockState.Released);
   }
 
   private block(parts: readonly string[], reason: BlockReason, now: number): void {
@@ -234,7 +233,9 @@
     this.blocks
       .list()
       .filter(({ id }) => !this.blockStore.isWriting(id))
-      .filter((block) => this.blockStore.isDue(block, rankOf(block.id, self, listServing()), now))
+      .filter((block) =>
+        this.blockStore.isDue(block, () => rankOf(block.id, self, listServing()), now),
+      )
       .forEach(({ id }) => {
         void this.store(id);
       });
@@ -242,9 +243,8 @@
 
   /** Returns whether the block was stored. */
   private async store(id: string): Promise<boolean> {
-    const revision = await this.blockStore.write(id, true);
-    if (revision === undefined) return false;
-    if (this.blocks.has(id)) this.blocks.recordStored(id, revision, this.options.timer.now());
-    return true;
+    const isStored = await this.blockStore.write(id, BlockState.Blocked);
+    if (isStored && this.blocks.has(id)) this.blocks.recordStored(id, this.options.timer.now());
+    return isStored;
   }
 }
