Drop load messages that are sent after the socket was closed

Callers saw: at the end of a planned stop with requests in progress, the process ended with an exception instead of exit code 0, and its last log lines were lost.

Cause: the end of the process cuts the requests in progress after the datagram socket is closed. Each of them changes the load of this VM, which schedules a message, and Node throws when a closed socket sends.

Fix: the socket drops messages after it was closed. That covers all senders, also those of plans and of the last report to a collector; the receivers drop the counts of a silent VM anyway.

--- a/packages/fleet-load/src/load-socket.ts
+++ b/packages/fleet-load/src/load-socket.ts
@@ -21,19 +21,27 @@
   }
 };
 
-const createLoadSocket = (socket: Socket, log: Log): LoadSocket => ({
-  send: (message, addresses) => {
-    const content = pack(message);
-    for (const address of addresses) {
-      const [host, port] = address.split(':');
-      // A lost datagram is not resent, because the next one carries the current state.
-      socket.send(content, Number(port), host, (error) => {
-        if (error) log.write('datagram-lost', { peer: address, message: error.message });
-      });
-    }
-  },
-  close: () => socket.close(),
-});
+const createLoadSocket = (socket: Socket, log: Log): LoadSocket => {
+  let isClosed = false;
+  return {
+    send: (message, addresses) => {
+      // Requests that the end of the process cuts still change the load; Node throws on a closed socket.
+      if (isClosed) return;
+      const content = pack(message);
+      for (const address of addresses) {
+        const [host, port] = address.split(':');
+        // A lost datagram is not resent, because the next one carries the current state.
+        socket.send(content, Number(port), host, (error) => {
+          if (error) log.write('datagram-lost', { peer: address, message: error.message });
+        });
+      }
+    },
+    close: () => {
+      isClosed = true;
+      socket.close();
+    },
+  };
+};
 
 /** Opens a socket bound to `address`, given as host:port. */
 export const openLoadSocket = (
