Let all VMs know which VMs are being stopped and since when

Cause: a VM that was being stopped removed its registration. VMs that started meanwhile had no address of it, so they sent it no load messages, and it did not list them for callers although they served. In a series of stops this left callers with the stopping VMs until these ended.

Change: a stopping VM ends its lease, which releases all that it owns, and registers under a new one as leaving. Load messages carry how long each leaving VM has been leaving; ages, because clocks differ between VMs.

Both new tests fail before: there is no registration of a leaving VM, and no time of a departure.

--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -111,7 +111,8 @@
     registry.leave();
     loads.announceLeaving();
     await execution.stop();
-    await lease.stop();
+    // Releases what this VM still owns; its new registration tells VMs that start now that it is leaving.
+    await lease.restart();
   }
 
   /** Stops all components and closes all connections. */
@@ -122,7 +123,7 @@
     retention.stop();
     quarantine.stop();
     store.close();
-    registry.leave();
+    registry.stop();
     execution.close();
     planner.stop();
     lease.close();
--- a/packages/entry-vm-registry/src/entry-vm-registry.test.ts
+++ b/packages/entry-vm-registry/src/entry-vm-registry.test.ts
@@ -4,7 +4,7 @@
 import { ChangeKind } from '@jujubelanding/platform';
 import { KeyValueService } from '@jujubelanding/stand-ins';
 import { VirtualTimer } from '@jujubelanding/timer';
-import { EntryVmRegistry, LeaseKeeper } from './index.js';
+import { decodeRegistration, EntryVmRegistry, LeaseKeeper } from './index.js';
 
 const PREFIX = 'jj/vm/';
 
@@ -94,5 +94,23 @@
   t.deepEqual(listPeers(), ['vm-2', 'vm-3']);
   await timer.advance(10_000);
   t.deepEqual(listPeers(), ['vm-3']);
+  registry.stop();
+});
+
+// Guards against VMs that start while others are being stopped: without a registration they could not
+// exchange messages with these, so that callers were not sent to the VMs that had just started.
+test('a VM that is being stopped stays registered, but is not listed for callers', async (t) => {
+  const { timer, service, lease, registry } = setUp();
+  lease.start();
+  await timer.advance(50);
   registry.leave();
+  await Promise.all([lease.restart(), timer.advance(50)]);
+  const { value } = service.state.get(`${PREFIX}vm-1`)!;
+  t.like(decodeRegistration(value), { entryVmId: 'vm-1', isLeaving: true });
+  t.deepEqual(registry.listServing(), []);
+
+  const entry = { key: `${PREFIX}vm-9`, value: value.replaceAll('vm-1', 'vm-9'), modRevision: 1 };
+  registry.apply({ kind: ChangeKind.Put, entry });
+  t.deepEqual(registry.listServing(), []);
+  t.is(registry.find('vm-9')?.peerAddress, '10.0.0.1:2');
 });
--- a/packages/entry-vm-registry/src/entry-vm-registry.ts
+++ b/packages/entry-vm-registry/src/entry-vm-registry.ts
@@ -46,7 +46,9 @@
   /** Time since which each known VM has been neither registered nor alive. */
   private readonly goneSince = new Map<string, number>();
 
-  private isServing = true;
+  private isLeaving = false;
+
+  private isStopped = false;
 
   private isWriting = false;
 
@@ -57,6 +59,12 @@
 
   constructor(private readonly options: EntryVmRegistryOptions) {}
 
+  /** The registration of this VM. */
+  get self(): Registration {
+    const { self } = this.options;
+    return this.isLeaving ? { ...self, isLeaving: true } : self;
+  }
+
   get key(): string {
     return `${this.options.prefix}${this.options.self.entryVmId}`;
   }
@@ -72,11 +80,11 @@
   /** Writes this VM's registration under the current lease. */
   async register(): Promise<void> {
     const leaseId = this.options.lease().current;
-    if (leaseId === undefined || !this.isServing || this.isWriting) return;
+    if (leaseId === undefined || this.isStopped || this.isWriting) return;
     this.isWriting = true;
     this.registeredLeaseId = leaseId;
     const { key } = this;
-    const value = encodeRegistration(this.options.self);
+    const value = encodeRegistration(this.self);
     const committed = await this.options.store.commit({
       conditions: [],
       writes: [{ key, value, leaseId }],
@@ -101,9 +109,13 @@
     else this.add(entry.key, entry.value);
   }
 
-  /** Removes this VM from the list for callers. */
+  /** Removes this VM from the list for callers; later registrations say that it is leaving. */
   leave(): void {
-    this.isServing = false;
+    this.isLeaving = true;
+  }
+
+  stop(): void {
+    this.isStopped = true;
     this.subscription?.cancel();
   }
 
@@ -131,13 +143,14 @@
     const { self, liveness } = this.options;
     const aliveIds = new Set(liveness().listServing());
     const peers = this.peers().filter(
-      ({ entryVmId, bootId }) => !liveness().hasLeft(entryVmId, bootId),
+      ({ entryVmId, bootId, isLeaving }) =>
+        isLeaving !== true && !liveness().hasLeft(entryVmId, bootId),
     );
     const alive = peers.filter(({ entryVmId }) => aliveIds.has(entryVmId));
     // A VM that hears from no other VM is probably isolated itself, while the others are alive.
     const others =
       aliveIds.size > 0 ? alive : peers.filter(({ entryVmId }) => this.isRegistered(entryVmId));
-    return this.isServing ? [self, ...others] : others;
+    return this.isLeaving ? others : [self, ...others];
   }
 
   /** Forgets VMs that were replaced, so that the fleet does not seem to grow with each of them. */
--- a/packages/entry-vm-registry/src/lease-keeper.ts
+++ b/packages/entry-vm-registry/src/lease-keeper.ts
@@ -45,14 +45,16 @@
     this.pending?.cancel();
   }
 
-  /** Revokes the lease, which removes all keys under it. */
-  async stop(): Promise<void> {
-    this.close();
+  /** Revokes the lease, which removes all keys under it, and obtains a new one. */
+  async restart(): Promise<void> {
+    this.pending?.cancel();
     const { leaseId } = this;
     this.leaseId = undefined;
-    if (leaseId === undefined) return;
-    const revoked = await this.options.store.revokeLease(leaseId);
-    if (revoked.isErr()) this.options.log.write('lease-not-revoked', { leaseId });
+    if (leaseId !== undefined) {
+      const revoked = await this.options.store.revokeLease(leaseId);
+      if (revoked.isErr()) this.options.log.write('lease-not-revoked', { leaseId });
+    }
+    if (!this.isStopped) await this.grant();
   }
 
   /** Obtains a new lease after the store reported that this one has ended. */
--- a/packages/entry-vm-registry/src/registration.ts
+++ b/packages/entry-vm-registry/src/registration.ts
@@ -12,6 +12,8 @@
   callerAddress: string;
   /** Address (host:port) for datagrams from other entry VMs. */
   peerAddress: string;
+  /** True once a planned stop has begun. */
+  isLeaving?: boolean | undefined;
 }
 
 const registrationSchema: z.ZodType<Registration> = z.object({
@@ -22,6 +24,7 @@
   capacity: z.number().default(0),
   callerAddress: z.string(),
   peerAddress: z.string(),
+  isLeaving: z.boolean().optional(),
 });
 
 export const encodeRegistration = (registration: Registration): string =>
--- a/packages/fleet-load/src/fleet-load.test.ts
+++ b/packages/fleet-load/src/fleet-load.test.ts
@@ -160,3 +160,24 @@
   t.true(get('z4-vm02').hasLeft('z1-vm02', 'boot-z1-vm02'));
   t.false(get('z4-vm02').listServing().includes('z1-vm02'));
 });
+
+// Guards against VMs that disagree on the order of stops: each then leaves to the others to stay.
+test('all VMs know about when another one began to leave, also those that start later', async (t) => {
+  for (const zones of [1, 4]) {
+    const { timer, get, silent, start } = createLoadFleet(listVms(zones, zones === 1 ? 4 : 8));
+    silent.add('z0-vm02');
+    start();
+    await timer.advance(1500);
+    get('z0-vm01').announceLeaving();
+    const since = timer.now();
+    await timer.advance(900);
+    silent.delete('z0-vm02');
+    await timer.advance(1500);
+    for (const entryVmId of ['z0-vm02', 'z0-vm03', `z${zones - 1}-vm00`]) {
+      const [departure] = get(entryVmId).listLeaving(5000);
+      t.is(departure?.entryVmId, 'z0-vm01');
+      t.true(Math.abs(departure!.since - since) < 250, `${entryVmId}: ${departure!.since - since}`);
+    }
+    t.deepEqual(get('z0-vm03').listLeaving(2000), []);
+  }
+});
--- a/packages/fleet-load/src/fleet-load.ts
+++ b/packages/fleet-load/src/fleet-load.ts
@@ -1,6 +1,7 @@
 import type { WorkerLoad, WorkerLoads } from '@jujubelanding/interfaces';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { CollectorChoice, type CollectorCandidate } from './collector-choice.js';
+import { decodeDepartures, DepartureList, readDeparture, type Departure } from './departure.js';
 import { GroupCollector, PEER_TIMEOUT_MS } from './group-collector.js';
 import {
   MessageKind,
@@ -57,8 +58,7 @@
 
   private alive: readonly string[] = [];
 
-  /** Boot id of each VM that has announced that it is leaving. */
-  private readonly left = new Map<string, string>();
+  private readonly left = new DepartureList();
 
   private readonly urgentHandlers = new Set<() => void>();
 
@@ -66,7 +66,8 @@
 
   private readonly subscriptions: Subscription[] = [];
 
-  private isLeaving = false;
+  /** Time at which this VM began to leave. */
+  private leavingSince: number | undefined;
 
   constructor(private readonly options: FleetLoadOptions) {
     const { timer, self } = options;
@@ -79,14 +80,15 @@
       local: this.local,
       collector: this.collector,
       isOwnCollector: () => this.choice.isOwnCollector,
-      isLeaving: () => this.isLeaving,
+      timer,
+      leavingSince: () => this.leavingSince,
     });
     this.publisher = new LoadPublisher({
       ...options,
       collector: this.collector,
       choice: this.choice,
       messages: this.messages,
-      isLeaving: () => this.isLeaving,
+      isLeaving: () => this.leavingSince !== undefined,
       hasLeft: (entryVmId) => this.left.has(entryVmId),
     });
   }
@@ -103,7 +105,7 @@
 
   /** Announces at once that this VM accepts no new callers. */
   announceLeaving(): void {
-    this.isLeaving = true;
+    this.leavingSince ??= this.options.timer.now();
     this.publisher.sendAll();
   }
 
@@ -157,7 +159,15 @@
 
   /** Returns whether the given run of an entry VM has announced its shutdown. */
   hasLeft(entryVmId: string, bootId: string): boolean {
-    return this.left.get(entryVmId) === bootId;
+    return this.left.hasRun(entryVmId, bootId);
+  }
+
+  /** Lists the other VMs that began to leave within the given time and do not serve again yet. */
+  listLeaving(maxAgeMs: number): readonly Departure[] {
+    const { timer, self } = this.options;
+    return this.left
+      .listSince(timer.now() - maxAgeMs)
+      .filter(({ entryVmId }) => entryVmId !== self.entryVmId);
   }
 
   /** True if the loads of this fleet are collected by group, so that counts are older. */
@@ -210,15 +220,16 @@
 
   private receiveReport(report: Report): void {
     this.collector.receiveReport(report);
-    const { entryVmId, bootId, isLeaving } = report;
-    this.recordLeaving(isLeaving ? [] : [entryVmId], isLeaving ? [[entryVmId, bootId]] : []);
+    const departures = readDeparture(report, this.options.timer.now());
+    this.recordLeaving(report.isLeaving ? [] : [report.entryVmId], departures);
     this.publisher.publishGroup(report.isUrgent);
     if (report.isUrgent) this.callUrgentHandlers();
   }
 
   private receiveTotals(totals: Totals): void {
     this.collector.receiveTotals(totals);
-    this.recordLeaving(totals.members ?? [], totals.leaving);
+    const departures = decodeDepartures(totals, this.options.timer.now());
+    this.recordLeaving(totals.members ?? [], departures);
     this.publisher.publishFleet();
     if (totals.isUrgent) this.callUrgentHandlers();
   }
@@ -234,13 +245,13 @@
       receivedAt: this.options.timer.now(),
     };
     if (view.alive !== undefined) this.alive = view.alive;
-    this.recordLeaving(view.alive ?? [], view.leaving);
+    this.recordLeaving(view.alive ?? [], decodeDepartures(view, this.options.timer.now()));
   }
 
   /** Records which VMs are leaving; one that serves again after a restart no longer is. */
-  private recordLeaving(serving: readonly string[], leaving: readonly [string, string][]): void {
-    serving.forEach((entryVmId) => this.left.delete(entryVmId));
-    leaving.forEach(([entryVmId, bootId]) => this.left.set(entryVmId, bootId));
+  private recordLeaving(serving: readonly string[], departures: readonly Departure[]): void {
+    serving.forEach((entryVmId) => this.left.remove(entryVmId));
+    departures.forEach((departure) => this.left.add(departure));
   }
 
   /** True if this VM sums the loads itself, because it is its own collector or has none yet. */
--- a/packages/fleet-load/src/group-collector.ts
+++ b/packages/fleet-load/src/group-collector.ts
@@ -1,5 +1,6 @@
 /** Sums the loads of a group of VMs, and those of all groups. */
 import type { Timer } from '@jujubelanding/timer';
+import { decodeDepartures, readDeparture, type Departure } from './departure.js';
 import type { BatchWork, Report, Totals, WorkerCount } from './load-message.js';
 import { NO_WORK, type WorkCount } from './local-work.js';
 
@@ -121,23 +122,23 @@
   /** Ids of the other VMs of the fleet that are alive and not leaving. */
   listAlive(): string[] {
     const others = this.listCollectors().flatMap((id) => this.members.get(id) ?? [id]);
-    const leaving = new Set(this.listLeaving().map(([entryVmId]) => entryVmId));
+    const leaving = new Set(this.listLeaving().map(({ entryVmId }) => entryVmId));
     const alive = new Set([...this.listMembers(), ...others]);
     return [...alive].filter((id) => id !== this.self && !leaving.has(id));
   }
 
   /** VMs of this group that are leaving. */
-  listLeavingMembers(): [entryVmId: string, bootId: string][] {
-    return this.listReports()
-      .filter(({ isLeaving }) => isLeaving)
-      .map(({ entryVmId, bootId }) => [entryVmId, bootId]);
+  listLeavingMembers(): Departure[] {
+    return this.listLiveReceived(this.reports).flatMap(({ message, receivedAt }) =>
+      readDeparture(message, receivedAt),
+    );
   }
 
-  listLeaving(): [entryVmId: string, bootId: string][] {
-    return [
-      ...this.listLeavingMembers(),
-      ...this.listLive(this.totals).flatMap(({ leaving }) => leaving),
-    ];
+  listLeaving(): Departure[] {
+    const others = this.listLiveReceived(this.totals).flatMap(({ message, receivedAt }) =>
+      decodeDepartures(message, receivedAt),
+    );
+    return [...this.listLeavingMembers(), ...others];
   }
 
   /** Batch work of the VMs of this group, without this VM. */
@@ -184,8 +185,13 @@
   }
 
   private listLive<T>(received: ReadonlyMap<string, Received<T>>, maxSilenceMs?: number): T[] {
-    return [...received.values()]
-      .filter(({ receivedAt }) => this.isLive(receivedAt, maxSilenceMs))
-      .map(({ message }) => message);
+    return this.listLiveReceived(received, maxSilenceMs).map(({ message }) => message);
+  }
+
+  private listLiveReceived<T>(
+    received: ReadonlyMap<string, Received<T>>,
+    maxSilenceMs?: number,
+  ): Received<T>[] {
+    return [...received.values()].filter(({ receivedAt }) => this.isLive(receivedAt, maxSilenceMs));
   }
 }
--- a/packages/fleet-load/src/load-message.ts
+++ b/packages/fleet-load/src/load-message.ts
@@ -37,6 +37,8 @@
   sequence: z.number(),
   /** True once a planned stop has begun. */
   isLeaving: z.boolean(),
+  /** Time since the planned stop began, in milliseconds. */
+  leavingForMs: z.number().optional(),
   /** True in the last report to a collector, when the VM has chosen another one. */
   isDetaching: z.boolean(),
   /** True if an online request may have to wait for a batch item. */
@@ -60,6 +62,8 @@
   /** Live VMs of the group; in some messages only. */
   members: z.array(z.string()).optional(),
   leaving: z.array(leavingSchema),
+  /** Times since the VMs of `leaving` began to leave, in the same order and in milliseconds. */
+  leavingForMs: z.array(z.number()).optional(),
   /** Collectors that the sender hears from. */
   collectors: z.array(z.string()),
   /** Batch work by VM; only in messages to the planner. */
@@ -78,6 +82,8 @@
   /** All live VMs; in some messages only. */
   alive: z.array(z.string()).optional(),
   leaving: z.array(leavingSchema),
+  /** As in totals. */
+  leavingForMs: z.array(z.number()).optional(),
 });
 
 const planSchema = z.object({
--- a/packages/fleet-load/src/load-socket.test.ts
+++ b/packages/fleet-load/src/load-socket.test.ts
@@ -16,7 +16,10 @@
 // socket is closed and change the load.
 test('a message that is sent after the socket was closed is dropped', async (t) => {
   const opened = await openLoadSocket('127.0.0.1:0', silentLog, () => {});
-  const socket = opened._unsafeUnwrap();
-  socket.close();
-  t.notThrows(() => socket.send(message, ['127.0.0.1:9']));
+  if (opened.isErr()) {
+    t.fail(opened.error.message);
+    return;
+  }
+  opened.value.close();
+  t.notThrows(() => opened.value.send(message, ['127.0.0.1:9']));
 });
--- a/packages/fleet-load/src/message-factory.ts
+++ b/packages/fleet-load/src/message-factory.ts
@@ -1,3 +1,5 @@
+import type { Timer } from '@jujubelanding/timer';
+import { encodeDepartures, type Departure } from './departure.js';
 import type { GroupCollector } from './group-collector.js';
 import {
   MessageKind,
@@ -16,7 +18,9 @@
   collector: GroupCollector;
   /** True if no other VM collects the load of this one. */
   isOwnCollector: () => boolean;
-  isLeaving: () => boolean;
+  timer: Pick<Timer, 'now'>;
+  /** Time at which this VM began to leave. */
+  leavingSince: () => number | undefined;
 }
 
 /** Creates the messages of this VM from its own work and the work that it collects. */
@@ -26,7 +30,8 @@
   constructor(private readonly options: MessageFactoryOptions) {}
 
   createReport(isUrgent: boolean, isDetaching: boolean): Report {
-    const { entryVmId, bootId, local, isLeaving } = this.options;
+    const { entryVmId, bootId, local, timer, leavingSince } = this.options;
+    const since = leavingSince();
     const sequence = this.nextSequence();
     local.keepReport(sequence);
     return {
@@ -34,7 +39,8 @@
       entryVmId,
       bootId,
       sequence,
-      isLeaving: isLeaving(),
+      isLeaving: since !== undefined,
+      ...(since === undefined ? {} : { leavingForMs: Math.round(timer.now() - since) }),
       isDetaching,
       isUrgent,
       workers: local.list(),
@@ -43,9 +49,10 @@
   }
 
   createTotals(withMembers: boolean, isUrgent: boolean): Totals {
-    const { entryVmId, bootId, local, collector, isOwnCollector, isLeaving } = this.options;
-    const ownIds = isOwnCollector() && !isLeaving() ? [entryVmId] : [];
-    const ownLeaving: Totals['leaving'] = isLeaving() ? [[entryVmId, bootId]] : [];
+    const { entryVmId, bootId, local, collector, isOwnCollector, timer } = this.options;
+    const own = this.listOwnDeparture();
+    const ownIds = isOwnCollector() && own.length === 0 ? [entryVmId] : [];
+    const departures = [...collector.listLeavingMembers(), ...own];
     return {
       kind: MessageKind.Totals,
       collectorId: entryVmId,
@@ -53,7 +60,7 @@
       sequence: this.nextSequence(),
       isUrgent,
       workers: collector.sumGroup(isOwnCollector() ? local.list() : []),
-      leaving: [...collector.listLeavingMembers(), ...ownLeaving],
+      ...encodeDepartures(departures, timer.now()),
       collectors: collector.listCollectors(),
       ...(withMembers ? { members: [...ownIds, ...collector.listMembers()] } : {}),
     };
@@ -67,8 +74,9 @@
   }
 
   createView(withAlive: boolean): View {
-    const { entryVmId, bootId, local, collector, isOwnCollector, isLeaving } = this.options;
-    const ownIds = isLeaving() ? [] : [entryVmId];
+    const { entryVmId, bootId, local, collector, isOwnCollector, timer, leavingSince } =
+      this.options;
+    const ownIds = leavingSince() === undefined ? [entryVmId] : [];
     return {
       kind: MessageKind.View,
       collectorId: entryVmId,
@@ -76,7 +84,7 @@
       sequence: this.nextSequence(),
       workers: collector.sumFleet(isOwnCollector() ? local.list() : []),
       reported: collector.listReports().map((report) => [report.entryVmId, report.sequence]),
-      leaving: collector.listLeaving(),
+      ...encodeDepartures(collector.listLeaving(), timer.now()),
       ...(withAlive ? { alive: [...ownIds, ...collector.listAlive()] } : {}),
     };
   }
@@ -87,6 +95,12 @@
     return { kind: MessageKind.Plan, plannerId: entryVmId, bootId, sequence, starts, cuts };
   }
 
+  private listOwnDeparture(): Departure[] {
+    const { entryVmId, bootId, leavingSince } = this.options;
+    const since = leavingSince();
+    return since === undefined ? [] : [{ entryVmId, bootId, since }];
+  }
+
   private nextSequence(): number {
     this.sequence += 1;
     return this.sequence;
