Refuse requests that a stopping VM cannot complete

Callers saw: a stream that a VM had accepted 6.29 s after its SIGTERM was cut in the middle of its answer 1.05 s later, when the VM ended.

Cause: a stopping VM accepted requests for as long as callers may use its address, and cut what was in progress a second later, whatever it had accepted. Streams that take longer, as under load, were lost.

Fix: while it stops, a VM refuses a request as not run if requests of its kind have lately taken too long to end before the process. The caller may return at once if other VMs serve, else when the first one is expected back. Submissions and calls about jobs follow the same rule. This works because the end of the process is known at SIGTERM, and what is refused has not reached a worker.

--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -13,6 +13,7 @@
 import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
+import type { Admission } from '@jujubelanding/planned-stop';
 import type { Route } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
 import { err, ok } from 'neverthrow';
@@ -30,6 +31,9 @@
 /** Time reserved for sending the response to the caller. */
 const RESPONSE_RESERVE_MS = 150;
 
+/** Maximum time of a call about a job, apart from the wait that it asks for. */
+const CALL_MS = 2000;
+
 export interface BatchJobApiOptions {
   timer: Timer;
   log: Log;
@@ -38,6 +42,7 @@
   reader: ResultReader;
   requests: Pick<ItemRequests, 'read'>;
   acknowledgeMs: number;
+  admission: Pick<Admission, 'refuse' | 'recordDuration'>;
 }
 
 const createNotFound = (step: string, message: string): Fault => ({
@@ -87,42 +92,62 @@
     return reply;
   }
 
-  async read(jobId: string, after: number, waitMs: number): Reply<ResultPage> {
-    const { reader } = this.options;
-    const page = await reader.readPage(jobId, after, waitMs);
-    if (page.isErr()) return err(this.logRefusal('read-results', jobId, page.error));
-    if (page.value !== undefined) return ok(page.value);
-    return err(
-      this.logRefusal('read-results', jobId, createNotFound('read-results', 'no such job')),
-    );
+  read(jobId: string, after: number, waitMs: number): Reply<ResultPage> {
+    return this.answer('read-results', jobId, waitMs + CALL_MS, async () => {
+      const page = await this.options.reader.readPage(jobId, after, waitMs);
+      if (page.isErr()) return err(page.error);
+      return page.value === undefined
+        ? err(createNotFound('read-results', 'no such job'))
+        : ok(page.value);
+    });
   }
 
   /** Returns the request body of an item. */
-  async readBody(jobId: string, itemId: string): Reply<Buffer> {
+  readBody(jobId: string, itemId: string): Reply<Buffer> {
+    return this.answer('read-body', jobId, CALL_MS, () => this.findBody(jobId, itemId));
+  }
+
+  end(jobId: string, arrivedAt: number): Reply<void> {
+    const { jobs, log, acknowledgeMs } = this.options;
+    return this.answer('end-job', jobId, acknowledgeMs, async () => {
+      const reply = await jobs.end(jobId, arrivedAt + acknowledgeMs - RESPONSE_RESERVE_MS);
+      if (reply.isErr()) return err(reply.error);
+      log.write('job-ended', { job: jobId, status: reply.value });
+      return reply.value === EndStatus.Ended
+        ? ok(undefined)
+        : err(createNotFound('end-job', 'no such job'));
+    });
+  }
+
+  private async findBody(jobId: string, itemId: string): Reply<Buffer> {
     const found = await this.options.reader.find(jobId);
-    if (found.isErr()) return err(this.logRefusal('read-body', jobId, found.error));
+    if (found.isErr()) return err(found.error);
     const job = found.value?.job;
     const index = job?.items.findIndex(({ id }) => id === itemId) ?? -1;
     if (job === undefined || index < 0) {
-      return err(this.logRefusal('read-body', jobId, createNotFound('read-body', 'no such item')));
+      return err(createNotFound('read-body', 'no such item'));
     }
     const requests = await this.options.requests.read(job);
-    if (requests.isErr()) return err(this.logRefusal('read-body', jobId, requests.error));
+    if (requests.isErr()) return err(requests.error);
     return ok(Buffer.from(requests.value[index]?.body ?? '', 'base64'));
   }
 
-  async end(jobId: string, arrivedAt: number): Reply<void> {
-    const { jobs, log, acknowledgeMs } = this.options;
-    const reply = await jobs.end(jobId, arrivedAt + acknowledgeMs - RESPONSE_RESERVE_MS);
-    if (reply.isErr()) return err(this.logRefusal('end-job', jobId, reply.error));
-    log.write('job-ended', { job: jobId, status: reply.value });
-    if (reply.value === EndStatus.Ended) return ok(undefined);
-    return err(createNotFound('end-job', 'no such job'));
-  }
-
-  private logRefusal(step: string, jobId: string, fault: Fault): Fault {
-    const { code, outcome, message } = fault;
-    this.options.log.write('batch-call-refused', { job: jobId, step, code, outcome, message });
-    return fault;
+  /** Answers a call about a job, unless this VM stops before it could be answered. */
+  private async answer<T>(
+    step: string,
+    jobId: string,
+    maxMs: number,
+    run: () => Reply<T>,
+  ): Reply<T> {
+    const { admission, timer, log } = this.options;
+    const startedAt = timer.now();
+    const refusal = admission.refuse(step, maxMs);
+    const reply = refusal === undefined ? await run() : err(refusal);
+    if (refusal === undefined) admission.recordDuration(step, timer.now() - startedAt);
+    if (reply.isErr()) {
+      const { code, outcome, message } = reply.error;
+      log.write('batch-call-refused', { job: jobId, step, code, outcome, message });
+    }
+    return reply;
   }
 }
--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -1,6 +1,7 @@
 /** Creates the components of an entry VM and connects them. */
 import { Gateway } from '@jujubelanding/gateway';
 import { JobExecution } from '@jujubelanding/ledger-execution';
+import { Admission } from '@jujubelanding/planned-stop';
 import { ChangeKind } from '@jujubelanding/platform';
 import { RelayedStore, WatchHub, type SharedCopy } from '@jujubelanding/store-relay';
 import { Router } from '@jujubelanding/routing';
@@ -25,6 +26,7 @@
 import { StartupGate } from './startup-gate.js';
 import type { DeployedVmOptions } from './options.js';
 import { RetirementReporter } from './retirement-reporter.js';
+import { computeCallerDrain, computeStopTime } from './stop-times.js';
 import { createChooser } from './worker-chooser.js';
 
 /** Wait of a watch of the store, so that an idle copy that is current is always below the maximum age. */
@@ -140,6 +142,22 @@
 ): RelayedStore =>
   new RelayedStore({ direct: store, relay, listPeers, timer, random, log: createLog('store') });
 
+/** Creates the component that refuses requests that this VM cannot complete before it stops. */
+const createAdmission = (
+  { settings, timer, createLog }: DeployedVmOptions,
+  { loads }: Fleet,
+): Admission =>
+  new Admission({
+    timer,
+    log: createLog('stop'),
+    stopMs: computeStopTime(settings),
+    callerDrainMs: computeCallerDrain(settings),
+    readFleet: () => ({
+      servingVms: loads.listServing().length,
+      stoppingSince: loads.listLeaving(settings.terminationGraceMs).map(({ since }) => since),
+    }),
+  });
+
 /** Creates all components without starting them. */
 export const createComponents = (platformOptions: DeployedVmOptions, sendMessage: SendMessage) => {
   const peers: { list: () => readonly string[] } = { list: () => [] };
@@ -151,6 +169,7 @@
   const workers = createWorkers(options);
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
+  const admission = createAdmission(options, fleet);
   peers.list = () => fleet.registry.listPeerAddresses();
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
@@ -216,7 +235,13 @@
     zoneOf: (id) => fleet.registry.find(id)?.availabilityZone ?? availabilityZone,
     isReady: () => followed.jobFollower.isLoaded,
   });
-  const batchJobApi = new BatchJobApi({ ...io, ...batch, log: createLog('batch'), acknowledgeMs });
+  const batchJobApi = new BatchJobApi({
+    ...io,
+    ...batch,
+    log: createLog('batch'),
+    acknowledgeMs,
+    admission,
+  });
   const gateway = new Gateway({
     ...io,
     router,
@@ -228,12 +253,14 @@
     configurationAgeMs: () => followed.operatorFollower.ageMs(),
     waitUntilReady: () => startupGate.wait(),
     batch: options.createBatchRequests(batchJobApi),
+    admission,
   });
   const { retention, quota } = batch;
   return {
     ...fleet,
     ...followed,
     store,
+    admission,
     workers,
     router,
     execution,
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -8,15 +8,7 @@
 import type { DeployedVmOptions } from './options.js';
 import { createComponents } from './components.js';
 import { selectEntryPoints } from './entry-point-selection.js';
-
-/** Time for which callers may cache entry point addresses, unless the platform sets a lower maximum. */
-const ENTRY_POINT_LIFETIME_MS = 2000;
-
-/** Some callers use cached addresses for this many times their lifetime. */
-const MAX_LIFETIME_MULTIPLE = 3;
-
-/** Time for requests that are already on the way when the cached addresses expire. */
-const IN_FLIGHT_SLACK_MS = 300;
+import { computeCallerDrain, computeEntryPointLifetime, computeStopTime } from './stop-times.js';
 
 /** Interval at which the ages of the local copies are reported as a metric. */
 const AGE_REPORT_INTERVAL_MS = 1000;
@@ -93,21 +85,24 @@
     const entryPoints = selectEntryPoints(usable, self).map(
       ({ callerAddress, availabilityZone }) => ({ address: callerAddress, availabilityZone }),
     );
-    return { entryPoints, lifetimeMs: this.entryPointLifetimeMs };
+    return { entryPoints, lifetimeMs: computeEntryPointLifetime(this.options.settings) };
   }
 
-  /**
-   * Time for which callers still arrive after this VM was removed from the entry points, in
-   * milliseconds.
-   */
+  /** Time for which callers still arrive after this VM was removed from the entry points. */
   get callerDrainMs(): number {
-    return this.entryPointLifetimeMs * MAX_LIFETIME_MULTIPLE + IN_FLIGHT_SLACK_MS;
+    return computeCallerDrain(this.options.settings);
+  }
+
+  /** Time from the start of a stop until requests in progress are cut. */
+  get stopMs(): number {
+    return computeStopTime(this.options.settings);
   }
 
   /** Removes this VM from the entry points and releases its jobs; requests are still served. */
   async leave(): Promise<void> {
-    const { registry, loads, execution, lease } = this.components;
+    const { registry, loads, execution, lease, admission } = this.components;
     this.isLeaving = true;
+    admission.beginStop();
     registry.leave();
     loads.announceLeaving();
     await execution.stop();
@@ -135,10 +130,6 @@
     await this.options.backends.close();
   }
 
-  private get entryPointLifetimeMs(): number {
-    return Math.min(ENTRY_POINT_LIFETIME_MS, this.options.settings.maxEntryPointLifetimeMs);
-  }
-
   /** Reports the time since the store last answered for the configuration, the workers and the jobs. */
   private reportDataAges(): void {
     const { operatorFollower, workerFollower, jobFollower } = this.components;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Processing of a caller's request: filters, then the handler of the matched route. */
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
+import type { Admission } from '@jujubelanding/planned-stop';
 import { RouteKind, type Route, type RouteTable } from '@jujubelanding/route-table';
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerExchange } from './caller-exchange.js';
@@ -23,6 +24,7 @@
   /** Resolves once the configuration and workers have been known, or after a maximum wait. */
   waitUntilReady: () => Promise<void>;
   batch: BatchRequests;
+  admission: Pick<Admission, 'refuse' | 'recordDuration'>;
   log: Log;
 }
 
@@ -71,7 +73,15 @@
   });
 };
 
-const FILTERS: readonly Filter[] = [requireConfiguration, limitBody, matchRoute];
+/** Refuses a request that this VM cannot complete before it stops. */
+const requireTime: Filter = (context, { admission }) => {
+  const { waitMs = Infinity } = context.exchange.request;
+  const { name, timeoutMs } = context.route!;
+  const refusal = admission.refuse(name, Math.min(waitMs, timeoutMs));
+  return refusal === undefined ? ok(context) : err(refusal);
+};
+
+const FILTERS: readonly Filter[] = [requireConfiguration, limitBody, matchRoute, requireTime];
 
 type Handler = (
   exchange: CallerExchange,
@@ -108,6 +118,8 @@
     }
     const { route, table } = context;
     await HANDLERS[route!.kind](exchange, route!, table!, this.options);
+    const { timer, admission } = this.options;
+    admission.recordDuration(route!.name, timer.now() - exchange.request.arrivedAt);
   }
 
   private logRejection({ exchange, table }: RequestContext, fault: Fault): void {
--- /dev/null
+++ b/packages/planned-stop/src/admission.ts
@@ -0,0 +1,81 @@
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Log } from '@jujubelanding/log';
+import type { Timer } from '@jujubelanding/timer';
+import { RequestDurations } from './request-durations.js';
+
+/** Time from the end of a process until its VM serves again. */
+const RESTART_MS = 1500;
+
+const MIN_RETRY_AFTER_MS = 200;
+
+/** The VMs of the fleet without this one. */
+export interface FleetState {
+  servingVms: number;
+  /** Times at which VMs that are not back yet began to stop. */
+  stoppingSince: readonly number[];
+}
+
+export interface AdmissionOptions {
+  timer: Timer;
+  log: Log;
+  /** Time from the start of a stop until requests in progress are cut. */
+  stopMs: number;
+  /** Time after which a stopping VM ends if other VMs serve its callers. */
+  callerDrainMs: number;
+  readFleet: () => FleetState;
+}
+
+/** Refuses requests that a stopping VM could not complete. */
+export class Admission {
+  private readonly durations = new RequestDurations();
+
+  private stoppedAt: number | undefined;
+
+  constructor(private readonly options: AdmissionOptions) {}
+
+  beginStop(): void {
+    this.stoppedAt ??= this.options.timer.now();
+  }
+
+  /** Time at which the stop of this VM began. */
+  get stoppingSince(): number | undefined {
+    return this.stoppedAt;
+  }
+
+  recordDuration(kind: string, durationMs: number): void {
+    this.durations.record(kind, durationMs, this.options.timer.now());
+  }
+
+  /** Returns a fault if a request that takes up to `maxMs` would be cut by the end of this process. */
+  refuse(kind: string, maxMs: number): Fault | undefined {
+    if (this.stoppedAt === undefined) return undefined;
+    const { timer, stopMs, log } = this.options;
+    const now = timer.now();
+    const remainingMs = this.stoppedAt + stopMs - now;
+    const neededMs = this.durations.estimate(kind, maxMs, now);
+    if (neededMs <= remainingMs) return undefined;
+    const retryAfterMs = this.computeRetryAfter(now);
+    log.write('refused-by-stop', {
+      kind,
+      neededMs: Math.round(neededMs),
+      remainingMs: Math.round(remainingMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    return {
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step: 'planned-stop',
+      message: 'this VM is being stopped and could not complete the request',
+      retryAfterMs,
+    };
+  }
+
+  /** Another VM that serves can take the request at once; otherwise the first one to return can. */
+  private computeRetryAfter(now: number): number {
+    const { readFleet, callerDrainMs } = this.options;
+    const { servingVms, stoppingSince } = readFleet();
+    if (servingVms > 0) return 0;
+    const first = Math.min(this.stoppedAt!, ...stoppingSince);
+    return Math.max(MIN_RETRY_AFTER_MS, first + callerDrainMs + RESTART_MS - now);
+  }
+}
--- /dev/null
+++ b/packages/planned-stop/src/request-durations.ts
@@ -0,0 +1,42 @@
+/** Time after which durations no longer count is between one and two of these intervals. */
+const WINDOW_MS = 15_000;
+
+/** A request may take longer than the longest recent one by this factor. */
+const MARGIN_FACTOR = 1.5;
+
+interface Longest {
+  current: number;
+  former: number;
+}
+
+/** Longest recent duration of each kind of request, as an estimate of how long the next one takes. */
+export class RequestDurations {
+  private readonly longest = new Map<string, Longest>();
+
+  private windowStart = 0;
+
+  record(kind: string, durationMs: number, now: number): void {
+    this.startWindow(now);
+    const known = this.longest.get(kind) ?? { current: 0, former: 0 };
+    this.longest.set(kind, { ...known, current: Math.max(known.current, durationMs) });
+  }
+
+  /** Returns the time that a request takes at most, which is `maxMs` if no recent one is known. */
+  estimate(kind: string, maxMs: number, now: number): number {
+    this.startWindow(now);
+    const { current = 0, former = 0 } = this.longest.get(kind) ?? {};
+    const longest = Math.max(current, former);
+    return longest === 0 ? maxMs : Math.min(maxMs, longest * MARGIN_FACTOR);
+  }
+
+  private startWindow(now: number): void {
+    const elapsed = now - this.windowStart;
+    if (elapsed < WINDOW_MS) return;
+    const isNext = elapsed < 2 * WINDOW_MS;
+    this.windowStart = now;
+    for (const [kind, { current }] of this.longest) {
+      if (isNext && current > 0) this.longest.set(kind, { current: 0, former: current });
+      else this.longest.delete(kind);
+    }
+  }
+}
