Name stopping VMs to callers while too few others serve

Callers saw: while all VMs of a site were being stopped, look-ups got no address, so that callers had none or used those of VMs that had ended.

Cause: a stopping VM listed neither itself nor the others, and each VM stayed for 6.3 s, the longest time for which callers use an address. When all stop within that time, none is listed, and all of them are away at the same time.

Fix: while less than half of the fleet serves, answers name the stopping VMs that stay longest, for half a second. The VMs agree on the order in which they end. A VM ends once the callers have other addresses, if half of the fleet is left then, and else stays until its grace ends. The lifetime of addresses is 1 s instead of 2 s, so that a stop takes 3.3 s and the first VMs are back while the last ones still serve. This works because a VM that others may name stays until the last callers with that answer have come.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -26,6 +26,7 @@
 import { StartupGate } from './startup-gate.js';
 import type { DeployedVmOptions } from './options.js';
 import { RetirementReporter } from './retirement-reporter.js';
+import { StopCoordinator } from './stop-coordinator.js';
 import { computeCallerDrain, computeStopTime } from './stop-times.js';
 import { createChooser } from './worker-chooser.js';
 
@@ -142,21 +143,29 @@
 ): RelayedStore =>
   new RelayedStore({ direct: store, relay, listPeers, timer, random, log: createLog('store') });
 
-/** Creates the component that refuses requests that this VM cannot complete before it stops. */
-const createAdmission = (
+/** Creates the components that decide on requests and on the end of this VM while it is stopped. */
+const createStop = (
   { settings, timer, createLog }: DeployedVmOptions,
-  { loads }: Fleet,
-): Admission =>
-  new Admission({
+  { loads, registry }: Fleet,
+) => {
+  const created: { admission?: Admission } = {};
+  const stop = new StopCoordinator({
+    settings,
+    timer,
+    loads,
+    registry,
+    admission: () => created.admission!,
+  });
+  const admission = new Admission({
     timer,
     log: createLog('stop'),
     stopMs: computeStopTime(settings),
     callerDrainMs: computeCallerDrain(settings),
-    readFleet: () => ({
-      servingVms: loads.listServing().length,
-      stoppingSince: loads.listLeaving(settings.terminationGraceMs).map(({ since }) => since),
-    }),
+    readFleet: () => stop.readFleet(),
   });
+  created.admission = admission;
+  return { stop, admission };
+};
 
 /** Creates all components without starting them. */
 export const createComponents = (platformOptions: DeployedVmOptions, sendMessage: SendMessage) => {
@@ -169,7 +178,7 @@
   const workers = createWorkers(options);
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
-  const admission = createAdmission(options, fleet);
+  const { stop, admission } = createStop(options, fleet);
   peers.list = () => fleet.registry.listPeerAddresses();
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
@@ -260,6 +269,7 @@
     ...fleet,
     ...followed,
     store,
+    stop,
     admission,
     workers,
     router,
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -1,14 +1,16 @@
 /** An entry VM on the platform: starts and stops its components. */
+import type { Registration } from '@jujubelanding/entry-vm-registry';
 import { openLoadSocket, type LoadSocket } from '@jujubelanding/fleet-load';
 import type { CallerExchange } from '@jujubelanding/gateway';
 import type { EntryPointResponse } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import type { StopStep } from '@jujubelanding/planned-stop';
 import { openRelayServer, type RelayServer } from '@jujubelanding/store-relay';
 import type { Subscription } from '@jujubelanding/timer';
 import type { DeployedVmOptions } from './options.js';
 import { createComponents } from './components.js';
 import { selectEntryPoints } from './entry-point-selection.js';
-import { computeCallerDrain, computeEntryPointLifetime, computeStopTime } from './stop-times.js';
+import { computeEntryPointLifetime, STAYING_LIFETIME_MS } from './stop-times.js';
 
 /** Interval at which the ages of the local copies are reported as a metric. */
 const AGE_REPORT_INTERVAL_MS = 1000;
@@ -76,26 +78,23 @@
   }
 
   chooseEntryPoints(): EntryPointResponse | undefined {
-    const self = this.options.settings.entryVmId;
-    const usable = this.components.registry
-      .listServing()
-      .filter(({ callerAddress }) => callerAddress !== '')
-      .filter(({ entryVmId }) => entryVmId !== self || this.isReady());
-    if (usable.length === 0) return undefined;
-    const entryPoints = selectEntryPoints(usable, self).map(
+    const { settings } = this.options;
+    const serving = this.listServing();
+    const staying = this.components.stop.listStaying(serving.length);
+    if (serving.length + staying.length === 0) return undefined;
+    const entryPoints = selectEntryPoints([...serving, ...staying], settings.entryVmId).map(
       ({ callerAddress, availabilityZone }) => ({ address: callerAddress, availabilityZone }),
     );
-    return { entryPoints, lifetimeMs: computeEntryPointLifetime(this.options.settings) };
-  }
-
-  /** Time for which callers still arrive after this VM was removed from the entry points. */
-  get callerDrainMs(): number {
-    return computeCallerDrain(this.options.settings);
+    const lifetimeMs = computeEntryPointLifetime(settings);
+    return {
+      entryPoints,
+      lifetimeMs: staying.length > 0 ? Math.min(STAYING_LIFETIME_MS, lifetimeMs) : lifetimeMs,
+    };
   }
 
-  /** Time from the start of a stop until requests in progress are cut. */
-  get stopMs(): number {
-    return computeStopTime(this.options.settings);
+  /** Decides what this VM does next after {@link leave} was called. */
+  decideStop(isListening: boolean, requestsInProgress: number): StopStep {
+    return this.components.stop.decide(isListening, requestsInProgress);
   }
 
   /** Removes this VM from the entry points and releases its jobs; requests are still served. */
@@ -130,6 +129,15 @@
     await this.options.backends.close();
   }
 
+  /** Lists the VMs that serve callers; this one only once it is ready. */
+  private listServing(): Registration[] {
+    const self = this.options.settings.entryVmId;
+    return this.components.registry
+      .listServing()
+      .filter(({ callerAddress }) => callerAddress !== '')
+      .filter(({ entryVmId }) => entryVmId !== self || this.isReady());
+  }
+
   /** Reports the time since the store last answered for the configuration, the workers and the jobs. */
   private reportDataAges(): void {
     const { operatorFollower, workerFollower, jobFollower } = this.components;
--- a/packages/deployed-vm/src/stop-times.ts
+++ b/packages/deployed-vm/src/stop-times.ts
@@ -2,7 +2,10 @@
 import type { DeployedSettings } from './settings.js';
 
 /** Time for which callers may cache entry point addresses, unless the platform sets a lower maximum. */
-const ENTRY_POINT_LIFETIME_MS = 2000;
+const ENTRY_POINT_LIFETIME_MS = 1000;
+
+/** The same for the addresses of VMs that are being stopped. */
+export const STAYING_LIFETIME_MS = 500;
 
 /** Some callers use cached addresses for this many times their lifetime. */
 const MAX_LIFETIME_MULTIPLE = 3;
@@ -10,6 +13,9 @@
 /** Time for requests that are already on the way when the cached addresses expire. */
 const IN_FLIGHT_SLACK_MS = 300;
 
+/** Time for which callers may arrive after an answer named a VM that is being stopped. */
+export const STAYING_DRAIN_MS = STAYING_LIFETIME_MS * MAX_LIFETIME_MULTIPLE + IN_FLIGHT_SLACK_MS;
+
 /** Margin before the platform kills the process, within which it closes its connections and ends. */
 const SHUTDOWN_MARGIN_MS = 500;
 
--- a/packages/planned-stop/src/index.ts
+++ b/packages/planned-stop/src/index.ts
@@ -1,3 +1,6 @@
-/** Decides which requests a stopping VM still accepts. */
+/** Decides how long a stopping VM serves callers, and which requests it still accepts. */
 export { Admission, type AdmissionOptions, type FleetState } from './admission.js';
 export { RequestDurations } from './request-durations.js';
+export { selectStaying, type StayingOptions } from './staying-vms.js';
+export { decideStop, StopStep, type StopState } from './stop-decision.js';
+export { compareStops, type StoppingVm } from './stop-order.js';
