--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -1,6 +1,7 @@
 /** Creates the components of an entry VM and connects them. */
 import { Gateway } from '@jujubelanding/gateway';
 import { JobExecution } from '@jujubelanding/ledger-execution';
+import { Admission } from '@jujubelanding/planned-stop';
 import { ChangeKind } from '@jujubelanding/platform';
 import { RelayedStore, WatchHub, type SharedCopy } from '@jujubelanding/store-relay';
 import { Router } from '@jujubelanding/routing';
@@ -25,6 +26,8 @@
 import { StartupGate } from './startup-gate.js';
 import type { DeployedVmOptions } from './options.js';
 import { RetirementReporter } from './retirement-reporter.js';
+import { StopCoordinator } from './stop-coordinator.js';
+import { computeCallerDrain, computeStopTime } from './stop-times.js';
 import { createChooser } from './worker-chooser.js';
 
 /** Wait of a watch of the store, so that an idle copy that is current is always below the maximum age. */
@@ -140,6 +143,30 @@
 ): RelayedStore =>
   new RelayedStore({ direct: store, relay, listPeers, timer, random, log: createLog('store') });
 
+/** Creates the components that decide on requests and on the end of this VM while it is stopped. */
+const createStop = (
+  { settings, timer, createLog }: DeployedVmOptions,
+  { loads, registry }: Fleet,
+) => {
+  const created: { admission?: Admission } = {};
+  const stop = new StopCoordinator({
+    settings,
+    timer,
+    loads,
+    registry,
+    admission: () => created.admission!,
+  });
+  const admission = new Admission({
+    timer,
+    log: createLog('stop'),
+    stopMs: computeStopTime(settings),
+    callerDrainMs: computeCallerDrain(settings),
+    readFleet: () => stop.readFleet(),
+  });
+  created.admission = admission;
+  return { stop, admission };
+};
+
 /** Creates all components without starting them. */
 export const createComponents = (platformOptions: DeployedVmOptions, sendMessage: SendMessage) => {
   const peers: { list: () => readonly string[] } = { list: () => [] };
@@ -151,6 +178,7 @@
   const workers = createWorkers(options);
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
+  const { stop, admission } = createStop(options, fleet);
   peers.list = () => fleet.registry.listPeerAddresses();
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
@@ -216,7 +244,13 @@
     zoneOf: (id) => fleet.registry.find(id)?.availabilityZone ?? availabilityZone,
     isReady: () => followed.jobFollower.isLoaded,
   });
-  const batchJobApi = new BatchJobApi({ ...io, ...batch, log: createLog('batch'), acknowledgeMs });
+  const batchJobApi = new BatchJobApi({
+    ...io,
+    ...batch,
+    log: createLog('batch'),
+    acknowledgeMs,
+    admission,
+  });
   const gateway = new Gateway({
     ...io,
     router,
@@ -228,12 +262,15 @@
     configurationAgeMs: () => followed.operatorFollower.ageMs(),
     waitUntilReady: () => startupGate.wait(),
     batch: options.createBatchRequests(batchJobApi),
+    admission,
   });
   const { retention, quota } = batch;
   return {
     ...fleet,
     ...followed,
     store,
+    stop,
+    admission,
     workers,
     router,
     execution,
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -1,22 +1,16 @@
 /** An entry VM on the platform: starts and stops its components. */
+import type { Registration } from '@jujubelanding/entry-vm-registry';
 import { openLoadSocket, type LoadSocket } from '@jujubelanding/fleet-load';
 import type { CallerExchange } from '@jujubelanding/gateway';
 import type { EntryPointResponse } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import type { StopStep } from '@jujubelanding/planned-stop';
 import { openRelayServer, type RelayServer } from '@jujubelanding/store-relay';
 import type { Subscription } from '@jujubelanding/timer';
 import type { DeployedVmOptions } from './options.js';
 import { createComponents } from './components.js';
 import { selectEntryPoints } from './entry-point-selection.js';
-
-/** Time for which callers may cache entry point addresses, unless the platform sets a lower maximum. */
-const ENTRY_POINT_LIFETIME_MS = 2000;
-
-/** Some callers use cached addresses for this many times their lifetime. */
-const MAX_LIFETIME_MULTIPLE = 3;
-
-/** Time for requests that are already on the way when the cached addresses expire. */
-const IN_FLIGHT_SLACK_MS = 300;
+import { computeEntryPointLifetime, STAYING_LIFETIME_MS } from './stop-times.js';
 
 /** Interval at which the ages of the local copies are reported as a metric. */
 const AGE_REPORT_INTERVAL_MS = 1000;
@@ -84,34 +78,35 @@
   }
 
   chooseEntryPoints(): EntryPointResponse | undefined {
-    const self = this.options.settings.entryVmId;
-    const usable = this.components.registry
-      .listServing()
-      .filter(({ callerAddress }) => callerAddress !== '')
-      .filter(({ entryVmId }) => entryVmId !== self || this.isReady());
-    if (usable.length === 0) return undefined;
-    const entryPoints = selectEntryPoints(usable, self).map(
+    const { settings } = this.options;
+    const serving = this.listServing();
+    const staying = this.components.stop.listStaying(serving.length);
+    if (serving.length + staying.length === 0) return undefined;
+    const entryPoints = selectEntryPoints([...serving, ...staying], settings.entryVmId).map(
       ({ callerAddress, availabilityZone }) => ({ address: callerAddress, availabilityZone }),
     );
-    return { entryPoints, lifetimeMs: this.entryPointLifetimeMs };
+    const lifetimeMs = computeEntryPointLifetime(settings);
+    return {
+      entryPoints,
+      lifetimeMs: staying.length > 0 ? Math.min(STAYING_LIFETIME_MS, lifetimeMs) : lifetimeMs,
+    };
   }
 
-  /**
-   * Time for which callers still arrive after this VM was removed from the entry points, in
-   * milliseconds.
-   */
-  get callerDrainMs(): number {
-    return this.entryPointLifetimeMs * MAX_LIFETIME_MULTIPLE + IN_FLIGHT_SLACK_MS;
+  /** Decides what this VM does next after {@link leave} was called. */
+  decideStop(isListening: boolean, requestsInProgress: number): StopStep {
+    return this.components.stop.decide(isListening, requestsInProgress);
   }
 
   /** Removes this VM from the entry points and releases its jobs; requests are still served. */
   async leave(): Promise<void> {
-    const { registry, loads, execution, lease } = this.components;
+    const { registry, loads, execution, lease, admission } = this.components;
     this.isLeaving = true;
+    admission.beginStop();
     registry.leave();
     loads.announceLeaving();
     await execution.stop();
-    await lease.stop();
+    // Releases what this VM still owns; its new registration tells VMs that start now that it is leaving.
+    await lease.restart();
   }
 
   /** Stops all components and closes all connections. */
@@ -122,7 +117,7 @@
     retention.stop();
     quarantine.stop();
     store.close();
-    registry.leave();
+    registry.stop();
     execution.close();
     planner.stop();
     lease.close();
@@ -134,8 +129,13 @@
     await this.options.backends.close();
   }
 
-  private get entryPointLifetimeMs(): number {
-    return Math.min(ENTRY_POINT_LIFETIME_MS, this.options.settings.maxEntryPointLifetimeMs);
+  /** Lists the VMs that serve callers; this one only once it is ready. */
+  private listServing(): Registration[] {
+    const self = this.options.settings.entryVmId;
+    return this.components.registry
+      .listServing()
+      .filter(({ callerAddress }) => callerAddress !== '')
+      .filter(({ entryVmId }) => entryVmId !== self || this.isReady());
   }
 
   /** Reports the time since the store last answered for the configuration, the workers and the jobs. */
