Send nothing new to a worker whose answers say that it is leaving

Callers' requests would reach a worker long after its answers had said that it was leaving, for as long as its entry in the store said that it is live: the entry may be late, or the store may be down.

Cause: a VM knew only the state in the entry; nothing read the header.

platform/ reports the header when the head of an answer arrives, also of a refusal, a 421 and an answer to another request, which come from the same worker. The worker registry marks this run as leaving, and routing, the planner, granted items, retries and resumed streams read that state. An entry of the same or an earlier start does not undo the mark, also after the entry was removed; a later start does. Marks of workers without an entry are forgotten after ten minutes. The VM names such workers to the planner, which may not know and would grant their free slots again and again; an item that is granted to one waits on without a failure.

If all workers of a service are leaving, those that still have a live entry get online requests for half of drainMs after their first announcement, as they still serve; after that requests are refused at once.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -39,13 +39,24 @@
 /** Pause between watches of jobs, so that changes share a call. Every VM must know a new job within 1 s. */
 const JOB_WATCH_PAUSE_MS = 450;
 
-const createWorkers = ({ timer, createLog, keys, decodeWorker }: DeployedVmOptions) =>
-  new WorkerRegistry({
+/**
+ * Share of the drain time of a worker in which it gets requests if its service has no other worker; the
+ * rest is a margin for requests that are tried again.
+ */
+const LAST_RESORT_SHARE = 0.5;
+
+const createWorkers = (options: DeployedVmOptions): WorkerRegistry => {
+  const { timer, createLog, keys, decodeWorker, settings, backends } = options;
+  const workers = new WorkerRegistry({
     timer,
     log: createLog('workers'),
     prefix: keys.workerPrefix,
     decode: decodeWorker,
+    lastResortMs: settings.workerDrainMs * LAST_RESORT_SHARE,
   });
+  backends.onLeaving((worker) => workers.recordLeaving(worker));
+  return workers;
+};
 
 /** Timeout of an online request's first event. Slow workers need 100 ms; callers expect it within 300 ms. */
 const FIRST_EVENT_TIMEOUT_MS = 400;
--- a/packages/deployed-vm/src/options.ts
+++ b/packages/deployed-vm/src/options.ts
@@ -1,7 +1,7 @@
 import type { BatchRequests } from '@jujubelanding/gateway';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type { HeaderFields, RequestForwarder, TransactionalStore } from '@jujubelanding/platform';
+import type { BackendForwarder, HeaderFields, TransactionalStore } from '@jujubelanding/platform';
 import type { Random } from '@jujubelanding/random';
 import type { RouteTable, RoutingConfiguration } from '@jujubelanding/route-table';
 import type { PrefixReader } from '@jujubelanding/store-relay';
@@ -35,7 +35,7 @@
   relay: (peerAddress: string) => TransactionalStore;
   /** Returns a reader of another entry VM's copy of the store. */
   readCopyOf: (peerAddress: string) => PrefixReader;
-  backends: RequestForwarder;
+  backends: BackendForwarder;
   metrics: Metrics;
   createLog: (part: string) => Log;
 }
--- a/packages/deployed-vm/src/settings.ts
+++ b/packages/deployed-vm/src/settings.ts
@@ -16,6 +16,8 @@
   terminationGraceMs: number;
   /** Time within which an acknowledged configuration must be in force. */
   configurationApplyMs: number;
+  /** Time for which a worker that has announced that it is leaving may still get requests. */
+  workerDrainMs: number;
   /** Time within which a submission or an end of a job must be acknowledged. */
   acknowledgeMs: number;
   /** Time after the submission of a job during which its results remain readable. */
--- /dev/null
+++ b/packages/ledger-execution/src/item-scheduler.test.ts
@@ -0,0 +1,87 @@
+import test from 'ava';
+import type { Plan } from '@jujubelanding/fleet-load';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { RouteKind, RouteTable } from '@jujubelanding/route-table';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { VmState } from '@jujubelanding/types';
+import { ItemScheduler, type ItemSchedulerOptions } from './item-scheduler.js';
+
+/** Creates a scheduler with one waiting item and one worker, which is leaving at first. */
+const setUp = () => {
+  const timer = new VirtualTimer();
+  const worker = { id: 'w', service: 's', address: '', availabilityZone: 'z' };
+  const state = { worker: VmState.Leaving, leaving: ['w'] };
+  const item = { index: 0, progress: { events: [] as string[], failures: 0 }, notBefore: 0 };
+  const ownedJob = {
+    jobId: 'job',
+    dueAt: 1000,
+    requests: [{ target: '/', headers: {}, body: '' }],
+    listWaiting: () => [item],
+    listRunning: () => [],
+  };
+  const job = {
+    host: 'h',
+    target: '/',
+    submittedAt: timer.wallClock(),
+    itemLifetimeMs: 60_000,
+    items: [{ id: 'i' }],
+  };
+  const waiting: { services: string[]; avoided: readonly string[] }[] = [];
+  const sent: string[] = [];
+  const route = {
+    name: 'r',
+    host: 'h',
+    prefix: '/',
+    kind: RouteKind.Batch,
+    timeoutMs: 1000,
+    objectiveMs: 1000,
+    priority: 0,
+    targets: [{ service: 's', weight: 1 }],
+    maxAttempts: 1,
+    isResumable: true,
+  };
+  const scheduler = new ItemScheduler({
+    timer,
+    log: silentLog,
+    metrics: silentMetrics,
+    table: { find: () => ({ job }) },
+    loads: {
+      setWaiting: (counts: [string, number, number][], avoided: readonly string[]) =>
+        waiting.push({ services: counts.map(([service]) => service), avoided }),
+      beginBatch: () => {},
+    },
+    quarantine: { hasBlocks: false },
+    directory: {
+      find: () => ({ ...worker, state: state.worker }),
+      listLeaving: () => state.leaving,
+    },
+    backends: {
+      forward: ({ id }: { id: string }) => {
+        sent.push(id);
+        return new Promise(() => {});
+      },
+    },
+    readTable: () => new RouteTable({ version: 1, routes: [route], services: [] } as never),
+    isTableLoaded: () => true,
+    listOwnedJobs: () => [ownedJob],
+  } as unknown as ItemSchedulerOptions);
+  const grant = { starts: [['run', 'w', 's']], cuts: [] as string[] } as Plan;
+  return { scheduler, state, item, waiting, sent, grant };
+};
+
+// The planner on another VM may not know that a worker is leaving, and grants its slots.
+test('an item that is granted to a leaving worker waits on, without a failure, and the planner is told', (t) => {
+  const { scheduler, state, item, waiting, sent, grant } = setUp();
+  scheduler.carryOut(grant);
+  t.deepEqual(sent, []);
+  scheduler.publishWaiting();
+  t.deepEqual(waiting, [{ services: ['s'], avoided: ['w'] }]);
+  t.is(item.progress.failures, 0);
+  state.worker = VmState.Live;
+  state.leaving = [];
+  scheduler.publishWaiting();
+  t.deepEqual(waiting[1]?.avoided, []);
+  scheduler.carryOut(grant);
+  t.deepEqual(sent, ['w']);
+});
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -28,7 +28,10 @@
   quarantine: Pick<PromptQuarantine, 'hasBlocks' | 'isBlocked' | 'recordAnswer' | 'recordLoss'>;
   /** Reads the parts of an item's prompt from the headers of its request. */
   readPromptParts: (headers: HeaderFields) => string[];
-  directory: Pick<Directory, 'find'>;
+  directory: Pick<Directory, 'find'> & {
+    /** Returns the workers of which this VM knows from an answer that they are leaving. */
+    listLeaving(): string[];
+  };
   backends: RequestForwarder;
   readTable: () => RouteTable | undefined;
   /** True once all stored jobs are known. */
@@ -83,7 +86,12 @@
     this.listCandidates(now).forEach(({ service, effectiveDueAt }) =>
       countWaitingItem(waiting, service, effectiveDueAt),
     );
-    this.options.loads.setWaiting([...waiting.values()], this.workerBackoff.listBackedOff(now));
+    // The planner may not know that a worker is leaving, and would grant its slots again and again.
+    const avoided = new Set([
+      ...this.workerBackoff.listBackedOff(now),
+      ...this.options.directory.listLeaving(),
+    ]);
+    this.options.loads.setWaiting([...waiting.values()], [...avoided]);
   }
 
   /** Preempts items and starts others on the slots that this VM was granted. */
--- a/packages/platform/src/request-forwarder.ts
+++ b/packages/platform/src/request-forwarder.ts
@@ -59,3 +59,12 @@
   ): Reply<WorkerResponse>;
   close(): Promise<void>;
 }
+
+/** A forwarder that also reports what answers say about the state of their workers. */
+export interface BackendForwarder extends RequestForwarder {
+  /**
+   * Calls the handler when the head of an answer says that its worker is leaving. Any answer may say so:
+   * also a refusal, and one that belongs to another request. The worker is the one as passed to `forward`.
+   */
+  onLeaving(handler: (worker: Worker) => void): void;
+}
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -70,6 +70,8 @@
   address: string;
   availabilityZone: string;
   state: VmState;
+  /** Start time of this run of the worker, in epoch milliseconds; absent if it is not known. */
+  startedAt?: number;
 }
 
 /** Number of shards; must not change, because job and claim keys contain the shard number. */
