--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -28,6 +28,9 @@
 
   private isLeaving = false;
 
+  /** Ids of the VMs that the last answer to a look-up named. */
+  private lastNamed = { serving: '', staying: '' };
+
   constructor(private readonly options: DeployedVmOptions) {
     this.log = options.createLog('vm');
     this.components = createComponents(options, (message, addresses) => {
@@ -82,6 +85,7 @@
     const serving = this.listServing();
     const staying = this.components.stop.listStaying(serving.length);
     if (serving.length + staying.length === 0) return undefined;
+    this.logEntryPoints(serving, staying);
     const entryPoints = selectEntryPoints([...serving, ...staying], settings.entryVmId).map(
       ({ callerAddress, availabilityZone }) => ({ address: callerAddress, availabilityZone }),
     );
@@ -138,6 +142,20 @@
       .filter(({ entryVmId }) => entryVmId !== self || this.isReady());
   }
 
+  /** Logs the VMs that callers get, when they change. */
+  private logEntryPoints(serving: readonly Registration[], staying: readonly Registration[]): void {
+    const listIds = (vms: readonly Registration[]): string =>
+      vms
+        .map(({ entryVmId }) => entryVmId)
+        .toSorted()
+        .join();
+    const named = { serving: listIds(serving), staying: listIds(staying) };
+    const { lastNamed } = this;
+    if (named.serving === lastNamed.serving && named.staying === lastNamed.staying) return;
+    this.lastNamed = named;
+    this.log.write('entry-points', named);
+  }
+
   /** Reports the time since the store last answered for the configuration, the workers and the jobs. */
   private reportDataAges(): void {
     const { operatorFollower, workerFollower, jobFollower } = this.components;
