Accept jobs during a planned stop while they can be acknowledged in time

Callers saw: a stopping VM refused the first submission from the first moment of its stop, although it could have stored the job in a few milliseconds.

Cause: without a recent submission, a request was assumed to take as long as its route allows, which for batch routes is the time of an item (15 s).

Fix: submissions are bounded by the time within which they must be acknowledged, as the other calls about jobs are by theirs.

--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -57,23 +57,11 @@
 
   /** Resolves once the job is stored, by this call or by an earlier one. */
   async submit(submission: JobSubmission, route: Route, arrivedAt: number): Reply<SubmitStatus> {
-    const { jobs, timer, log, metrics, acknowledgeMs } = this.options;
-    const { jobId, host, target, items } = submission;
-    const job: SubmittedJob = {
-      schemaVersion: SCHEMA_VERSION,
-      id: jobId,
-      host,
-      target,
-      submittedAt: timer.wallClock() - (timer.now() - arrivedAt),
-      dueMs: route.dueMs ?? DEFAULT_DUE_MS,
-      itemLifetimeMs: route.itemLifetimeMs ?? DEFAULT_DUE_MS,
-      maxAttempts: route.maxAttempts,
-      items,
-      quotaId: createQuotaId(route.host, route.prefix),
-      isCounted: route.maxQueuedTokens !== undefined,
-    };
-    const deadline = arrivedAt + acknowledgeMs - RESPONSE_RESERVE_MS;
-    const reply = await jobs.submit(job, deadline, route.maxQueuedTokens);
+    const { timer, log, metrics, acknowledgeMs } = this.options;
+    const { jobId, items } = submission;
+    const reply = await this.answer('submit-job', jobId, acknowledgeMs, () =>
+      this.store(submission, route, arrivedAt),
+    );
     const outcome = reply.isOk() ? reply.value : reply.error.outcome;
     log.write('job-submitted', {
       job: jobId,
@@ -119,6 +107,29 @@
     });
   }
 
+  private store(
+    { jobId, host, target, items }: JobSubmission,
+    route: Route,
+    arrivedAt: number,
+  ): Reply<SubmitStatus> {
+    const { jobs, timer, acknowledgeMs } = this.options;
+    const job: SubmittedJob = {
+      schemaVersion: SCHEMA_VERSION,
+      id: jobId,
+      host,
+      target,
+      submittedAt: timer.wallClock() - (timer.now() - arrivedAt),
+      dueMs: route.dueMs ?? DEFAULT_DUE_MS,
+      itemLifetimeMs: route.itemLifetimeMs ?? DEFAULT_DUE_MS,
+      maxAttempts: route.maxAttempts,
+      items,
+      quotaId: createQuotaId(route.host, route.prefix),
+      isCounted: route.maxQueuedTokens !== undefined,
+    };
+    const deadline = arrivedAt + acknowledgeMs - RESPONSE_RESERVE_MS;
+    return jobs.submit(job, deadline, route.maxQueuedTokens);
+  }
+
   private async findBody(jobId: string, itemId: string): Reply<Buffer> {
     const found = await this.options.reader.find(jobId);
     if (found.isErr()) return err(found.error);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,10 +73,12 @@
   });
 };
 
-/** Refuses a request that this VM cannot complete before it stops. */
+/** Refuses an online request that this VM cannot complete before it stops. */
 const requireTime: Filter = (context, { admission }) => {
   const { waitMs = Infinity } = context.exchange.request;
-  const { name, timeoutMs } = context.route!;
+  const { name, kind, timeoutMs } = context.route!;
+  // Submissions have a time limit of their own.
+  if (kind === RouteKind.Batch) return ok(context);
   const refusal = admission.refuse(name, Math.min(waitMs, timeoutMs));
   return refusal === undefined ? ok(context) : err(refusal);
 };
@@ -90,8 +92,11 @@
   options: GatewayOptions,
 ) => Promise<void>;
 
-const forwardOnline: Handler = (exchange, route, table, options) =>
-  new OnlineForwarder(options, exchange, route, table.version).run();
+const forwardOnline: Handler = async (exchange, route, table, options) => {
+  await new OnlineForwarder(options, exchange, route, table.version).run();
+  const { timer, admission } = options;
+  admission.recordDuration(route.name, timer.now() - exchange.request.arrivedAt);
+};
 
 const HANDLERS: Record<RouteKind, Handler> = {
   [RouteKind.Idempotent]: forwardOnline,
@@ -118,8 +123,6 @@
     }
     const { route, table } = context;
     await HANDLERS[route!.kind](exchange, route!, table!, this.options);
-    const { timer, admission } = this.options;
-    admission.recordDuration(route!.name, timer.now() - exchange.request.arrivedAt);
   }
 
   private logRejection({ exchange, table }: RequestContext, fault: Fault): void {
