Refuse a request that has crashed three workers

Other callers lost the streams in progress at these workers and were answered late while half of the workers were down.

The quarantine looks for parts that different requests share. It leaves out the last part, and one request that comes again proves nothing. In the log, ids, VMs and workers differ from crash to crash and the parts do not; eight seconds pass between the third crash and the last four sends.

A request now has a key that all attempts at it share. The VMs exchange the keys of requests that were lost before they had received any of their answer. Three crashes without an answer refuse the request at once at each VM that knows of them; a second later, in which answers are reported, it is blocked for all. One or two crashes prove nothing. Batch items have no key.

--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -40,7 +40,10 @@
 };
 
 /** Forwards one request; the second attempt finds no worker. */
-const forward = async (send: (handler: ResponseHandler) => Reply<WorkerResponse>) => {
+const forward = async (
+  send: (handler: ResponseHandler) => Reply<WorkerResponse>,
+  { requestId = 'r', onLoss }: { requestId?: string; onLoss?: (key?: string) => void } = {},
+) => {
   const timer = new VirtualTimer();
   const seen: unknown[] = [];
   let attempts = 0;
@@ -56,7 +59,7 @@
   } as unknown as Router;
   const exchange = {
     request: {
-      requestId: 'r',
+      requestId,
       method: 'POST',
       target: '/',
       host: 'h',
@@ -87,7 +90,10 @@
       quarantine: {
         findBlock: () => undefined,
         recordAnswer: () => seen.push('answer'),
-        recordLoss: (workerId, parts) => seen.push(`loss ${workerId} ${String(parts)}`),
+        recordLoss: (workerId, parts, key) => {
+          seen.push(`loss ${workerId} ${String(parts)}`);
+          onLoss?.(key);
+        },
       },
       backends: {
         forward: (_worker, _request, handler) => send(handler),
@@ -122,3 +128,16 @@
   });
   t.snapshot(seen);
 });
+
+// A caller gives each attempt an id of its own, so that nothing connected the crashes of one request.
+test('losses of one request are reported under the same key for all attempts', async (t) => {
+  const keys: unknown[] = [];
+  const lose = () =>
+    Promise.resolve(err(createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown)));
+  for (const requestId of ['first', 'second']) {
+    await forward(lose, { requestId, onLoss: (key) => keys.push(key) });
+  }
+  t.is(keys.length, 2);
+  t.is(typeof keys[0], 'string');
+  t.is(keys[0], keys[1]);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -4,7 +4,7 @@
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
 import type { RequestForwarder, WorkerResponse } from '@jujubelanding/platform';
-import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
+import { computeRequestKey, type PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import type { Random } from '@jujubelanding/random';
 import { RouteKind, RouteTable, type Route } from '@jujubelanding/route-table';
 import type { FirstTokenWatch, Router } from '@jujubelanding/routing';
@@ -39,6 +39,9 @@
 
   private readonly avoided = new Set<string>();
 
+  /** The same for all attempts of the caller at this request. */
+  private readonly requestKey: string;
+
   /** Number of attempts that have run, or may have run. */
   private runs = 0;
 
@@ -61,9 +64,12 @@
     private readonly route: Route,
     private readonly configurationVersion: number,
   ) {
+    this.requestKey = computeRequestKey(exchange.request);
     this.relay = new ResponseRelay(exchange, route, () => {
       this.firstDataAt ??= options.timer.now();
-      if (!this.hasAttemptData) options.quarantine.recordAnswer(exchange.request.promptPrefixes);
+      if (!this.hasAttemptData) {
+        options.quarantine.recordAnswer(exchange.request.promptPrefixes, this.requestKey);
+      }
       this.hasAttemptData = true;
       this.firstTokenWatch?.recordToken();
     });
@@ -91,7 +97,7 @@
     const service = RouteTable.chooseService(this.route, random.next()) ?? '';
     const prefixes = promptPrefixes;
     for (;;) {
-      const block = quarantine.findBlock(prefixes);
+      const block = quarantine.findBlock(prefixes, this.requestKey);
       if (block !== undefined) return block;
       const routed = router.route({
         requestId,
@@ -161,11 +167,12 @@
       sends: this.sends,
       hasData: this.hasAttemptData,
       parts: promptPrefixes,
+      key: this.requestKey,
     });
     metrics.increment('online.attempt_failed', { code: fault.code });
     if (fault.code !== FaultCode.Overloaded) router.recordFault(worker);
     if (fault.code === FaultCode.Interrupted && !this.hasAttemptData) {
-      quarantine.recordLoss(worker.id, promptPrefixes);
+      quarantine.recordLoss(worker.id, promptPrefixes, this.requestKey);
     }
   }
 
--- a/packages/prompt-quarantine/src/crash-evidence.ts
+++ b/packages/prompt-quarantine/src/crash-evidence.ts
@@ -31,11 +31,22 @@
 /** Crashes are forgotten after this time. */
 const EVIDENCE_LIFETIME_MS = 60_000;
 
+const requestReportSchema = z.object({
+  /** Request, and the ids of the crashes at which it was lost before it received any of its answer. */
+  lost: z.array(z.tuple([z.string(), z.array(z.string())])),
+  /** Request with an answer, and the ids of its crashes known at that time. */
+  answered: z.array(z.tuple([z.string(), z.array(z.string())])),
+});
+
+/** What one VM has seen of requests that are sent again. */
+export type RequestReport = z.infer<typeof requestReportSchema>;
+
 export const evidenceSchema = z.object({
   /** Crash id, and the parts of each request of this VM that had not begun to receive an answer. */
   crashes: z.array(z.tuple([z.string(), z.array(z.array(z.string()))])),
   /** Part that was in a request with an answer, and the ids of the crashes known at that time. */
   answers: z.array(z.tuple([z.string(), z.array(z.string())])),
+  requests: requestReportSchema.default({ lost: [], answered: [] }),
 });
 
 /** What one VM has seen. */
@@ -68,7 +79,7 @@
   /** Parts that were answered before some crash, with the time of the report. */
   private readonly answeredAt = new Map<string, number>();
 
-  add({ crashes, answers }: VmEvidence, now: number): void {
+  add({ crashes, answers }: Pick<VmEvidence, 'crashes' | 'answers'>, now: number): void {
     crashes.forEach(([id, requests]) => requests.forEach((parts) => this.addLoss(id, parts, now)));
     answers.forEach(([part, crashIds]) => this.addAnswer(part, crashIds, now));
   }
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -4,12 +4,14 @@
 import { ChangeKind, type KeyValueChange, type TransactionalStore } from '@jujubelanding/platform';
 import { rankOf } from '@jujubelanding/random';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import { BlockList, parseBlockId, toBlockId } from './block-list.js';
+import { BlockList, parseBlockId, toBlockId, type Block } from './block-list.js';
 import { BlockState, BlockStore, decodeBlockState } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
 import { OwnEvidence } from './own-evidence.js';
 import { RecentAnswers } from './recent-answers.js';
+import { isRequestKey } from './request-key.js';
+import { RequestSuspects } from './request-suspects.js';
 
 /** Interval at which the evidence is evaluated and blocks are stored. */
 const CHECK_INTERVAL_MS = 250;
@@ -40,9 +42,18 @@
   Narrowed = 'narrowed',
 }
 
+/** What a request may be blocked for: its shared parts, and the request itself. */
+const listSuspects = (parts: readonly string[], request: string | undefined): readonly string[] =>
+  request === undefined ? selectShared(parts) : [...selectShared(parts), request];
+
+const describe = ({ parts }: Block): string =>
+  isRequestKey(parts[0]!)
+    ? 'workers crash when they run this request, which is blocked'
+    : `workers crash on prompts with ${parts.join(' and ')}, which are blocked`;
+
 /**
- * Learns which prompt parts crash workers and refuses requests with them. What a VM has seen is stored under
- * its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
+ * Learns which prompt parts and which requests crash workers, and refuses such requests. What a VM has seen
+ * is stored under its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
  */
 export class PromptQuarantine {
   private readonly evidence = new CrashEvidence();
@@ -51,6 +62,8 @@
 
   private readonly answered = new RecentAnswers();
 
+  private readonly requests = new RequestSuspects();
+
   private readonly blocks = new BlockList();
 
   private readonly publisher: EvidencePublisher;
@@ -64,7 +77,10 @@
     this.publisher = new EvidencePublisher({
       ...options,
       key: `${evidencePrefix}${self}`,
-      readReport: () => this.own.report(options.timer.now()),
+      readReport: () => {
+        const now = options.timer.now();
+        return { ...this.own.report(now), requests: this.requests.report(now) };
+      },
     });
     this.blockStore = new BlockStore({ ...options, prefix: options.blockPrefix });
   }
@@ -79,20 +95,20 @@
     this.publisher.stop();
   }
 
-  /** Returns the fault with which a request is refused if a combination of its parts is blocked. */
-  findBlock(parts: readonly string[]): Fault | undefined {
-    const block = this.blocks.find(selectShared(parts));
-    if (block === undefined) return undefined;
+  /**
+   * Returns the fault with which a request is refused if it, or a combination of its parts, is blocked.
+   * Batch items have no request key: an item under which workers crashed is still owed.
+   */
+  findBlock(parts: readonly string[], request?: string): Fault | undefined {
     const now = this.options.timer.now();
-    block.lastHitAt = now;
-    this.options.metrics.increment('quarantine.refused');
-    return {
-      code: FaultCode.Unavailable,
-      outcome: Outcome.NotRun,
-      step: 'prompt-quarantine',
-      message: `workers crash on prompts with ${block.parts.join(' and ')}, which are blocked`,
-      retryAfterMs: this.blocks.remainingMs(block, now),
-    };
+    const block = this.blocks.find(listSuspects(parts, request));
+    if (block !== undefined) {
+      block.lastHitAt = now;
+      return this.refuse(describe(block), this.blocks.remainingMs(block, now));
+    }
+    const undecidedMs = request === undefined ? undefined : this.requests.undecidedMs(request, now);
+    if (undecidedMs === undefined) return undefined;
+    return this.refuse('workers crashed while they ran this request', undecidedMs);
   }
 
   /** True while anything is blocked. */
@@ -106,21 +122,28 @@
   }
 
   /** Records that a request with these parts has begun to receive its answer. */
-  recordAnswer(parts: readonly string[]): void {
+  recordAnswer(parts: readonly string[], request?: string): void {
     const shared = selectShared(parts);
     const now = this.options.timer.now();
     this.answered.add(shared);
-    if (this.hasBlocks) this.narrowBlocks(shared, now);
+    if (this.hasBlocks) this.narrowBlocks(listSuspects(parts, request), now);
     if (!this.evidence.isEmpty) shared.forEach((part) => this.clear(part, now));
+    if (request !== undefined && this.requests.recordAnswer(request, now)) {
+      this.publisher.schedule();
+    }
   }
 
   /** Records that a worker's connection broke before a request with these parts received an answer. */
-  recordLoss(workerId: string, parts: readonly string[]): void {
-    if (selectShared(parts).length === 0) return;
+  recordLoss(workerId: string, parts: readonly string[], request?: string): void {
     const now = this.options.timer.now();
     const crashId = this.options.runIdOf(workerId);
-    this.evidence.addLoss(crashId, parts, now);
-    if (this.own.addLoss(crashId, parts, now)) this.publisher.schedule();
+    if (request !== undefined && this.requests.recordLoss(request, crashId, now)) {
+      this.publisher.schedule();
+    }
+    if (selectShared(parts).length > 0) {
+      this.evidence.addLoss(crashId, parts, now);
+      if (this.own.addLoss(crashId, parts, now)) this.publisher.schedule();
+    }
     this.reportAnswered(now);
   }
 
@@ -148,6 +171,7 @@
     else {
       if (this.blocks.recordStored(id, now)) this.logBlock(id, BlockReason.Stored);
       this.evidence.explain(parseBlockId(id), now);
+      this.requests.explain(id, now);
     }
   }
 
@@ -155,7 +179,10 @@
     const report = decodeEvidence(value);
     if (report === undefined) {
       this.options.log.write('evidence-skipped', { key, reason: 'unreadable' });
-    } else this.evidence.add(report, now);
+      return;
+    }
+    this.evidence.add(report, now);
+    this.requests.apply(report.requests, now);
   }
 
   /** Removes answered parts from blocked combinations; a block without further parts is released. */
@@ -163,7 +190,8 @@
     for (const { id, parts } of this.blocks.list()) {
       const rest = parts.filter((part) => !answered.includes(part));
       if (rest.length < parts.length) {
-        this.options.log.write('prompt-part-cleared', { block: id, rest });
+        const event = isRequestKey(id) ? 'request-cleared' : 'prompt-part-cleared';
+        this.options.log.write(event, { block: id, rest });
         this.blocks.remove(id);
         void this.replaceStored(id, rest, now);
       }
@@ -200,6 +228,7 @@
    * expected at any crash.
    */
   private reportAnswered(now: number): void {
+    if (this.requests.reportAnswered(now)) this.publisher.schedule();
     if (this.evidence.isEmpty) return;
     for (const part of this.evidence.listSuspected().filter((id) => this.answered.has(id))) {
       const cleared = this.answered.isExpected(part) ? this.evidence.listOpenCrashes(part) : [];
@@ -217,11 +246,26 @@
       this.block(parts, BlockReason.Crashes, now);
       parts = this.evidence.findDangerous(now);
     }
+    this.requests
+      .findDangerous(now)
+      .forEach((request) => this.block([request], BlockReason.Crashes, now));
     this.storeBlocks();
   }
 
+  private refuse(message: string, retryAfterMs: number): Fault {
+    this.options.metrics.increment('quarantine.refused');
+    return {
+      code: FaultCode.Unavailable,
+      outcome: Outcome.NotRun,
+      step: 'prompt-quarantine',
+      message,
+      retryAfterMs,
+    };
+  }
+
   private logBlock(block: string, reason: BlockReason): void {
-    this.options.log.write('prompt-part-blocked', { block, reason });
+    const event = isRequestKey(block) ? 'request-blocked' : 'prompt-part-blocked';
+    this.options.log.write(event, { block, reason });
     this.options.metrics.increment('quarantine.blocked', { reason });
   }
 
--- /dev/null
+++ b/packages/prompt-quarantine/src/request-evidence.ts
@@ -0,0 +1,132 @@
+/** Decides from the reports of all entry VMs which requests crash the workers that begin to run them. */
+
+/** Crashes after which the VMs report answers to a request. */
+const CRASHES_OF_SUSPECT = 2;
+
+/** Crashes after which a request counts as dangerous if no VM has seen an answer to it. */
+const CRASHES_OF_NEW_REQUEST = 3;
+
+/**
+ * The same for a request that was answered before these crashes. Some requests are sent by many callers, so
+ * one of them is in progress at any crash.
+ */
+const CRASHES_OF_ANSWERED_REQUEST = 5;
+
+/** Time between the last crash needed and the decision, in which other VMs report answers. */
+const CONFIRMATION_MS = 1000;
+
+/** Callers may send a request again after a long time. */
+const EVIDENCE_LIFETIME_MS = 600_000;
+
+/** Maximum number of requests that are remembered; the least recent ones are forgotten. */
+const MAX_REQUESTS = 2000;
+
+interface Suspect {
+  /** By crash id, oldest first; the time at which this VM learned of the crash. */
+  crashes: Map<string, number>;
+  /** Crashes that are known to have another cause, because an answer came after them. */
+  cleared: Set<string>;
+  hasAnswer: boolean;
+  lastLostAt: number;
+}
+
+/** Crashes by request, as reported by all VMs. */
+export class RequestEvidence {
+  private readonly suspects = new Map<string, Suspect>();
+
+  /** Crashes that a dangerous request explains, with the time at which they were explained. */
+  private readonly explained = new Map<string, number>();
+
+  get isEmpty(): boolean {
+    return this.suspects.size === 0;
+  }
+
+  /** Records that a request was lost at a crash before it had received any of its answer. */
+  addLoss(request: string, crashId: string, now: number): void {
+    if (this.explained.has(crashId)) return;
+    const suspect = this.take(request, now);
+    if (!suspect.crashes.has(crashId)) suspect.crashes.set(crashId, now);
+    this.put(request, { ...suspect, lastLostAt: now });
+  }
+
+  /** Records an answer to the request; the crashes known before it have another cause. */
+  addAnswer(request: string, crashIds: readonly string[], now: number): void {
+    const suspect = this.take(request, now);
+    crashIds.forEach((id) => suspect.cleared.add(id));
+    this.put(request, { ...suspect, hasAnswer: true });
+  }
+
+  /** Ids of the crashes of the request that no answer has cleared. */
+  listOpenCrashes(request: string): string[] {
+    return this.listCrashes(request).map(([id]) => id);
+  }
+
+  /** True if answers to the request matter to other VMs. */
+  isSuspected(request: string): boolean {
+    return (this.suspects.get(request)?.crashes.size ?? 0) >= CRASHES_OF_SUSPECT;
+  }
+
+  listSuspected(): string[] {
+    return [...this.suspects.keys()].filter((request) => this.isSuspected(request));
+  }
+
+  /** Time until it is decided whether the request is dangerous; undefined if it has too few crashes. */
+  undecidedMs(request: string, now: number): number | undefined {
+    const hasAnswer = this.suspects.get(request)?.hasAnswer === true;
+    const needed = hasAnswer ? CRASHES_OF_ANSWERED_REQUEST : CRASHES_OF_NEW_REQUEST;
+    const last = this.listCrashes(request)[needed - 1];
+    return last === undefined ? undefined : Math.max(0, last[1] + CONFIRMATION_MS - now);
+  }
+
+  /**
+   * Returns the dangerous requests with most crashes; they are several if they were lost at the same ones,
+   * so that the evidence does not tell which of them is dangerous.
+   */
+  findDangerous(now: number): string[] {
+    const [strongest, ...rest] = [...this.suspects.keys()]
+      .filter((request) => this.undecidedMs(request, now) === 0)
+      .toSorted((a, b) => this.listCrashes(b).length - this.listCrashes(a).length);
+    if (strongest === undefined) return [];
+    const crashIds = String(this.listOpenCrashes(strongest));
+    const equals = rest.filter((request) => String(this.listOpenCrashes(request)) === crashIds);
+    return [strongest, ...equals].toSorted();
+  }
+
+  /** Removes the crashes that dangerous requests explain, so that others are not blamed for them. */
+  explain(requests: readonly string[], now: number): void {
+    const crashIds = requests.flatMap((request) => this.listOpenCrashes(request));
+    requests.forEach((request) => this.suspects.delete(request));
+    for (const id of crashIds) {
+      this.explained.set(id, now);
+      this.suspects.forEach(({ crashes }) => crashes.delete(id));
+    }
+  }
+
+  prune(now: number): void {
+    for (const [request, { lastLostAt }] of this.suspects) {
+      if (now - lastLostAt > EVIDENCE_LIFETIME_MS) this.suspects.delete(request);
+    }
+    for (const [id, at] of this.explained) {
+      if (now - at > EVIDENCE_LIFETIME_MS) this.explained.delete(id);
+    }
+  }
+
+  /** Removes the entry of a request, so that it can be entered again as the newest one. */
+  private take(request: string, now: number): Suspect {
+    const suspect = this.suspects.get(request);
+    this.suspects.delete(request);
+    return suspect ?? { crashes: new Map(), cleared: new Set(), hasAnswer: false, lastLostAt: now };
+  }
+
+  private put(request: string, suspect: Suspect): void {
+    this.suspects.set(request, suspect);
+    const [oldest] = this.suspects.keys();
+    if (this.suspects.size > MAX_REQUESTS) this.suspects.delete(oldest!);
+  }
+
+  private listCrashes(request: string): [string, number][] {
+    const suspect = this.suspects.get(request);
+    if (suspect === undefined) return [];
+    return [...suspect.crashes].filter(([id]) => !suspect.cleared.has(id));
+  }
+}
--- /dev/null
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -0,0 +1,87 @@
+import type { RequestReport } from './crash-evidence.js';
+import { OwnReport } from './own-report.js';
+import { RecentAnswers } from './recent-answers.js';
+import { RequestEvidence } from './request-evidence.js';
+
+/** Requests are reported as long as callers may send them again. */
+const REPORT_MS = 600_000;
+
+/** Maximum number of lost requests, and of answered ones, in a report. */
+const MAX_REPORTED = 32;
+
+/** Requests that may crash workers: what this VM has seen of them and what the others have reported. */
+export class RequestSuspects {
+  private readonly evidence = new RequestEvidence();
+
+  private readonly answered = new RecentAnswers();
+
+  private readonly ownLosses = new OwnReport(REPORT_MS, MAX_REPORTED);
+
+  private readonly ownAnswers = new OwnReport(REPORT_MS, MAX_REPORTED);
+
+  /** Returns true if the report changes. */
+  recordLoss(request: string, crashId: string, now: number): boolean {
+    this.evidence.addLoss(request, crashId, now);
+    return this.ownLosses.add(request, [crashId], now);
+  }
+
+  /** Returns true if the other VMs should know of the answer. */
+  recordAnswer(request: string, now: number): boolean {
+    this.answered.add([request]);
+    const crashIds = this.evidence.listOpenCrashes(request);
+    if (crashIds.length === 0) return false;
+    const isSuspected = this.evidence.isSuspected(request);
+    this.evidence.addAnswer(request, crashIds, now);
+    return this.ownAnswers.add(request, crashIds, now) && isSuspected;
+  }
+
+  apply({ lost, answered }: RequestReport, now: number): void {
+    lost.forEach(([request, crashIds]) =>
+      crashIds.forEach((id) => this.evidence.addLoss(request, id, now)),
+    );
+    answered.forEach(([request, crashIds]) => this.evidence.addAnswer(request, crashIds, now));
+  }
+
+  /**
+   * Adds the suspected requests to the report that this VM has seen answered before the crashes; returns true
+   * if the report changes.
+   */
+  reportAnswered(now: number): boolean {
+    const known = this.evidence.listSuspected().filter((request) => this.answered.has(request));
+    return known
+      .map((request) => {
+        const isExpected = this.answered.isExpected(request);
+        const cleared = isExpected ? this.evidence.listOpenCrashes(request) : [];
+        this.evidence.addAnswer(request, cleared, now);
+        return this.ownAnswers.add(request, cleared, now);
+      })
+      .includes(true);
+  }
+
+  /** Time until it is decided whether the request is dangerous; undefined if it has too few crashes. */
+  undecidedMs(request: string, now: number): number | undefined {
+    return this.evidence.undecidedMs(request, now);
+  }
+
+  /** Returns the requests that have become dangerous. */
+  findDangerous(now: number): string[] {
+    this.evidence.prune(now);
+    const all: string[] = [];
+    let found = this.evidence.findDangerous(now);
+    while (found.length > 0) {
+      all.push(...found);
+      this.evidence.explain(found, now);
+      found = this.evidence.findDangerous(now);
+    }
+    return all;
+  }
+
+  /** Removes the crashes of a request that another VM has blocked. */
+  explain(request: string, now: number): void {
+    this.evidence.explain([request], now);
+  }
+
+  report(now: number): RequestReport {
+    return { lost: this.ownLosses.list(now), answered: this.ownAnswers.list(now) };
+  }
+}
--- /dev/null
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -0,0 +1,207 @@
+// Guards against a request that crashes each worker that begins to run it: its parts proved nothing, as they
+// came in one request only, and it was sent on whenever its caller sent it again.
+import test from 'ava';
+import fc from 'fast-check';
+import { silentLog } from '@jujubelanding/log';
+import { silentMetrics } from '@jujubelanding/metrics';
+import { ChangeKind } from '@jujubelanding/platform';
+import { createRandom } from '@jujubelanding/random';
+import { KeyValueService } from '@jujubelanding/stand-ins';
+import { VirtualTimer } from '@jujubelanding/timer';
+import { TaintedFleet, type TaintedLoad } from './fixtures/index.js';
+import { computeRequestKey, PromptQuarantine, type RepeatableRequest } from './index.js';
+
+/** Time from the third crash after which the request is counted, and its maximum number of sends then. */
+const CONTACT_MS = 3000;
+const MAX_LATE_SENDS = 3;
+
+const MAX_REFUSED_SHARE = 0.01;
+
+const DEADLY = 'request-deadly';
+
+const loadArbitrary: fc.Arbitrary<TaintedLoad> = fc.record({
+  seed: fc.nat(),
+  vmCount: fc.integer({ min: 2, max: 12 }),
+  taintedShare: fc.double({ min: 0.01, max: 0.6, noNaN: true }),
+  companions: fc.constant(1),
+  isSingleRequest: fc.constant(true),
+});
+
+const countLateSends = async (load: TaintedLoad, outageEndsAt = 0): Promise<number> => {
+  const fleet = new TaintedFleet(load, 'none');
+  await fleet.run(40_000);
+  const third = fleet.crashes[2] ?? Infinity;
+  // VMs count as in touch again that long after an outage of the store.
+  const from = Math.max(third, outageEndsAt) + CONTACT_MS;
+  return fleet.taintedSends.filter((at) => at > from).length;
+};
+
+test('a request that crashed three workers reaches few workers later than the contact time', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(loadArbitrary, async (load) => (await countLateSends(load)) <= MAX_LATE_SENDS),
+    { numRuns: 60, seed: 25 },
+  );
+  t.pass();
+});
+
+test('it reaches few workers after an outage of the store in which it crashed them', async (t) => {
+  const outage = { from: 3000, durationMs: 8000 };
+  const outageEndsAt = outage.from + outage.durationMs;
+  await fc.assert(
+    fc.asyncProperty(loadArbitrary, async (load) => {
+      const late = await countLateSends({ ...load, outages: [outage] }, outageEndsAt);
+      return late <= MAX_LATE_SENDS;
+    }),
+    { numRuns: 40, seed: 25 },
+  );
+  t.pass();
+});
+
+test('requests beside it are still sent, also when their callers send them again', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(loadArbitrary, async (load) => {
+      const fleet = new TaintedFleet(load, 'none');
+      await fleet.run(40_000);
+      return fleet.refusedSound <= fleet.sound * MAX_REFUSED_SHARE;
+    }),
+    { numRuns: 60, seed: 25 },
+  );
+  t.pass();
+});
+
+test('requests that are sent again after crashes of other cause are not refused', async (t) => {
+  const fleet = new TaintedFleet({ seed: 5, vmCount: 7, taintedShare: 0, companions: 20 }, 'none');
+  for (let round = 0; round < 12; round += 1) {
+    await fleet.run(2500);
+    fleet.crashWorkers(round % 4);
+  }
+  t.true(fleet.crashes.length > 10);
+  t.is(fleet.refusedSound, 0);
+});
+
+const createVm = (service: KeyValueService, timer: VirtualTimer, name: string) => {
+  const lease = { current: undefined as string | undefined, replace: () => {} };
+  const store = service.createClient(name);
+  void store.grantLease(600_000).then((granted) => {
+    lease.current = granted.map(({ leaseId }) => leaseId).unwrapOr(undefined);
+  });
+  const vm = new PromptQuarantine({
+    timer,
+    log: silentLog,
+    metrics: silentMetrics,
+    store,
+    lease: () => lease,
+    evidencePrefix: 'q/crash/',
+    blockPrefix: 'q/blocked/',
+    self: name,
+    listServing: () => [],
+    runIdOf: (workerId) => workerId,
+  });
+  vm.start();
+  return vm;
+};
+
+const setUp = (...names: string[]) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const vms = names.map((name) => createVm(service, timer, name));
+  /** Makes all VMs read what is stored. */
+  const exchange = async (): Promise<void> => {
+    await timer.advance(150);
+    const { entries } = service.state.list('q/', Infinity);
+    const changes = entries.map((entry) => ({ kind: ChangeKind.Put, entry }));
+    vms.forEach((vm) => vm.apply(changes));
+  };
+  return { timer, vms, exchange };
+};
+
+// A caller that sends its request again after a crash of other cause must be served.
+test('one or two crashes prove nothing, the third one refuses the request at all VMs', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  a.recordLoss('w1', [], DEADLY);
+  b.recordLoss('w2', [], DEADLY);
+  await exchange();
+  await timer.advance(5000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  a.recordLoss('w3', [], DEADLY);
+  t.snapshot(a.findBlock([], DEADLY));
+  t.is(b.findBlock([], DEADLY), undefined);
+  await exchange();
+  t.true(b.findBlock([], DEADLY)!.retryAfterMs! <= 1000);
+  await timer.advance(2000);
+  t.snapshot([a, b].map((vm) => Math.round(vm.findBlock([], DEADLY)!.retryAfterMs! / 10_000)));
+  t.is(a.findBlock([], 'request-other'), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
+test('losses at one run of a worker count as one crash', async (t) => {
+  const { timer, vms } = setUp('a');
+  const [a] = vms as [PromptQuarantine];
+  for (let attempt = 0; attempt < 5; attempt += 1) a.recordLoss('w1', [], DEADLY);
+  await timer.advance(2000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  a.stop();
+});
+
+test('an answer at another VM clears the crashes before it', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  ['w1', 'w2', 'w3'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await exchange();
+  b.recordAnswer([], DEADLY);
+  await exchange();
+  await timer.advance(2000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  t.is(b.findBlock([], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
+// Many callers send the same request, so it is in progress when all workers crash at once.
+test('a request that was answered before needs more crashes', async (t) => {
+  const { timer, vms } = setUp('a');
+  const [a] = vms as [PromptQuarantine];
+  a.recordAnswer([], DEADLY);
+  for (let other = 0; other < 30; other += 1) a.recordAnswer([], `request-${other}`);
+  ['w1', 'w2', 'w3', 'w4'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  a.recordLoss('w5', [], DEADLY);
+  t.not(a.findBlock([], DEADLY), undefined);
+  a.stop();
+});
+
+test('a block of a request outlives the VM that found it', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  ['w1', 'w2', 'w3'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+  a.stop();
+  await exchange();
+  t.not(b.findBlock([], DEADLY), undefined);
+  // Batch items have no key: they are still owed.
+  t.false(b.isBlocked([]));
+  b.stop();
+});
+
+test('attempts at a request have the same key, and other requests have others', (t) => {
+  const request: RepeatableRequest = {
+    method: 'POST',
+    host: 'h',
+    target: '/p?q=1',
+    headers: { authorization: 'caller', 'x-attempt': '1' },
+    body: Buffer.from('prompt'),
+    promptPrefixes: ['a', 'own'],
+  };
+  const repeat = { ...request, headers: { authorization: 'caller', 'x-attempt': '2' } };
+  t.is(computeRequestKey(repeat), computeRequestKey(request));
+  const others = [
+    { method: 'PUT' },
+    { host: 'i' },
+    { target: '/p?q=2' },
+    { headers: { authorization: 'another' } },
+    { body: Buffer.from('prompt 2') },
+    { promptPrefixes: ['a', 'other'] },
+  ].map((change) => computeRequestKey({ ...request, ...change }));
+  t.is(new Set([...others, computeRequestKey(request)]).size, others.length + 1);
+});
