Gather copies of a request that crashed a worker at one worker

Until the third crash is known, a request under which workers crash is sent on, as one or two crashes prove nothing.

All VMs now send such a request to the same worker, the first by rendezvous hashing of its key among the healthy ones with a free slot. A copy that arrives while another one is in progress there costs no further worker. An answer clears the suspicion, and the request is routed as any other.

--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -5,7 +5,7 @@
 import type { ResponseHandler, WorkerResponse } from '@jujubelanding/platform';
 import { createRandom } from '@jujubelanding/random';
 import { RouteKind, type Route } from '@jujubelanding/route-table';
-import type { Router } from '@jujubelanding/routing';
+import type { Router, RouteRequest } from '@jujubelanding/routing';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { VmState } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
@@ -39,16 +39,24 @@
   isResumable: true,
 };
 
+interface ForwardOptions {
+  requestId?: string;
+  isSuspected?: boolean;
+  onLoss?: (key?: string) => void;
+  onRoute?: (request: RouteRequest) => void;
+}
+
 /** Forwards one request; the second attempt finds no worker. */
 const forward = async (
   send: (handler: ResponseHandler) => Reply<WorkerResponse>,
-  { requestId = 'r', onLoss }: { requestId?: string; onLoss?: (key?: string) => void } = {},
+  { requestId = 'r', isSuspected = false, onLoss, onRoute }: ForwardOptions = {},
 ) => {
   const timer = new VirtualTimer();
   const seen: unknown[] = [];
   let attempts = 0;
   const router = {
-    route: () => {
+    route: (request: RouteRequest) => {
+      onRoute?.(request);
       attempts += 1;
       return attempts === 1 ? ok(WORKER) : err(createFault(FaultCode.Unavailable, Outcome.NotRun));
     },
@@ -89,6 +97,7 @@
       } as never,
       quarantine: {
         findBlock: () => undefined,
+        isSuspected: () => isSuspected,
         recordAnswer: () => seen.push('answer'),
         recordLoss: (workerId, parts, key) => {
           seen.push(`loss ${workerId} ${String(parts)}`);
@@ -141,3 +150,13 @@
   t.is(typeof keys[0], 'string');
   t.is(keys[0], keys[1]);
 });
+
+test('only a request under which workers crashed is gathered at one worker', async (t) => {
+  const gathered: boolean[] = [];
+  const refuse = () =>
+    Promise.resolve(err(createFault(FaultCode.Unavailable, Outcome.OutcomeUnknown)));
+  const onRoute = ({ gatherKey }: RouteRequest) => gathered.push(gatherKey !== undefined);
+  await forward(refuse, { isSuspected: true, onRoute });
+  await forward(refuse, { isSuspected: false, onRoute });
+  t.deepEqual([...new Set(gathered)], [true, false]);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -20,7 +20,7 @@
   random: Random;
   router: Router;
   loads: WorkerLoads;
-  quarantine: Pick<PromptQuarantine, 'findBlock' | 'recordAnswer' | 'recordLoss'>;
+  quarantine: Pick<PromptQuarantine, 'findBlock' | 'isSuspected' | 'recordAnswer' | 'recordLoss'>;
   backends: RequestForwarder;
   metrics: Metrics;
   log: Log;
@@ -105,6 +105,7 @@
         target: '',
         prefixes,
         avoided: this.avoided,
+        gatherKey: quarantine.isSuspected(this.requestKey) ? this.requestKey : undefined,
       });
       if (routed.isErr()) return routed.error;
       const attempt = await this.send(routed.value);
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -111,6 +111,11 @@
     return this.refuse('workers crashed while they ran this request', undecidedMs);
   }
 
+  /** True if a worker crashed under the request, and no answer to it is known since. */
+  isSuspected(request: string): boolean {
+    return this.requests.isOpen(request);
+  }
+
   /** True while anything is blocked. */
   get hasBlocks(): boolean {
     return !this.blocks.isEmpty;
--- a/packages/prompt-quarantine/src/request-evidence.ts
+++ b/packages/prompt-quarantine/src/request-evidence.ts
@@ -61,6 +61,11 @@
     return this.listCrashes(request).map(([id]) => id);
   }
 
+  /** True if the request was lost at a crash and not answered since. */
+  isOpen(request: string): boolean {
+    return this.listCrashes(request).length > 0;
+  }
+
   /** True if answers to the request matter to other VMs. */
   isSuspected(request: string): boolean {
     return (this.suspects.get(request)?.crashes.size ?? 0) >= CRASHES_OF_SUSPECT;
--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -58,6 +58,11 @@
       .includes(true);
   }
 
+  /** True if the request was lost at a crash and not answered since. */
+  isOpen(request: string): boolean {
+    return this.evidence.isOpen(request);
+  }
+
   /** Time until it is decided whether the request is dangerous; undefined if it has too few crashes. */
   undecidedMs(request: string, now: number): number | undefined {
     return this.evidence.undecidedMs(request, now);
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -2,6 +2,7 @@
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Directory, EntryVmIo, WorkerLoads } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import { rankNodes } from '@jujubelanding/random';
 import type { Subscription } from '@jujubelanding/timer';
 import type { CacheEvent, Worker } from '@jujubelanding/types';
 import { err, ok, type Result } from 'neverthrow';
@@ -40,6 +41,11 @@
   prefixes: readonly string[];
   /** Workers on which an earlier attempt failed. */
   avoided: ReadonlySet<string>;
+  /**
+   * Requests with the same key go to the same worker, if it has a free slot. Set for a request under which
+   * workers crashed, so that copies of it in progress at the same time crash one worker and not several.
+   */
+  gatherKey?: string | undefined;
 }
 
 /** Selects workers; one instance per entry VM. */
@@ -80,9 +86,7 @@
     const workers = this.options.directory.workersOf(request.service);
     const { availabilityZone } = this.options;
     const selected = this.selectWorkers(workers, request, now);
-    const candidates = selectSubset(selected, availabilityZone, this.subsetKey).map((worker) =>
-      this.createCandidate(worker, request, now),
-    );
+    const candidates = this.listCandidates(selected, request, now);
     const choice = this.chooser(candidates, {
       availabilityZone,
       random: this.options.io.random,
@@ -168,6 +172,22 @@
     return untried.length > 0 ? untried : withTarget;
   }
 
+  private listCandidates(workers: Worker[], request: RouteRequest, now: number): Candidate[] {
+    const { gatherKey } = request;
+    const toCandidate = (worker: Worker) => this.createCandidate(worker, request, now);
+    const subset = selectSubset(workers, this.options.availabilityZone, this.subsetKey);
+    if (gatherKey === undefined) return subset.map(toCandidate);
+    const free = workers
+      .map(toCandidate)
+      .filter(({ load, trafficShare }) => trafficShare > 0 && load.online < load.slots);
+    const [first] = rankNodes(
+      gatherKey,
+      free.map(({ workerId }) => workerId),
+    );
+    const gathered = free.filter(({ workerId }) => workerId === first);
+    return gathered.length > 0 ? gathered : subset.map(toCandidate);
+  }
+
   private createCandidate(worker: Worker, request: RouteRequest, now: number): Candidate {
     const load = this.options.loads.get(worker.id);
     return {
