Announce lost requests to all VMs by datagram

A VM learns through the store which requests others have lost at crashes. That takes up to a second, in which a request that crashes workers is sent on; it stands still while the store is down; and a VM that stops has given up its lease, so that its report ends while it still serves callers for seconds.

Lost datagrams are made up for by the store.

The test fails without the announcement: the other VM, with the store down, sent the request on after three crashes.

--- a/packages/deployed-vm/src/fleet-components.ts
+++ b/packages/deployed-vm/src/fleet-components.ts
@@ -105,8 +105,8 @@
   { timer, store, createLog, metrics, keys, settings }: DeployedVmOptions,
   { lease, loads }: Fleet,
   workers: WorkerRegistry,
-): PromptQuarantine =>
-  new PromptQuarantine({
+): PromptQuarantine => {
+  const quarantine = new PromptQuarantine({
     timer,
     log: createLog('quarantine'),
     metrics,
@@ -116,6 +116,10 @@
     blockPrefix: `${keys.followedPrefix}blocked/`,
     self: settings.entryVmId,
     listServing: () => loads.listServing(),
+    announce: (lost) => loads.announceLosses(lost),
     // A loss is noticed at once, and the entry of a worker that crashed is removed seconds later.
     runIdOf: (workerId) => `${workerId}@${workers.find(workerId)?.startedAt ?? 0}`,
   });
+  loads.onLosses((lost) => quarantine.applyLosses(lost));
+  return quarantine;
+};
--- a/packages/fleet-load/src/fleet-load.test.ts
+++ b/packages/fleet-load/src/fleet-load.test.ts
@@ -160,3 +160,15 @@
   t.true(get('z4-vm02').hasLeft('z1-vm02', 'boot-z1-vm02'));
   t.false(get('z4-vm02').listServing().includes('z1-vm02'));
 });
+
+test('losses of requests reach all VMs of a large fleet at once', async (t) => {
+  const { timer, fleet, get, start } = createLargeFleet();
+  start();
+  await timer.advance(1500);
+  const seen: string[] = [];
+  fleet.forEach((loads, id) => loads.onLosses((lost) => seen.push(`${id} ${String(lost)}`)));
+  get('z1-vm02').announceLosses([['request', 'crash']]);
+  await timer.advance(2);
+  t.is(seen.length, fleet.size - 1);
+  t.true(seen.includes('z4-vm03 request,crash'));
+});
--- a/packages/fleet-load/src/fleet-load.ts
+++ b/packages/fleet-load/src/fleet-load.ts
@@ -8,6 +8,7 @@
   type LoadMessage,
   type Plan,
   type Report,
+  type RequestLoss,
   type Totals,
   type View,
   type WaitingCount,
@@ -62,6 +63,8 @@
 
   private readonly urgentHandlers = new Set<() => void>();
 
+  private readonly lossHandlers = new Set<(lost: readonly RequestLoss[]) => void>();
+
   private readonly planHandlers = new Set<(plan: Plan) => void>();
 
   private readonly subscriptions: Subscription[] = [];
@@ -195,6 +198,21 @@
     return { cancel: () => this.urgentHandlers.delete(handler) };
   }
 
+  /** Calls the handler with the requests that another VM has lost at workers that crashed. */
+  onLosses(handler: (lost: readonly RequestLoss[]) => void): Subscription {
+    this.lossHandlers.add(handler);
+    return { cancel: () => this.lossHandlers.delete(handler) };
+  }
+
+  /** Tells all other VMs at once; a lost message is not sent again. */
+  announceLosses(lost: RequestLoss[]): void {
+    const { listOthers, send } = this.options;
+    send(
+      { kind: MessageKind.Losses, lost },
+      listOthers().map(({ entryVmId }) => entryVmId),
+    );
+  }
+
   receive(message: LoadMessage): void {
     const handlers: {
       [Kind in MessageKind]: (message: Extract<LoadMessage, { kind: Kind }>) => void;
@@ -202,6 +220,7 @@
       [MessageKind.Report]: (report) => this.receiveReport(report),
       [MessageKind.Totals]: (totals) => this.receiveTotals(totals),
       [MessageKind.View]: (view) => this.receiveView(view),
+      [MessageKind.Losses]: ({ lost }) => this.lossHandlers.forEach((handler) => handler(lost)),
       [MessageKind.Plan]: (plan) => this.planHandlers.forEach((handler) => handler(plan)),
     };
     const handler = handlers[message.kind] as (message: LoadMessage) => void;
--- a/packages/fleet-load/src/index.ts
+++ b/packages/fleet-load/src/index.ts
@@ -1,5 +1,12 @@
 /** Work in progress on each worker across all entry VMs. */
 export { FleetLoad, type FleetLoadOptions } from './fleet-load.js';
 export { MAX_DIRECT_VMS, rankCandidates, type CollectorCandidate } from './collector-choice.js';
-export type { BatchRun, BatchWork, LoadMessage, Plan, WaitingCount } from './load-message.js';
+export type {
+  BatchRun,
+  BatchWork,
+  LoadMessage,
+  Plan,
+  RequestLoss,
+  WaitingCount,
+} from './load-message.js';
 export { openLoadSocket, type LoadSocket } from './load-socket.js';
--- a/packages/fleet-load/src/load-message.ts
+++ b/packages/fleet-load/src/load-message.ts
@@ -10,6 +10,8 @@
   View = 'view',
   /** From the planner to a VM with batch items. */
   Plan = 'plan',
+  /** From a VM to all others: online requests that it has lost at workers that crashed. */
+  Losses = 'losses',
 }
 
 /** Worker id, and the online requests and batch items in progress on it. */
@@ -91,11 +93,20 @@
   cuts: z.array(z.string()),
 });
 
+/** Key of a request, and the id of the crash at which it was lost. */
+const requestLossSchema = z.tuple([z.string(), z.string()]);
+
+const lossesSchema = z.object({
+  kind: z.literal(MessageKind.Losses),
+  lost: z.array(requestLossSchema),
+});
+
 export const messageSchema = z.discriminatedUnion('kind', [
   reportSchema,
   totalsSchema,
   viewSchema,
   planSchema,
+  lossesSchema,
 ]);
 
 export type WorkerCount = z.infer<typeof workerCountSchema>;
@@ -106,4 +117,5 @@
 export type Totals = z.infer<typeof totalsSchema>;
 export type View = z.infer<typeof viewSchema>;
 export type Plan = z.infer<typeof planSchema>;
+export type RequestLoss = z.infer<typeof requestLossSchema>;
 export type LoadMessage = z.infer<typeof messageSchema>;
--- a/packages/prompt-quarantine/src/index.ts
+++ b/packages/prompt-quarantine/src/index.ts
@@ -1,5 +1,6 @@
 /** Finds prompt parts and requests that crash workers, and refuses them. */
 export { CrashEvidence, type VmEvidence } from './crash-evidence.js';
 export { PromptQuarantine, type PromptQuarantineOptions } from './prompt-quarantine.js';
+export type { RequestLoss } from './request-suspects.js';
 export { RequestEvidence } from './request-evidence.js';
 export { computeRequestKey, type RepeatableRequest } from './request-key.js';
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -102,6 +102,7 @@
     blockPrefix: BLOCK_PREFIX,
     self: name,
     listServing: () => others,
+    announce: () => {},
     runIdOf: (workerId) => workerId,
   });
 
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -1,17 +1,19 @@
-import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
 import { ChangeKind, type KeyValueChange, type TransactionalStore } from '@jujubelanding/platform';
 import { rankOf } from '@jujubelanding/random';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import { BlockList, parseBlockId, toBlockId, type Block } from './block-list.js';
+import { BlockList, parseBlockId, toBlockId } from './block-list.js';
 import { BlockState, BlockStore, decodeBlockState } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
+import { LossAnnouncer } from './loss-announcer.js';
 import { OwnEvidence } from './own-evidence.js';
 import { RecentAnswers } from './recent-answers.js';
+import { createBlockFault, createSuspensionFault } from './refusal.js';
 import { isRequestKey } from './request-key.js';
-import { RequestSuspects } from './request-suspects.js';
+import { RequestSuspects, type RequestLoss } from './request-suspects.js';
 
 /** Interval at which the evidence is evaluated and blocks are stored. */
 const CHECK_INTERVAL_MS = 250;
@@ -29,6 +31,8 @@
   self: string;
   /** Ids of the other VMs that are alive. */
   listServing: () => readonly string[];
+  /** Tells the other VMs at once of requests that were lost; messages may get lost. */
+  announce: (lost: RequestLoss[]) => void;
   /** Identifies a run of a worker, which may restart under its id. */
   runIdOf: (workerId: string) => string;
 }
@@ -46,11 +50,6 @@
 const listSuspects = (parts: readonly string[], request: string | undefined): readonly string[] =>
   request === undefined ? selectShared(parts) : [...selectShared(parts), request];
 
-const describe = ({ parts }: Block): string =>
-  isRequestKey(parts[0]!)
-    ? 'workers crash when they run this request, which is blocked'
-    : `workers crash on prompts with ${parts.join(' and ')}, which are blocked`;
-
 /**
  * Learns which prompt parts and which requests crash workers, and refuses such requests. What a VM has seen
  * is stored under its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
@@ -68,6 +67,8 @@
 
   private readonly publisher: EvidencePublisher;
 
+  private readonly announcer: LossAnnouncer;
+
   private readonly blockStore: BlockStore;
 
   private readonly subscriptions: Subscription[] = [];
@@ -82,6 +83,7 @@
         return { ...this.own.report(now), requests: this.requests.report(now) };
       },
     });
+    this.announcer = new LossAnnouncer(options);
     this.blockStore = new BlockStore({ ...options, prefix: options.blockPrefix });
   }
 
@@ -93,6 +95,7 @@
   stop(): void {
     this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
     this.publisher.stop();
+    this.announcer.stop();
   }
 
   /**
@@ -102,13 +105,12 @@
   findBlock(parts: readonly string[], request?: string): Fault | undefined {
     const now = this.options.timer.now();
     const block = this.blocks.find(listSuspects(parts, request));
-    if (block !== undefined) {
-      block.lastHitAt = now;
-      return this.refuse(describe(block), this.blocks.remainingMs(block, now));
-    }
     const undecidedMs = request === undefined ? undefined : this.requests.undecidedMs(request, now);
-    if (undecidedMs === undefined) return undefined;
-    return this.refuse('workers crashed while they ran this request', undecidedMs);
+    if (block === undefined && undecidedMs === undefined) return undefined;
+    this.options.metrics.increment('quarantine.refused');
+    if (block === undefined) return createSuspensionFault(undecidedMs!);
+    block.lastHitAt = now;
+    return createBlockFault(block, this.blocks.remainingMs(block, now));
   }
 
   /** True if a worker crashed under the request, and no answer to it is known since. */
@@ -143,6 +145,7 @@
     const now = this.options.timer.now();
     const crashId = this.options.runIdOf(workerId);
     if (request !== undefined && this.requests.recordLoss(request, crashId, now)) {
+      this.announcer.add([request, crashId]);
       this.publisher.schedule();
     }
     if (selectShared(parts).length > 0) {
@@ -152,6 +155,13 @@
     this.reportAnswered(now);
   }
 
+  /** Applies losses that another VM has announced. */
+  applyLosses(lost: readonly RequestLoss[]): void {
+    const now = this.options.timer.now();
+    this.requests.addLosses(lost, now);
+    this.reportAnswered(now);
+  }
+
   /** Applies changes of the keys under both prefixes; other keys are ignored. */
   apply(changes: readonly KeyValueChange[]): void {
     const { evidencePrefix, blockPrefix, self, timer } = this.options;
@@ -257,17 +267,6 @@
     this.storeBlocks();
   }
 
-  private refuse(message: string, retryAfterMs: number): Fault {
-    this.options.metrics.increment('quarantine.refused');
-    return {
-      code: FaultCode.Unavailable,
-      outcome: Outcome.NotRun,
-      step: 'prompt-quarantine',
-      message,
-      retryAfterMs,
-    };
-  }
-
   private logBlock(block: string, reason: BlockReason): void {
     const event = isRequestKey(block) ? 'request-blocked' : 'prompt-part-blocked';
     this.options.log.write(event, { block, reason });
--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -9,6 +9,9 @@
 /** Maximum number of lost requests, and of answered ones, in a report. */
 const MAX_REPORTED = 32;
 
+/** Key of a request, and the id of the crash at which it was lost. */
+export type RequestLoss = [request: string, crashId: string];
+
 /** Requests that may crash workers: what this VM has seen of them and what the others have reported. */
 export class RequestSuspects {
   private readonly evidence = new RequestEvidence();
@@ -25,6 +28,11 @@
     return this.ownLosses.add(request, [crashId], now);
   }
 
+  /** Records losses that another VM has announced. */
+  addLosses(lost: readonly RequestLoss[], now: number): void {
+    lost.forEach(([request, crashId]) => this.evidence.addLoss(request, crashId, now));
+  }
+
   /** Returns true if the other VMs should know of the answer. */
   recordAnswer(request: string, now: number): boolean {
     this.answered.add([request]);
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -6,10 +6,15 @@
 import { silentMetrics } from '@jujubelanding/metrics';
 import { ChangeKind } from '@jujubelanding/platform';
 import { createRandom } from '@jujubelanding/random';
-import { KeyValueService } from '@jujubelanding/stand-ins';
+import { KeyValueService, Reachability } from '@jujubelanding/stand-ins';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { TaintedFleet, type TaintedLoad } from './fixtures/index.js';
-import { computeRequestKey, PromptQuarantine, type RepeatableRequest } from './index.js';
+import {
+  computeRequestKey,
+  PromptQuarantine,
+  type RepeatableRequest,
+  type RequestLoss,
+} from './index.js';
 
 /** Time from the third crash after which the request is counted, and its maximum number of sends then. */
 const CONTACT_MS = 3000;
@@ -79,7 +84,12 @@
   t.is(fleet.refusedSound, 0);
 });
 
-const createVm = (service: KeyValueService, timer: VirtualTimer, name: string) => {
+const createVm = (
+  service: KeyValueService,
+  timer: VirtualTimer,
+  name: string,
+  announce: (lost: RequestLoss[]) => void = () => {},
+) => {
   const lease = { current: undefined as string | undefined, replace: () => {} };
   const store = service.createClient(name);
   void store.grantLease(600_000).then((granted) => {
@@ -95,6 +105,7 @@
     blockPrefix: 'q/blocked/',
     self: name,
     listServing: () => [],
+    announce,
     runIdOf: (workerId) => workerId,
   });
   vm.start();
@@ -135,6 +146,23 @@
   vms.forEach((vm) => vm.stop());
 });
 
+// Reports go through the store, which takes up to a second and more while it is down; the request was sent to
+// further workers meanwhile.
+test('the other VMs learn of a third crash at once, also while the store is down', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  service.faults.reachability = Reachability.Refusing;
+  const b = createVm(service, timer, 'b');
+  const a = createVm(service, timer, 'a', (lost) => b.applyLosses(lost));
+  ['w1', 'w2'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await timer.advance(50);
+  t.is(b.findBlock([], DEADLY), undefined);
+  a.recordLoss('w3', [], DEADLY);
+  await timer.advance(50);
+  t.not(b.findBlock([], DEADLY), undefined);
+  [a, b].forEach((vm) => vm.stop());
+});
+
 test('losses at one run of a worker count as one crash', async (t) => {
   const { timer, vms } = setUp('a');
   const [a] = vms as [PromptQuarantine];
