--- a/packages/fleet-load/src/fleet-load.test.ts
+++ b/packages/fleet-load/src/fleet-load.test.ts
@@ -181,3 +181,15 @@
     t.deepEqual(get('z0-vm03').listLeaving(2000), []);
   }
 });
+
+test('losses of requests reach all VMs of a large fleet at once', async (t) => {
+  const { timer, fleet, get, start } = createLargeFleet();
+  start();
+  await timer.advance(1500);
+  const seen: string[] = [];
+  fleet.forEach((loads, id) => loads.onLosses((lost) => seen.push(`${id} ${String(lost)}`)));
+  get('z1-vm02').announceLosses([['request', 'crash']]);
+  await timer.advance(2);
+  t.is(seen.length, fleet.size - 1);
+  t.true(seen.includes('z4-vm03 request,crash'));
+});
--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -5,7 +5,7 @@
 import type { ResponseHandler, WorkerResponse } from '@jujubelanding/platform';
 import { createRandom } from '@jujubelanding/random';
 import { RouteKind, type Route } from '@jujubelanding/route-table';
-import type { Router } from '@jujubelanding/routing';
+import type { Router, RouteRequest } from '@jujubelanding/routing';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { VmState } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
@@ -39,13 +39,24 @@
   isResumable: true,
 };
 
+interface ForwardOptions {
+  requestId?: string;
+  isSuspected?: boolean;
+  onLoss?: (key?: string) => void;
+  onRoute?: (request: RouteRequest) => void;
+}
+
 /** Forwards one request; the second attempt finds no worker. */
-const forward = async (send: (handler: ResponseHandler) => Reply<WorkerResponse>) => {
+const forward = async (
+  send: (handler: ResponseHandler) => Reply<WorkerResponse>,
+  { requestId = 'r', isSuspected = false, onLoss, onRoute }: ForwardOptions = {},
+) => {
   const timer = new VirtualTimer();
   const seen: unknown[] = [];
   let attempts = 0;
   const router = {
-    route: () => {
+    route: (request: RouteRequest) => {
+      onRoute?.(request);
       attempts += 1;
       return attempts === 1 ? ok(WORKER) : err(createFault(FaultCode.Unavailable, Outcome.NotRun));
     },
@@ -56,7 +67,7 @@
   } as unknown as Router;
   const exchange = {
     request: {
-      requestId: 'r',
+      requestId,
       method: 'POST',
       target: '/',
       host: 'h',
@@ -86,8 +97,12 @@
       } as never,
       quarantine: {
         findBlock: () => undefined,
+        isSuspected: () => isSuspected,
         recordAnswer: () => seen.push('answer'),
-        recordLoss: (workerId, parts) => seen.push(`loss ${workerId} ${String(parts)}`),
+        recordLoss: (workerId, parts, key) => {
+          seen.push(`loss ${workerId} ${String(parts)}`);
+          onLoss?.(key);
+        },
       },
       backends: {
         forward: (_worker, _request, handler) => send(handler),
@@ -122,3 +137,26 @@
   });
   t.snapshot(seen);
 });
+
+// A caller gives each attempt an id of its own, so that nothing connected the crashes of one request.
+test('losses of one request are reported under the same key for all attempts', async (t) => {
+  const keys: unknown[] = [];
+  const lose = () =>
+    Promise.resolve(err(createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown)));
+  for (const requestId of ['first', 'second']) {
+    await forward(lose, { requestId, onLoss: (key) => keys.push(key) });
+  }
+  t.is(keys.length, 2);
+  t.is(typeof keys[0], 'string');
+  t.is(keys[0], keys[1]);
+});
+
+test('only a request under which workers crashed is gathered at one worker', async (t) => {
+  const gathered: boolean[] = [];
+  const refuse = () =>
+    Promise.resolve(err(createFault(FaultCode.Unavailable, Outcome.OutcomeUnknown)));
+  const onRoute = ({ gatherKey }: RouteRequest) => gathered.push(gatherKey !== undefined);
+  await forward(refuse, { isSuspected: true, onRoute });
+  await forward(refuse, { isSuspected: false, onRoute });
+  t.deepEqual([...new Set(gathered)], [true, false]);
+});
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -1,4 +1,4 @@
-import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
 import { ChangeKind, type KeyValueChange, type TransactionalStore } from '@jujubelanding/platform';
@@ -8,8 +8,12 @@
 import { BlockState, BlockStore, decodeBlockState } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
+import { LossAnnouncer } from './loss-announcer.js';
 import { OwnEvidence } from './own-evidence.js';
 import { RecentAnswers } from './recent-answers.js';
+import { createBlockFault, createSuspensionFault } from './refusal.js';
+import { isRequestKey } from './request-key.js';
+import { RequestSuspects, type RequestLoss } from './request-suspects.js';
 
 /** Interval at which the evidence is evaluated and blocks are stored. */
 const CHECK_INTERVAL_MS = 250;
@@ -27,6 +31,8 @@
   self: string;
   /** Ids of the other VMs that are alive. */
   listServing: () => readonly string[];
+  /** Tells the other VMs at once of requests that were lost; messages may get lost. */
+  announce: (lost: RequestLoss[]) => void;
   /** Identifies a run of a worker, which may restart under its id. */
   runIdOf: (workerId: string) => string;
 }
@@ -40,9 +46,13 @@
   Narrowed = 'narrowed',
 }
 
+/** What a request may be blocked for: its shared parts, and the request itself. */
+const listSuspects = (parts: readonly string[], request: string | undefined): readonly string[] =>
+  request === undefined ? selectShared(parts) : [...selectShared(parts), request];
+
 /**
- * Learns which prompt parts crash workers and refuses requests with them. What a VM has seen is stored under
- * its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
+ * Learns which prompt parts and which requests crash workers, and refuses such requests. What a VM has seen
+ * is stored under its lease and followed by the others; a block is stored apart, so that it outlives all VMs.
  */
 export class PromptQuarantine {
   private readonly evidence = new CrashEvidence();
@@ -51,10 +61,14 @@
 
   private readonly answered = new RecentAnswers();
 
+  private readonly requests = new RequestSuspects();
+
   private readonly blocks = new BlockList();
 
   private readonly publisher: EvidencePublisher;
 
+  private readonly announcer: LossAnnouncer;
+
   private readonly blockStore: BlockStore;
 
   private readonly subscriptions: Subscription[] = [];
@@ -64,8 +78,12 @@
     this.publisher = new EvidencePublisher({
       ...options,
       key: `${evidencePrefix}${self}`,
-      readReport: () => this.own.report(options.timer.now()),
+      readReport: () => {
+        const now = options.timer.now();
+        return { ...this.own.report(now), requests: this.requests.report(now) };
+      },
     });
+    this.announcer = new LossAnnouncer(options);
     this.blockStore = new BlockStore({ ...options, prefix: options.blockPrefix });
   }
 
@@ -77,22 +95,27 @@
   stop(): void {
     this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
     this.publisher.stop();
+    this.announcer.stop();
   }
 
-  /** Returns the fault with which a request is refused if a combination of its parts is blocked. */
-  findBlock(parts: readonly string[]): Fault | undefined {
-    const block = this.blocks.find(selectShared(parts));
-    if (block === undefined) return undefined;
+  /**
+   * Returns the fault with which a request is refused if it, or a combination of its parts, is blocked.
+   * Batch items have no request key: an item under which workers crashed is still owed.
+   */
+  findBlock(parts: readonly string[], request?: string): Fault | undefined {
     const now = this.options.timer.now();
-    block.lastHitAt = now;
+    const block = this.blocks.find(listSuspects(parts, request));
+    const undecidedMs = request === undefined ? undefined : this.requests.undecidedMs(request, now);
+    if (block === undefined && undecidedMs === undefined) return undefined;
     this.options.metrics.increment('quarantine.refused');
-    return {
-      code: FaultCode.Unavailable,
-      outcome: Outcome.NotRun,
-      step: 'prompt-quarantine',
-      message: `workers crash on prompts with ${block.parts.join(' and ')}, which are blocked`,
-      retryAfterMs: this.blocks.remainingMs(block, now),
-    };
+    if (block === undefined) return createSuspensionFault(undecidedMs!);
+    block.lastHitAt = now;
+    return createBlockFault(block, this.blocks.remainingMs(block, now));
+  }
+
+  /** True if a worker crashed under the request, and no answer to it is known since. */
+  isSuspected(request: string): boolean {
+    return this.requests.isOpen(request);
   }
 
   /** True while anything is blocked. */
@@ -106,21 +129,36 @@
   }
 
   /** Records that a request with these parts has begun to receive its answer. */
-  recordAnswer(parts: readonly string[]): void {
+  recordAnswer(parts: readonly string[], request?: string): void {
     const shared = selectShared(parts);
     const now = this.options.timer.now();
     this.answered.add(shared);
-    if (this.hasBlocks) this.narrowBlocks(shared, now);
+    if (this.hasBlocks) this.narrowBlocks(listSuspects(parts, request), now);
     if (!this.evidence.isEmpty) shared.forEach((part) => this.clear(part, now));
+    if (request !== undefined && this.requests.recordAnswer(request, now)) {
+      this.publisher.schedule();
+    }
   }
 
   /** Records that a worker's connection broke before a request with these parts received an answer. */
-  recordLoss(workerId: string, parts: readonly string[]): void {
-    if (selectShared(parts).length === 0) return;
+  recordLoss(workerId: string, parts: readonly string[], request?: string): void {
     const now = this.options.timer.now();
     const crashId = this.options.runIdOf(workerId);
-    this.evidence.addLoss(crashId, parts, now);
-    if (this.own.addLoss(crashId, parts, now)) this.publisher.schedule();
+    if (request !== undefined && this.requests.recordLoss(request, crashId, now)) {
+      this.announcer.add([request, crashId]);
+      this.publisher.schedule();
+    }
+    if (selectShared(parts).length > 0) {
+      this.evidence.addLoss(crashId, parts, now);
+      if (this.own.addLoss(crashId, parts, now)) this.publisher.schedule();
+    }
+    this.reportAnswered(now);
+  }
+
+  /** Applies losses that another VM has announced. */
+  applyLosses(lost: readonly RequestLoss[]): void {
+    const now = this.options.timer.now();
+    this.requests.addLosses(lost, now);
     this.reportAnswered(now);
   }
 
@@ -148,6 +186,7 @@
     else {
       if (this.blocks.recordStored(id, now)) this.logBlock(id, BlockReason.Stored);
       this.evidence.explain(parseBlockId(id), now);
+      this.requests.explain(id, now);
     }
   }
 
@@ -155,7 +194,10 @@
     const report = decodeEvidence(value);
     if (report === undefined) {
       this.options.log.write('evidence-skipped', { key, reason: 'unreadable' });
-    } else this.evidence.add(report, now);
+      return;
+    }
+    this.evidence.add(report, now);
+    this.requests.apply(report.requests, now);
   }
 
   /** Removes answered parts from blocked combinations; a block without further parts is released. */
@@ -163,7 +205,8 @@
     for (const { id, parts } of this.blocks.list()) {
       const rest = parts.filter((part) => !answered.includes(part));
       if (rest.length < parts.length) {
-        this.options.log.write('prompt-part-cleared', { block: id, rest });
+        const event = isRequestKey(id) ? 'request-cleared' : 'prompt-part-cleared';
+        this.options.log.write(event, { block: id, rest });
         this.blocks.remove(id);
         void this.replaceStored(id, rest, now);
       }
@@ -200,6 +243,7 @@
    * expected at any crash.
    */
   private reportAnswered(now: number): void {
+    if (this.requests.reportAnswered(now)) this.publisher.schedule();
     if (this.evidence.isEmpty) return;
     for (const part of this.evidence.listSuspected().filter((id) => this.answered.has(id))) {
       const cleared = this.answered.isExpected(part) ? this.evidence.listOpenCrashes(part) : [];
@@ -217,11 +261,15 @@
       this.block(parts, BlockReason.Crashes, now);
       parts = this.evidence.findDangerous(now);
     }
+    this.requests
+      .findDangerous(now)
+      .forEach((request) => this.block([request], BlockReason.Crashes, now));
     this.storeBlocks();
   }
 
   private logBlock(block: string, reason: BlockReason): void {
-    this.options.log.write('prompt-part-blocked', { block, reason });
+    const event = isRequestKey(block) ? 'request-blocked' : 'prompt-part-blocked';
+    this.options.log.write(event, { block, reason });
     this.options.metrics.increment('quarantine.blocked', { reason });
   }
 
