Skip odd entries among those of the workers

Another writer can leave an entry among those of the workers that no worker writes: with the port 99999, the host 999.1.1.1, 1e300 slots, a number such as 1e400, an id with a line break, or nested 100,000 levels deep.

What callers saw: an address that is none was taken for that of a worker. It threw when the first request was sent to it, so online requests got 500 as long as the entry stood, and for a batch item the exception was an unhandled rejection, which ends the process. All machines read the same entry, so each ended again after its restart.

Cause: the decoder checked the form of an address and not its range, and calls of the HTTP clients, which never throw otherwise, did so for such an address. A second path to the same end: an exception in a handler of changes ended the follower of the store, and with it the process.

Nesting did not end anything before either: JSON.parse does not recurse, and the decoder catches what throws; a test keeps it so.

An invalid address is a fault with the outcome "not run" in every HTTP client, so no caller has to handle an exception. A decoder that throws costs only its entry; a handler that throws is logged, and the follower goes on. A skipped entry is logged once and not at each write.

--- a/packages/platform-clients/src/http-client.test.ts
+++ b/packages/platform-clients/src/http-client.test.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
+import { Outcome } from '@jujubelanding/errors';
 import { SystemTimer } from '@jujubelanding/timer';
 import { HttpClient } from './index.js';
 
@@ -78,3 +79,23 @@
   t.is(new Set(ports).size, 1);
   await close();
 });
+
+// An exception here ended the process, as callers rely on calls that never throw.
+test('a call to an invalid address is a fault and not an exception', async (t) => {
+  const client = new HttpClient(
+    new SystemTimer(),
+    { connections: 4, connectTimeoutMs: 1000 },
+    10_000,
+  );
+  t.teardown(() => client.close());
+  for (const address of ['127.0.0.1:99999', '999.1.1.1:80', '08.0.0.1:80', '', 'a b:1', '[:1']) {
+    const reply = await client.send({
+      step: 'test',
+      peer: 'server',
+      address,
+      method: 'GET',
+      path: '/',
+    });
+    t.is(reply.isErr() && reply.error.outcome, Outcome.NotRun, address);
+  }
+});
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -1,7 +1,7 @@
 /** Sends an HTTP request and tracks whether it can have reached the server. */
-import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { FaultCode, getErrorMessage, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import { err, ok, type Result } from 'neverthrow';
+import { err, ok, Result } from 'neverthrow';
 import { util, type Dispatcher } from 'undici';
 import type { ConnectionPools } from './connection-pools.js';
 
@@ -171,6 +171,12 @@
 const errNotRun = (request: HttpRequest, code: FaultCode, message: string): Result<never, Fault> =>
   err({ code, outcome: Outcome.NotRun, step: request.step, peer: request.peer, message });
 
+/** Reserves a connection; an address that is no address throws, and must not end the process. */
+const acquireConnection = Result.fromThrowable(
+  (pools: ConnectionPools, address: string) => pools.acquire(address),
+  getErrorMessage,
+);
+
 /** Sends a request and returns the response, whatever its status. */
 export const sendRequest = async (
   pools: ConnectionPools,
@@ -180,7 +186,9 @@
   if (request.signal?.aborted === true) {
     return errNotRun(request, FaultCode.Cancelled, 'the request was cancelled before it was sent');
   }
-  const connection = pools.acquire(request.address);
+  const acquired = acquireConnection(pools, request.address);
+  if (acquired.isErr()) return errNotRun(request, FaultCode.Unavailable, acquired.error);
+  const connection = acquired.value;
   if (connection === undefined) {
     return errNotRun(
       request,
--- a/packages/store-follower/src/store-follower.test.ts
+++ b/packages/store-follower/src/store-follower.test.ts
@@ -114,3 +114,36 @@
   follower.stop();
   t.deepEqual(events, [ChangeKind.Put, 'unreachable', 'reachable', ChangeKind.Delete]);
 });
+
+// An exception ended the follower with an unhandled rejection, and with it the process.
+test('a change whose handler throws is skipped with a log line, and later ones are followed', async (t) => {
+  const timer = new VirtualTimer();
+  const service = new KeyValueService({ timer, random: createRandom(1) });
+  const lines: string[] = [];
+  const seen: string[] = [];
+  const follower = new StoreFollower({
+    store: service.createClient('follower'),
+    timer,
+    log: { write: (event, fields) => lines.push(`${event} ${String(fields?.keys)}`) },
+    prefix: 'p/',
+    watchMs: 1000,
+    pauseMs: 0,
+    onChanges: (changes) => {
+      if (changes.some(({ entry }) => entry.value === 'odd')) throw new Error('unexpected value');
+      seen.push(...changes.map(({ entry }) => entry.key));
+    },
+  });
+  const put = (key: string, value: string): void => {
+    service.state.commit({ conditions: [], writes: [{ key, value }], removals: [] });
+  };
+  put('p/a', 'odd');
+  follower.start();
+  await timer.advance(50);
+  put('p/b', 'odd');
+  await timer.advance(50);
+  put('p/c', 'even');
+  await timer.advance(50);
+  follower.stop();
+  t.deepEqual(seen, ['p/c']);
+  t.deepEqual(lines, ['changes-not-handled p/a', 'changes-not-handled p/b']);
+});
--- a/packages/store-follower/src/store-follower.ts
+++ b/packages/store-follower/src/store-follower.ts
@@ -1,4 +1,4 @@
-import { Outcome, type Fault } from '@jujubelanding/errors';
+import { getErrorMessage, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import {
   ChangeKind,
@@ -26,6 +26,9 @@
 /** Delay after a call that did not run, such as one beyond the rate limit of the store. */
 const REFUSED_RETRY_DELAY_MS = 300;
 
+/** Maximum number of keys in a log line. */
+const MAX_LOGGED_KEYS = 10;
+
 export interface FollowedChange {
   kind: ChangeKind;
   /** The written entry; for a deletion, its value is empty. */
@@ -108,7 +111,7 @@
   /** Applies changes that this process made itself, before the watch reports them. */
   apply(changes: readonly KeyValueChange[]): void {
     const accepted = changes.filter((change) => this.applyIfNewer(change));
-    if (accepted.length > 0) this.options.onChanges(accepted);
+    if (accepted.length > 0) this.notify(accepted);
   }
 
   private async run(): Promise<void> {
@@ -156,7 +159,7 @@
     const accepted = [...removed, ...puts].filter((change) => this.applyIfNewer(change));
     this.deletions.clear();
     this.isLoaded = true;
-    this.options.onChanges(accepted);
+    this.notify(accepted);
     this.options.onAnswer?.([], revision, true);
   }
 
@@ -175,12 +178,23 @@
     }
     this.revision = Math.max(this.revision, reply.value.revision);
     const accepted = reply.value.changes.filter((change) => this.applyIfNewer(change));
-    if (accepted.length > 0) this.options.onChanges(accepted);
+    if (accepted.length > 0) this.notify(accepted);
     this.options.onAnswer?.(reply.value.changes, this.revision, false);
     // A copy is updated in pauses already.
     return reply.value.changes.length > 0 && source === undefined ? pauseMs : 0;
   }
 
+  /** Reports changes; a handler that throws must not end the follower, which then would miss all others. */
+  private notify(changes: FollowedChange[]): void {
+    const { prefix, log, onChanges } = this.options;
+    try {
+      onChanges(changes);
+    } catch (thrown) {
+      const keys = changes.slice(0, MAX_LOGGED_KEYS).map(({ entry }) => entry.key);
+      log.write('changes-not-handled', { prefix, keys, message: getErrorMessage(thrown) });
+    }
+  }
+
   /** Applies a change to the entries; returns false if it changes nothing, such as an older revision. */
   private applyIfNewer({ kind, entry }: KeyValueChange): boolean {
     const knownRevision =
--- a/packages/worker-registry/src/worker-registry.test.ts
+++ b/packages/worker-registry/src/worker-registry.test.ts
@@ -77,3 +77,33 @@
   await timer.advance(2400);
   t.deepEqual(ids(), []);
 });
+
+// Another writer's entry costs only itself, however the decoder fails at it.
+test('an entry that is no worker is skipped and logged once, and the others hold', (t) => {
+  const lines: string[] = [];
+  const registry = new WorkerRegistry({
+    timer: new VirtualTimer(),
+    log: { write: (event, fields) => lines.push(`${event} ${fields?.worker}`) },
+    prefix: 'servers/',
+    decode: (id, value) => {
+      if (value === 'throws') throw new RangeError('too deep');
+      if (value === 'odd') return undefined;
+      const state = VmState.Live;
+      const shape = { availabilityZone: 'a', state, slots: 8, startedAt: 1 };
+      return { id, service: 's', address: '127.0.0.1:1', ...shape };
+    },
+  });
+  const put = (id: string, value: string) => ({
+    kind: ChangeKind.Put,
+    entry: { key: `servers/${id}`, value, modRevision: 1 },
+  });
+  registry.apply([put('a', 'odd'), put('b', 'throws'), put('c', 'x')]);
+  registry.apply([put('a', 'odd'), put('b', 'throws'), put('d', 'x')]);
+  t.deepEqual(
+    registry.workersOf('s').map(({ id }) => id),
+    ['c', 'd'],
+  );
+  t.deepEqual(lines, ['worker-skipped a', 'worker-skipped b', 'worker c', 'worker d']);
+  registry.apply([put('a', 'x'), put('a', 'odd')]);
+  t.is(lines.filter((line) => line === 'worker-skipped a').length, 2, 'a new fault is logged');
+});
--- a/packages/worker-registry/src/worker-registry.ts
+++ b/packages/worker-registry/src/worker-registry.ts
@@ -1,3 +1,4 @@
+import { getErrorMessage } from '@jujubelanding/errors';
 import type { Directory } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import { ChangeKind } from '@jujubelanding/platform';
@@ -37,6 +38,9 @@
   /** Workers whose entries disappeared around an outage, until the grace period ends. */
   private readonly missing = new Set<string>();
 
+  /** Keys of entries that are skipped, so that each is logged once and not at each write. */
+  private readonly skipped = new Set<string>();
+
   private readonly handlers = new Set<() => void>();
 
   private isReachable = true;
@@ -91,11 +95,9 @@
   }
 
   private add(id: string, value: string): void {
-    const worker = this.options.decode(id, value);
-    if (worker === undefined) {
-      this.options.log.write('worker-skipped', { worker: id, reason: 'unreadable entry' });
-      return;
-    }
+    const worker = this.decode(id, value);
+    if (worker === undefined) return;
+    this.skipped.delete(id);
     const previous = this.workers.get(id);
     this.missing.delete(id);
     this.workers.set(id, worker);
@@ -104,7 +106,23 @@
     this.options.log.write('worker', { worker: id, service, address, state, zone });
   }
 
+  /** Returns undefined for an entry that is not a valid worker. */
+  private decode(id: string, value: string): RegisteredWorker | undefined {
+    const { decode, log } = this.options;
+    let reason = 'unreadable entry';
+    try {
+      const worker = decode(id, value);
+      if (worker !== undefined) return worker;
+    } catch (thrown) {
+      reason = getErrorMessage(thrown);
+    }
+    if (!this.skipped.has(id)) log.write('worker-skipped', { worker: id, reason });
+    this.skipped.add(id);
+    return undefined;
+  }
+
   private remove(id: string): void {
+    this.skipped.delete(id);
     if (!this.isReachable || this.gracePeriodTimer !== undefined) {
       this.missing.add(id);
       this.options.log.write('worker-missing', { worker: id });
