Skip an invalid entry of the VM list

One entry of the VM list with an unknown state, a field of another type, or no object at all made the whole list invalid. Every VM then kept the list that it had read last: workers that left later stayed in use, and new ones never came into use, for as long as the entry stood.

Cause: the list was validated by one schema.

Each entry is validated by itself now. The number of skipped ones is part of the log line that is written once for each version of the list. A list that has entries but no valid one is still rejected as a whole, because then the format itself is another one and the list read last is the better one.

--- a/packages/directory/src/directory-controller.ts
+++ b/packages/directory/src/directory-controller.ts
@@ -125,7 +125,7 @@
     void this.refresh();
   }
 
-  private updateIndex({ tag, vms }: VmListReadResult): void {
+  private updateIndex({ tag, vms, skipped }: VmListReadResult): void {
     this.failures = 0;
     if (vms === undefined || tag === this.tag) return;
     this.tag = tag;
@@ -134,6 +134,7 @@
       tag,
       workers: this.vmIndex.workers.length,
       entryVms: this.vmIndex.entryVms.length,
+      skipped,
     });
     this.handlers.forEach((handler) => handler());
   }
--- a/packages/platform-clients/src/fleet-clients.ts
+++ b/packages/platform-clients/src/fleet-clients.ts
@@ -1,11 +1,13 @@
 /** HTTP clients for the VM list and the weight store. */
-import type { VmList, WeightStore } from '@jujubelanding/platform';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import type { VmList, VmListReadResult, WeightStore } from '@jujubelanding/platform';
 import type { Timer } from '@jujubelanding/timer';
 import { VmRole, VmState } from '@jujubelanding/types';
-import { ok } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import * as z from 'zod';
 import { expectSuccess, parseResponse, readHeader } from './responses.js';
 import { HttpClient } from './http-client.js';
+import type { HttpRequest, HttpResponse } from './http-request.js';
 import type { Closable } from './key-value-client.js';
 
 export interface FleetClientOptions {
@@ -21,19 +23,32 @@
 
 const STATUS_NOT_MODIFIED = 304;
 
-const vmsSchema = z.object({
-  vms: z.array(
-    z.object({
-      id: z.string(),
-      role: z.enum(VmRole),
-      state: z.enum(VmState),
-      availabilityZone: z.string(),
-      address: z.string(),
-      service: z.string().optional(),
-    }),
-  ),
+const vmSchema = z.object({
+  id: z.string(),
+  role: z.enum(VmRole),
+  state: z.enum(VmState),
+  availabilityZone: z.string(),
+  address: z.string(),
+  service: z.string().optional(),
 });
 
+const vmsSchema = z.object({ vms: z.array(z.unknown()) });
+
+/** An invalid entry costs only itself, but a list without a valid one has another format. */
+const parseVms = (
+  response: HttpResponse,
+  target: Pick<HttpRequest, 'step' | 'peer'>,
+): Result<Pick<VmListReadResult, 'vms' | 'skipped'>, Fault> =>
+  parseResponse(response, vmsSchema, target).andThen((list) => {
+    const parsed = list.vms.map((vm) => vmSchema.safeParse(vm));
+    const vms = parsed.flatMap(({ data }) => (data === undefined ? [] : [data]));
+    const skipped = parsed.length - vms.length;
+    if (vms.length > 0 || skipped === 0) return ok({ vms, ...(skipped > 0 ? { skipped } : {}) });
+    const outcome = Outcome.OutcomeUnknown;
+    const message = `none of the ${skipped} entries of the VM list is valid`;
+    return err({ code: FaultCode.Upstream, outcome, ...target, message });
+  });
+
 /** Creates a client for the VM list. */
 export const createVmListClient = (options: FleetClientOptions): Closable<VmList> => {
   const { address, timer, timeoutMs = DEFAULT_TIMEOUT_MS } = options;
@@ -49,8 +64,8 @@
           return ok({ tag: knownTag });
         }
         return expectSuccess(response, target)
-          .andThen((received) => parseResponse(received, vmsSchema, target))
-          .map(({ vms }) => ({ tag, vms }));
+          .andThen((received) => parseVms(received, target))
+          .map((list) => ({ tag, ...list }));
       });
     },
     close: () => http.close(),
--- a/packages/platform/src/platform-services.ts
+++ b/packages/platform/src/platform-services.ts
@@ -7,6 +7,8 @@
   tag: string;
   /** Absent if the content is unchanged since the given tag. */
   vms?: Vm[];
+  /** Number of invalid entries, which are not part of `vms`; absent if there are none. */
+  skipped?: number;
 }
 
 export interface VmList {
