Keep sending load messages when the address of a peer is invalid

Addresses of peers come from registrations in the store. A port out of range in one of them threw ERR_SOCKET_BAD_PORT when the next load message was sent, in the handler of a timer, which ends the process; all VMs that read the registration would end, again and again. Reported from similar systems for entries of workers; registrations of VMs are written by VMs only, so this needs another writer under the project's own prefix.

Such an address counts as an unreachable one now, with the same log line, and the other peers get the message.

--- a/packages/fleet-load/src/load-socket.ts
+++ b/packages/fleet-load/src/load-socket.ts
@@ -21,16 +21,25 @@
   }
 };
 
+const sendTo = (socket: Socket, log: Log, content: Buffer, address: string): void => {
+  const [host, port] = address.split(':');
+  const recordLoss = (message: string): void =>
+    log.write('datagram-lost', { peer: address, message });
+  try {
+    // A lost datagram is not resent, because the next one carries the current state.
+    socket.send(content, Number(port), host, (error) => {
+      if (error) recordLoss(error.message);
+    });
+  } catch (thrown) {
+    // An invalid address is treated like an unreachable one.
+    recordLoss(getErrorMessage(thrown));
+  }
+};
+
 const createLoadSocket = (socket: Socket, log: Log): LoadSocket => ({
   send: (message, addresses) => {
     const content = pack(message);
-    for (const address of addresses) {
-      const [host, port] = address.split(':');
-      // A lost datagram is not resent, because the next one carries the current state.
-      socket.send(content, Number(port), host, (error) => {
-        if (error) log.write('datagram-lost', { peer: address, message: error.message });
-      });
-    }
+    addresses.forEach((address) => sendTo(socket, log, content, address));
   },
   close: () => socket.close(),
 });
