Close the connection to a worker after a refusal in the own form

A worker that writes an earlier refusal once more on a kept connection made the next request on that connection count as not run, although the worker ran it. The caller was told so, or the request ran at a second worker.

Cause: calls to plain services, generations and control calls are matched to their responses by the connection. A response with the id of another request was recognised in a call to a plain service, but not if it was a refusal, and the refusals of engines name no request at all. Unlike on the platform, the id cannot be required, as services may leave it out.

The fix: the connection of a refusal is closed before it can be used again, so that none in use has ever carried one. A refusal in chunks shows its end only when the connection is free again; then all idle connections to that worker are replaced. A refusal with another id is passed on with that id, which the caller of the client rejects with the outcome unknown.

--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -6,8 +6,8 @@
 import { err, ok } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import * as z from 'zod';
-import { expectSuccess, OUTCOME_HEADER, readHeader, toFault } from './responses.js';
-import { TimeoutKind } from './http-request.js';
+import { expectSuccess, OUTCOME_HEADER, toFault } from './responses.js';
+import { TimeoutKind, type HttpResponse } from './http-request.js';
 import { HttpClient } from './http-client.js';
 import type { Closable } from './key-value-client.js';
 import { selectForwardedHeaders } from './forwarded-headers.js';
@@ -50,6 +50,9 @@
   ),
 });
 
+const isRefusal = ({ headers }: Pick<HttpResponse, 'headers'>): boolean =>
+  headers[OUTCOME_HEADER] === Outcome.NotRun;
+
 const createTarget = (step: string, { id, address }: WorkerAddress) => ({
   step,
   peer: id,
@@ -90,11 +93,11 @@
       signal,
     });
     return reply.andThen((response) => {
-      const notRun = readHeader(response, OUTCOME_HEADER) === Outcome.NotRun;
-      if (notRun) return err(toFault(response, target));
       const headers = selectForwardedHeaders(response.headers);
       // If a service does not return the id, the response is matched by its connection alone.
       const requestId = headers['x-request-id'] ?? request.requestId;
+      const belongs = requestId === request.requestId;
+      if (belongs && isRefusal(response)) return err(toFault(response, target));
       return ok({ requestId, status: response.status, headers, body: response.body });
     });
   },
@@ -151,11 +154,13 @@
     timer,
     { connections: requestConnections, connectTimeoutMs },
     idleTimeoutMs,
+    isRefusal,
   );
   const controls = new HttpClient(
     timer,
     { connections: CONTROL_CONNECTIONS, connectTimeoutMs },
     callTimeoutMs,
+    isRefusal,
   );
   return {
     ...createRequestCalls(requests),
--- a/packages/platform-clients/src/http-client.ts
+++ b/packages/platform-clients/src/http-client.ts
@@ -20,6 +20,8 @@
     private readonly timer: Timer,
     limits: ConnectionLimits,
     private readonly timeoutMs: number,
+    /** Applies to all requests. */
+    private readonly isLastOnConnection?: HttpRequest['isLastOnConnection'],
   ) {
     this.pools = new ConnectionPools(limits);
   }
@@ -27,10 +29,11 @@
   /** Sends a request and returns the response, whatever its status. */
   send({ json, ...request }: CallRequest): Reply<HttpResponse> {
     const { headers, body, timeoutMs = this.timeoutMs } = request;
-    if (json === undefined) return sendRequest(this.pools, this.timer, { ...request, timeoutMs });
+    const { isLastOnConnection } = this;
+    const common = { ...request, timeoutMs, ...(isLastOnConnection ? { isLastOnConnection } : {}) };
+    if (json === undefined) return sendRequest(this.pools, this.timer, common);
     return sendRequest(this.pools, this.timer, {
-      ...request,
-      timeoutMs,
+      ...common,
       headers: { ...headers, 'content-type': 'application/json' },
       body: body ?? JSON.stringify(json),
     });
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -30,6 +30,11 @@
   signal?: AbortSignal;
   /** Applies backpressure: true while the consumer of the body cannot accept more chunks. */
   isPaused?: () => boolean;
+  /**
+   * True for a response after which the connection is closed, because a copy of it could not be told from
+   * the response to the next request.
+   */
+  isLastOnConnection?: (start: Pick<HttpResponse, 'status' | 'headers'>) => boolean;
   /**
    * Receives the body of a response with status 200 in chunks; other bodies are buffered. Returning
    * false aborts the request.
@@ -68,6 +73,9 @@
 
   private isForwarded = false;
 
+  /** Size of a body after which the connection is closed; undefined if it stays open. */
+  private lastBodySize: number | undefined;
+
   private size = 0;
 
   private lastActivity: number;
@@ -89,6 +97,11 @@
     request.signal?.addEventListener('abort', this.cancel, { once: true });
   }
 
+  /** True if no further request may use the connection. */
+  private get isLast(): boolean {
+    return this.head !== undefined && this.request.isLastOnConnection?.(this.head) === true;
+  }
+
   onConnect(abort: () => void): void {
     // undici calls this just before it writes the first byte, and again for a retry on another connection.
     this.abort = abort;
@@ -104,6 +117,8 @@
       this.head = { status, headers: parsed, body: Buffer.alloc(0) };
       const { onStart } = this.request;
       this.isForwarded = onStart?.({ status, headers: parsed, resume }) ?? status === HTTP_OK;
+      if (this.isLast) this.lastBodySize = Number(parsed['content-length']);
+      this.closeAfterLastBody();
     }
     return true;
   }
@@ -119,6 +134,7 @@
     this.size += chunk.length;
     if (this.size > MAX_BODY_BYTES) this.abortWith(FaultCode.TooLarge, 'the response is too large');
     else this.chunks.push(chunk);
+    this.closeAfterLastBody();
     return true;
   }
 
@@ -135,6 +151,13 @@
     this.fail(code, error.message);
   }
 
+  /** Closes the connection before it can be used again, if the last body on it is complete. */
+  private closeAfterLastBody(): void {
+    if (this.size !== this.lastBodySize) return;
+    this.settle(ok({ ...this.head!, body: Buffer.concat(this.chunks) }));
+    this.abort?.();
+  }
+
   /** Fails the request and closes its connection, which notifies the server. */
   abortWith(code: FaultCode, message: string): void {
     this.fail(code, message);
@@ -177,6 +200,19 @@
   getErrorMessage,
 );
 
+/**
+ * True if idle connections must not be used again. The connection of a last response without a length
+ * is still open and cannot be told from the others.
+ */
+const mustReplaceIdle = (
+  { isLastOnConnection }: HttpRequest,
+  response: Result<HttpResponse, Fault>,
+): boolean => {
+  if (response.isErr()) return response.error.code === FaultCode.Timeout;
+  const { headers } = response.value;
+  return headers['content-length'] === undefined && isLastOnConnection?.(response.value) === true;
+};
+
 /** Sends a request and returns the response, whatever its status. */
 export const sendRequest = async (
   pools: ConnectionPools,
@@ -202,8 +238,6 @@
     connection.pool.dispatch({ method, path, headers, body, blocking: false }, handler);
   });
   connection.release();
-  if (response.isErr() && response.error.code === FaultCode.Timeout) {
-    pools.replaceIdle(request.address, connection.pool);
-  }
+  if (mustReplaceIdle(request, response)) pools.replaceIdle(request.address, connection.pool);
   return response;
 };
