--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -1,7 +1,7 @@
 /** Sends an HTTP request and tracks whether it can have reached the server. */
-import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
+import { FaultCode, getErrorMessage, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import { err, ok, type Result } from 'neverthrow';
+import { err, ok, Result } from 'neverthrow';
 import { util, type Dispatcher } from 'undici';
 import type { ConnectionPools } from './connection-pools.js';
 
@@ -30,6 +30,11 @@
   signal?: AbortSignal;
   /** Applies backpressure: true while the consumer of the body cannot accept more chunks. */
   isPaused?: () => boolean;
+  /**
+   * True for a response after which the connection is closed, because a copy of it could not be told from
+   * the response to the next request.
+   */
+  isLastOnConnection?: (start: Pick<HttpResponse, 'status' | 'headers'>) => boolean;
   /**
    * Receives the body of a response with status 200 in chunks; other bodies are buffered. Returning
    * false aborts the request.
@@ -68,6 +73,9 @@
 
   private isForwarded = false;
 
+  /** Size of a body after which the connection is closed; undefined if it stays open. */
+  private lastBodySize: number | undefined;
+
   private size = 0;
 
   private lastActivity: number;
@@ -89,6 +97,11 @@
     request.signal?.addEventListener('abort', this.cancel, { once: true });
   }
 
+  /** True if no further request may use the connection. */
+  private get isLast(): boolean {
+    return this.head !== undefined && this.request.isLastOnConnection?.(this.head) === true;
+  }
+
   onConnect(abort: () => void): void {
     // undici calls this just before it writes the first byte, and again for a retry on another connection.
     this.abort = abort;
@@ -104,6 +117,8 @@
       this.head = { status, headers: parsed, body: Buffer.alloc(0) };
       const { onStart } = this.request;
       this.isForwarded = onStart?.({ status, headers: parsed, resume }) ?? status === HTTP_OK;
+      if (this.isLast) this.lastBodySize = Number(parsed['content-length']);
+      this.closeAfterLastBody();
     }
     return true;
   }
@@ -119,6 +134,7 @@
     this.size += chunk.length;
     if (this.size > MAX_BODY_BYTES) this.abortWith(FaultCode.TooLarge, 'the response is too large');
     else this.chunks.push(chunk);
+    this.closeAfterLastBody();
     return true;
   }
 
@@ -135,6 +151,13 @@
     this.fail(code, error.message);
   }
 
+  /** Closes the connection before it can be used again, if the last body on it is complete. */
+  private closeAfterLastBody(): void {
+    if (this.size !== this.lastBodySize) return;
+    this.settle(ok({ ...this.head!, body: Buffer.concat(this.chunks) }));
+    this.abort?.();
+  }
+
   /** Fails the request and closes its connection, which notifies the server. */
   abortWith(code: FaultCode, message: string): void {
     this.fail(code, message);
@@ -171,6 +194,25 @@
 const errNotRun = (request: HttpRequest, code: FaultCode, message: string): Result<never, Fault> =>
   err({ code, outcome: Outcome.NotRun, step: request.step, peer: request.peer, message });
 
+/** Reserves a connection; an address that is no address throws, and must not end the process. */
+const acquireConnection = Result.fromThrowable(
+  (pools: ConnectionPools, address: string) => pools.acquire(address),
+  getErrorMessage,
+);
+
+/**
+ * True if idle connections must not be used again. The connection of a last response without a length
+ * is still open and cannot be told from the others.
+ */
+const mustReplaceIdle = (
+  { isLastOnConnection }: HttpRequest,
+  response: Result<HttpResponse, Fault>,
+): boolean => {
+  if (response.isErr()) return response.error.code === FaultCode.Timeout;
+  const { headers } = response.value;
+  return headers['content-length'] === undefined && isLastOnConnection?.(response.value) === true;
+};
+
 /** Sends a request and returns the response, whatever its status. */
 export const sendRequest = async (
   pools: ConnectionPools,
@@ -180,7 +222,9 @@
   if (request.signal?.aborted === true) {
     return errNotRun(request, FaultCode.Cancelled, 'the request was cancelled before it was sent');
   }
-  const connection = pools.acquire(request.address);
+  const acquired = acquireConnection(pools, request.address);
+  if (acquired.isErr()) return errNotRun(request, FaultCode.Unavailable, acquired.error);
+  const connection = acquired.value;
   if (connection === undefined) {
     return errNotRun(
       request,
@@ -194,8 +238,6 @@
     connection.pool.dispatch({ method, path, headers, body, blocking: false }, handler);
   });
   connection.release();
-  if (response.isErr() && response.error.code === FaultCode.Timeout) {
-    pools.replaceIdle(request.address, connection.pool);
-  }
+  if (mustReplaceIdle(request, response)) pools.replaceIdle(request.address, connection.pool);
   return response;
 };
--- a/packages/worker-registry/src/worker-registry.ts
+++ b/packages/worker-registry/src/worker-registry.ts
@@ -1,3 +1,4 @@
+import { getErrorMessage } from '@jujubelanding/errors';
 import type { Directory } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import { ChangeKind } from '@jujubelanding/platform';
@@ -65,6 +66,9 @@
   /** Runs that announced in an answer that they are leaving, by worker id. */
   private readonly leavingRuns = new Map<string, LeavingRun>();
 
+  /** Keys of entries that are skipped, so that each is logged once and not at each write. */
+  private readonly skipped = new Set<string>();
+
   private readonly handlers = new Set<() => void>();
 
   private isReachable = true;
@@ -148,11 +152,9 @@
   }
 
   private add(id: string, value: string): void {
-    const entry = this.options.decode(id, value);
-    if (entry === undefined) {
-      this.options.log.write('worker-skipped', { worker: id, reason: 'unreadable entry' });
-      return;
-    }
+    const entry = this.decode(id, value);
+    if (entry === undefined) return;
+    this.skipped.delete(id);
     const previous = this.workers.get(id);
     const worker = this.applyAnnouncement(entry);
     this.missing.delete(id);
@@ -195,7 +197,23 @@
     return this.workers.delete(id);
   }
 
+  /** Returns undefined for an entry that is not a valid worker. */
+  private decode(id: string, value: string): RegisteredWorker | undefined {
+    const { decode, log } = this.options;
+    let reason = 'unreadable entry';
+    try {
+      const worker = decode(id, value);
+      if (worker !== undefined) return worker;
+    } catch (thrown) {
+      reason = getErrorMessage(thrown);
+    }
+    if (!this.skipped.has(id)) log.write('worker-skipped', { worker: id, reason });
+    this.skipped.add(id);
+    return undefined;
+  }
+
   private remove(id: string): void {
+    this.skipped.delete(id);
     if (!this.isReachable || this.gracePeriodTimer !== undefined) {
       this.missing.add(id);
       this.options.log.write('worker-missing', { worker: id });
