Quarantine prompts that crash workers in the daemon too

Callers saw worker after worker crash, and requests of others on these workers end with 502 or wait for a worker, as long as prompts with one dangerous beginning kept coming.

Cause: the daemon booked a crash on the worker only. Routing avoided it, and the next prompt with the beginning, or the next of up to five attempts of the same request, crashed another worker. Nothing told the VMs what the lost requests had in common.

Change: the online dispatcher reports requests that a crash ended before their first token, and answers, to the quarantine of the platform form, with the prefix hashes of the prompt as its parts. peer-quarantine gives that one a store of values that all VMs hold in memory (shared-values): a change goes to five random members by a call and on from there, and VMs that hold values compare them with one member a second. The key-value service is not involved. A request lost at two crashes is no longer sent again by the VM itself.

Blocks work because they are decided from the crashes of all VMs, a crash that several VMs see counting once.

--- a/packages/bench/src/bench-fleet.ts
+++ b/packages/bench/src/bench-fleet.ts
@@ -6,6 +6,7 @@
 import { silentLog, type Log } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import { OnlineDispatchController } from '@jujubelanding/online';
+import { PeerQuarantine } from '@jujubelanding/peer-quarantine';
 import { PeerMethod } from '@jujubelanding/peer-protocol';
 import { Router, type Chooser } from '@jujubelanding/routing';
 import {
@@ -163,9 +164,12 @@
       readReportedOnline: (id) => loads.reportedOnline(id),
       ...(createChooser === undefined ? {} : { chooser: createChooser() }),
     });
-    const dispatcher = new OnlineDispatchController({ io, ...state, router, loads });
+    const quarantine = new PeerQuarantine({ io, membership: state.membership });
+    const dispatcher = new OnlineDispatchController({ io, ...state, router, loads, quarantine });
     const limits = new TeamLimitsController({ io, entryVmId, ...state });
-    [ownedWorkers, loads, dispatcher, limits].forEach((controller) => controller.start());
+    [ownedWorkers, loads, quarantine, dispatcher, limits].forEach((controller) =>
+      controller.start(),
+    );
     this.startBatch(io, state, ownedWorkers);
     return { member, dispatcher, loads, limits };
   }
--- a/packages/capacity/src/measure/proxy.ts
+++ b/packages/capacity/src/measure/proxy.ts
@@ -5,6 +5,7 @@
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import { OnlineDispatchController } from '@jujubelanding/online';
+import { PeerQuarantine } from '@jujubelanding/peer-quarantine';
 import type { BackendServers } from '@jujubelanding/platform';
 import { computeChecksum, createRandom } from '@jujubelanding/random';
 import { SystemTimer } from '@jujubelanding/timer';
@@ -124,10 +125,11 @@
   const { loads } = Reflect.get(router, 'options') as { loads: never };
   const directory = createDirectory(createWorkers(SERVICE_WORKERS, 1), []);
   const { entryVmId } = self;
+  const quarantine = new PeerQuarantine({ io, membership: state.membership });
   return createCallerApi({
     io,
     ...state,
-    dispatcher: new OnlineDispatchController({ io, ...state, router, loads }),
+    dispatcher: new OnlineDispatchController({ io, ...state, router, loads, quarantine }),
     limits: new TeamLimitsController({ io, entryVmId, ...state }),
     overload: new OverloadController({ io, maxOnlineInFlight: 10_000, directory, loads }),
     claims: { claim: async () => ok(undefined) } satisfies Claims,
--- a/packages/entry-vm/src/components.ts
+++ b/packages/entry-vm/src/components.ts
@@ -12,6 +12,7 @@
 import { OverloadController, TeamLimitsController } from '@jujubelanding/limits';
 import { MembershipController } from '@jujubelanding/membership';
 import { OnlineDispatchController } from '@jujubelanding/online';
+import { PeerQuarantine } from '@jujubelanding/peer-quarantine';
 import { PlacementController } from '@jujubelanding/placement';
 import { Router } from '@jujubelanding/routing';
 import { ReplicatedSegmentStore } from '@jujubelanding/segments';
@@ -39,7 +40,7 @@
 /** Creates the components that serve online requests. */
 const createOnlineComponents = (settings: EntryVmSettings, io: EntryVmIo, state: FleetState) => {
   const { entryVmId, availabilityZone, maxOnlineInFlight, claimRetentionMs } = settings;
-  const { directory, shards } = state;
+  const { directory, membership, shards } = state;
   // The router depends on the owned workers, which in turn pass cache events to the router. The
   // reference that resolves this cycle is set below.
   const routerReference: { router?: Router } = {};
@@ -62,8 +63,9 @@
   const limits = new TeamLimitsController({ io, entryVmId, ...state });
   const overload = new OverloadController({ io, maxOnlineInFlight, directory, loads });
   const claims = new ClaimsController({ io, entryVmId, retentionMs: claimRetentionMs, shards });
-  const dispatcher = new OnlineDispatchController({ io, ...state, router, loads });
-  return { ownedWorkers, loads, router, limits, overload, claims, dispatcher };
+  const quarantine = new PeerQuarantine({ io, membership });
+  const dispatcher = new OnlineDispatchController({ io, ...state, router, loads, quarantine });
+  return { ownedWorkers, loads, router, limits, overload, claims, quarantine, dispatcher };
 };
 
 type OnlineComponents = ReturnType<typeof createOnlineComponents>;
--- a/packages/entry-vm/src/entry-vm.ts
+++ b/packages/entry-vm/src/entry-vm.ts
@@ -115,6 +115,7 @@
       components.limits,
       components.overload,
       components.claims,
+      components.quarantine,
       components.dispatcher,
       components.segments,
       components.jobOwner,
--- a/packages/interfaces/src/online.ts
+++ b/packages/interfaces/src/online.ts
@@ -78,6 +78,19 @@
   deadline: number;
 }
 
+/**
+ * Refuses requests that crash workers. The parts of a request are its prefix hashes, and last the hash of
+ * the whole request.
+ */
+export interface Quarantine {
+  /** Returns the fault with which a request with these parts is refused, if it is. */
+  findBlock(parts: readonly string[]): Fault | undefined;
+  /** Records that a request with these parts has begun to receive its answer. */
+  recordAnswer(parts: readonly string[]): void;
+  /** Records that a worker's connection broke before a request with these parts received an answer. */
+  recordLoss(workerId: string, parts: readonly string[]): void;
+}
+
 export interface OnlineDispatcher {
   /** Streams a complete, validated answer; each token is delivered exactly once and in order. */
   generate(
--- a/packages/online/src/attempt-loop.ts
+++ b/packages/online/src/attempt-loop.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget, Router } from '@jujubelanding/routing';
 import type { Idempotency, Worker } from '@jujubelanding/types';
 import { err } from 'neverthrow';
+import type { CrashWatch } from './crash-watch.js';
 import {
   combineOutcomes,
   computeBackoff,
@@ -19,6 +20,7 @@
   router: Router;
   loads: WorkerLoads;
   budget: RetryBudget;
+  crashWatch: CrashWatch;
   log: Log;
   route: { requestId: string; service: string; target: string; prefixes: readonly string[] };
   idempotency: Idempotency;
@@ -65,8 +67,11 @@
   }
 
   private async runAttempts<T>(runAttempt: AttemptRunner<T>): Reply<T> {
+    let lastFault: Fault | undefined;
     for (let attempts = 1; ; attempts += 1) {
       if (this.controller.signal.aborted) return err(this.createAbortFault());
+      const block = this.options.crashWatch.findBlock();
+      if (block !== undefined) return err({ ...(lastFault ?? block), outcome: this.outcome });
       const reply = await this.runOnWorker(runAttempt, attempts);
       if (reply.isOk()) return reply;
       this.outcome = combineOutcomes(this.outcome, reply.error.outcome);
@@ -75,6 +80,7 @@
       const decision = this.decide(reply.error, attempts, backoffMs);
       this.logFailure(reply.error, attempts, decision);
       if (decision !== RetryDecision.Retry) return err({ ...reply.error, outcome: this.outcome });
+      lastFault = reply.error;
       await this.options.io.timer.sleep(backoffMs);
     }
   }
@@ -84,6 +90,7 @@
     const routed = router.route({ ...route, avoided: this.avoided });
     if (routed.isErr()) return err(routed.error);
     const worker = routed.value;
+    this.options.crashWatch.beginAttempt();
     loads.beginRequest(worker.id);
     try {
       const reply = await runAttempt(worker, attemptNumber, this.controller.signal);
@@ -96,6 +103,7 @@
 
   private recordFault(worker: Worker, fault: Fault): void {
     this.avoided.add(worker.id);
+    this.options.crashWatch.recordFault(worker.id, fault);
     if (fault.code === FaultCode.NotFound) {
       this.options.router.recordMissingTarget(worker.id, this.options.route.target);
     }
@@ -103,10 +111,12 @@
   }
 
   private decide(fault: Fault, attempts: number, backoffMs: number): RetryDecision {
-    const { idempotency, deadline, io, budget } = this.options;
+    const { idempotency, deadline, io, budget, crashWatch } = this.options;
+    const { losses } = crashWatch;
     const now = io.timer.now();
     const takeRetry = (): boolean => budget.takeRetry();
-    return decideRetry({ fault, idempotency, attempts, backoffMs, now, deadline, takeRetry });
+    const attempt = { fault, idempotency, attempts, losses, backoffMs, now, deadline };
+    return decideRetry({ ...attempt, takeRetry });
   }
 
   private logFailure(fault: Fault, attempts: number, decision: RetryDecision): void {
--- a/packages/online/src/online-dispatch.test.ts
+++ b/packages/online/src/online-dispatch.test.ts
@@ -225,20 +225,17 @@
   t.is(fleet.metrics.getSamples('online.inter_token').length, 0);
 });
 
-// Guards against requests of one kind that crash worker after worker. Fails: the own interface has no
-// quarantine of prompts yet, see KNOWN-RED.txt.
-test.failing(
-  'at most three prompts with a dangerous beginning reach workers 3 s after five crashes',
-  async (t) => {
-    const dangerousText = 'dangerous '.repeat(60);
-    const fleet = new Fleet(22, 6, dangerousText);
-    for (let request = 0; request < 300; request += 1) {
-      const isDangerous = request % 20 === 0;
-      const content = `${isDangerous ? dangerousText : ''}question ${request}`;
-      fleet.generate({ messages: [{ role: 'user', content }] });
-      await fleet.timer.advance(100);
-    }
-    const fifth = fleet.promptCrashes[4] ?? Infinity;
-    t.true(fleet.promptCrashes.filter((at) => at > fifth + 3000).length <= 3);
-  },
-);
+// Guards against requests of one kind that crash worker after worker: routing avoided the worker, and the
+// next request of the kind crashed another one.
+test('at most three prompts with a dangerous beginning reach workers 3 s after five crashes', async (t) => {
+  const dangerousText = 'dangerous '.repeat(60);
+  const fleet = new Fleet(22, 6, dangerousText);
+  for (let request = 0; request < 300; request += 1) {
+    const isDangerous = request % 20 === 0;
+    const content = `${isDangerous ? dangerousText : ''}question ${request}`;
+    fleet.generate({ messages: [{ role: 'user', content }] });
+    await fleet.timer.advance(100);
+  }
+  const fifth = fleet.promptCrashes[4] ?? Infinity;
+  t.true(fleet.promptCrashes.filter((at) => at > fifth + 3000).length <= 3);
+});
--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -6,6 +6,7 @@
   OnlineServiceRequest,
   OnlineDispatcher,
   OnlineGenerationRequest,
+  Quarantine,
   WorkerLoads,
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
@@ -22,14 +23,17 @@
 import { err, ok } from 'neverthrow';
 import { Attempt } from './attempt.js';
 import { AttemptLoop } from './attempt-loop.js';
+import { CrashWatch } from './crash-watch.js';
 import { ServiceAttempt } from './service-attempt.js';
 import { InterTokenLatency } from './inter-token-latency.js';
+import { computeCallKey, computeGenerationKey } from './request-key.js';
 
 export interface OnlineDispatchOptions {
   io: Pick<EntryVmIo, 'timer' | 'random' | 'backendServers' | 'createLog' | 'metrics'>;
   configuration: Configuration;
   router: Router;
   loads: WorkerLoads;
+  quarantine: Quarantine;
 }
 
 /** Input of one attempt of a generation. */
@@ -41,6 +45,7 @@
   /** Token texts that the caller has received. */
   delivered: string[];
   prefixes: readonly string[];
+  crashWatch: CrashWatch;
   onToken: (token: Token) => void;
 }
 
@@ -93,6 +98,8 @@
       return err(this.createRefusal(FaultCode.NotFound, message));
     }
     const prefixes = computePrefixHashes(generation.messages);
+    const parts = [...prefixes, computeGenerationKey(request)];
+    const crashWatch = new CrashWatch(this.options.quarantine, parts);
     const delivered: string[] = [];
     const interTokenLatency = new InterTokenLatency();
     const deliver = (token: Token): void => {
@@ -101,13 +108,15 @@
     };
     const runAttempt = (worker: Worker, attemptNumber: number, attemptSignal: AbortSignal) =>
       this.runGeneration(
-        { request, worker, attemptNumber, delivered, prefixes, onToken: deliver },
+        { request, worker, attemptNumber, delivered, prefixes, crashWatch, onToken: deliver },
         attemptSignal,
       );
     const target = `${generation.model}|${generation.adapter ?? ''}`;
     const { requestId } = generation;
     const route = { requestId, service: model.spec.service, target, prefixes };
-    const reply = await this.track(() => this.createLoop(route, request, signal).run(runAttempt));
+    const reply = await this.track(() =>
+      this.createLoop(route, request, crashWatch, signal).run(runAttempt),
+    );
     this.recordInterTokenLatency(interTokenLatency, generation.model);
     return reply;
   }
@@ -115,6 +124,7 @@
   async call(request: OnlineServiceRequest, signal: AbortSignal): Reply<ServiceResponse> {
     const { requestId } = request.request;
     const { timer, backendServers } = this.options.io;
+    const crashWatch = new CrashWatch(this.options.quarantine, [computeCallKey(request)]);
     const runAttempt = async (
       worker: Worker,
       _attemptNumber: number,
@@ -124,13 +134,14 @@
       const attempt = new ServiceAttempt(backendServers, worker, request.request, attemptSignal);
       const reply = await attempt.run();
       if (reply.isOk()) {
+        crashWatch.recordAnswer();
         this.options.router.recordSuccess(worker);
         this.options.router.recordLatency(worker, timer.now() - sentAt);
       }
       return reply;
     };
     const route = { requestId, service: request.service, target: '', prefixes: [] };
-    return this.track(() => this.createLoop(route, request, signal).run(runAttempt));
+    return this.track(() => this.createLoop(route, request, crashWatch, signal).run(runAttempt));
   }
 
   private async runGeneration(attempt: GenerationAttempt, signal: AbortSignal): Reply<StreamEnd> {
@@ -153,12 +164,14 @@
         firstTokenMs ??= timer.now() - sentAt;
         // Recorded at once, because answers of a slow worker take long to complete.
         watch.recordToken();
+        attempt.crashWatch.recordAnswer();
         attempt.onToken({ ...token, requestId: generation.requestId });
       },
       signal,
     }).run();
     watch.end();
     if (reply.isErr()) return err(reply.error);
+    attempt.crashWatch.recordAnswer();
     const latencyMs = firstTokenMs ?? timer.now() - sentAt;
     this.options.router.recordSuccess(worker);
     this.options.router.recordCompletion(worker.id, attempt.prefixes, reply.value.cachedTokens);
@@ -178,6 +191,7 @@
   private createLoop(
     route: { requestId: string; service: string; target: string; prefixes: readonly string[] },
     request: { idempotency: Idempotency; deadline: number },
+    crashWatch: CrashWatch,
     signal: AbortSignal,
   ): AttemptLoop {
     const { idempotency, deadline } = request;
@@ -188,6 +202,7 @@
       router,
       loads,
       budget,
+      crashWatch,
       log,
       route,
       idempotency,
--- a/packages/online/src/retry-policy.ts
+++ b/packages/online/src/retry-policy.ts
@@ -5,6 +5,12 @@
 /** Maximum attempts per request, including the first. */
 export const MAX_ATTEMPTS = 5;
 
+/**
+ * Losses of a request at crashes of workers after which it is not sent again. It may be what crashes them, so
+ * whether to go on is left to the caller.
+ */
+export const MAX_LOSSES = 2;
+
 const BASE_BACKOFF_MS = 10;
 
 const MAX_BACKOFF_MS = 500;
@@ -15,6 +21,8 @@
   Final = 'final',
   NotIdempotent = 'not-idempotent',
   AttemptsExhausted = 'attempts',
+  /** Workers crashed when they began to run the request. */
+  LossesExhausted = 'losses',
   DeadlineExceeded = 'deadline',
   BudgetExhausted = 'budget',
 }
@@ -59,6 +67,8 @@
   idempotency: Idempotency;
   /** Number of attempts made, including the failed one. */
   attempts: number;
+  /** Number of attempts that a worker's crash ended before any of the answer. */
+  losses: number;
   backoffMs: number;
   now: number;
   deadline: number;
@@ -74,6 +84,7 @@
     return RetryDecision.NotIdempotent;
   }
   if (state.attempts >= MAX_ATTEMPTS) return RetryDecision.AttemptsExhausted;
+  if (state.losses >= MAX_LOSSES) return RetryDecision.LossesExhausted;
   if (state.now + state.backoffMs >= state.deadline) return RetryDecision.DeadlineExceeded;
   return state.takeRetry() ? RetryDecision.Retry : RetryDecision.BudgetExhausted;
 };
--- a/packages/peer-protocol/src/calls.ts
+++ b/packages/peer-protocol/src/calls.ts
@@ -10,6 +10,7 @@
   NotifyJobChanged = 'notifyJobChanged',
   Claim = 'claim',
   StoreCopy = 'storeCopy',
+  ExchangeValues = 'exchangeValues',
 }
 
 /** An operator record as replicated between entry VMs. */
@@ -118,6 +119,37 @@
   sources: string[];
 }
 
+/** A value that an entry VM shares with all others through memory. */
+export interface SharedValue {
+  key: string;
+  value: string;
+  /** The highest version of a key is in force; of equal ones, that of the greater writer. */
+  version: number;
+  writer: string;
+  /** Time of the write on the writer's monotonic clock. */
+  writtenAt: number;
+  /** Time since the write. */
+  ageMs: number;
+  /** Time until the value expires. */
+  remainingMs: number;
+}
+
+/** Identifies a shared value without its content. */
+export type SharedValueVersion = [key: string, version: number, writer: string];
+
+export interface ValueExchange {
+  /** Versions that the sender has; absent if it only hands over values. */
+  versions?: SharedValueVersion[] | undefined;
+  values: SharedValue[];
+}
+
+export interface ValueExchangeReply {
+  /** Values that the sender lacks. */
+  values: SharedValue[];
+  /** Keys of values that the receiver lacks. */
+  missing: string[];
+}
+
 /** Input and output of each call. */
 export interface PeerCalls {
   [PeerMethod.PullConfiguration]: {
@@ -131,6 +163,7 @@
   [PeerMethod.NotifyJobChanged]: { input: JobNotice; output: Record<string, never> };
   [PeerMethod.Claim]: { input: ClaimRequest; output: { status: ClaimStatus } };
   [PeerMethod.StoreCopy]: { input: CopyRequest; output: Record<string, never> };
+  [PeerMethod.ExchangeValues]: { input: ValueExchange; output: ValueExchangeReply };
 }
 
 /** An item of an input segment, which stores one item per line as JSON. */
--- /dev/null
+++ b/packages/peer-quarantine/src/peer-quarantine.ts
@@ -0,0 +1,123 @@
+import type { Fault, Reply } from '@jujubelanding/errors';
+import type { EntryVmIo, Membership, Quarantine } from '@jujubelanding/interfaces';
+import type { SharedValue } from '@jujubelanding/peer-protocol';
+import {
+  ChangeKind,
+  CommitStatus,
+  type CommitResult,
+  type LeaseGrant,
+  type Transaction,
+} from '@jujubelanding/platform';
+import { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
+import { ValueExchanger } from '@jujubelanding/shared-values';
+import type { Member } from '@jujubelanding/types';
+import { ok } from 'neverthrow';
+import { WorkerCrashes } from './worker-crashes.js';
+
+const EVIDENCE_PREFIX = 'quarantine/crash/';
+
+const BLOCK_PREFIX = 'quarantine/blocked/';
+
+/** Callers may send a request again after a long time, so the reports outlast their last change. */
+const REPORT_LIFETIME_MS = 600_000;
+
+/** Distinguishes the reports of two runs of a VM, whose versions both begin at one. */
+const toRunId = ({ entryVmId, bootId }: Member): string => `${entryVmId}.${bootId}`;
+
+export interface PeerQuarantineOptions {
+  io: Pick<EntryVmIo, 'timer' | 'random' | 'network' | 'createLog' | 'metrics'>;
+  membership: Pick<Membership, 'self' | 'members'>;
+}
+
+/** Implements `Quarantine` with values that the entry VMs share. */
+export class PeerQuarantine implements Quarantine {
+  private readonly crashes = new WorkerCrashes();
+
+  private readonly exchanger: ValueExchanger;
+
+  private readonly quarantine: PromptQuarantine;
+
+  constructor(private readonly options: PeerQuarantineOptions) {
+    const { io, membership } = options;
+    const log = io.createLog('quarantine');
+    this.exchanger = new ValueExchanger({
+      io,
+      log,
+      membership,
+      onValues: (values) => this.apply(values),
+      onExpired: (keys) => this.applyExpiry(keys),
+    });
+    const lease = { current: String(REPORT_LIFETIME_MS), replace: () => {} };
+    this.quarantine = new PromptQuarantine({
+      ...io,
+      log,
+      store: {
+        grantLease: (ttlMs) => this.grantLease(ttlMs),
+        commit: (transaction) => this.commit(transaction),
+      },
+      lease: () => lease,
+      evidencePrefix: EVIDENCE_PREFIX,
+      blockPrefix: BLOCK_PREFIX,
+      self: toRunId(membership.self()),
+      listServing: () => membership.members().map(toRunId),
+      runIdOf: (workerId) => this.identifyCrash(workerId),
+    });
+  }
+
+  start(): void {
+    this.exchanger.start();
+    this.quarantine.start();
+  }
+
+  stop(): void {
+    this.quarantine.stop();
+    this.exchanger.stop();
+  }
+
+  findBlock(parts: readonly string[]): Fault | undefined {
+    return this.quarantine.findBlock(parts);
+  }
+
+  recordAnswer(parts: readonly string[]): void {
+    this.quarantine.recordAnswer(parts);
+  }
+
+  recordLoss(workerId: string, parts: readonly string[]): void {
+    this.quarantine.recordLoss(workerId, parts);
+  }
+
+  private identifyCrash(workerId: string): string {
+    const now = Math.round(this.options.io.timer.now());
+    return this.crashes.identify(workerId, now, now);
+  }
+
+  /** Values expire by themselves, so the id of a lease is its time to live. */
+  private async grantLease(ttlMs: number): Reply<LeaseGrant> {
+    return ok({ leaseId: String(ttlMs), ttlMs });
+  }
+
+  private async commit({ writes }: Transaction): Reply<CommitResult> {
+    const revisions = writes.map(({ key, value, leaseId }) =>
+      this.exchanger.set(key, value, Number(leaseId)),
+    );
+    return ok({ status: CommitStatus.Committed, revision: Math.max(...revisions) });
+  }
+
+  private apply(values: readonly SharedValue[]): void {
+    const now = this.options.io.timer.now();
+    const changes = values.map(({ key, value, version, writtenAt, ageMs }) => {
+      const isReport = key.startsWith(EVIDENCE_PREFIX);
+      const own = isReport ? this.crashes.translate(value, now - ageMs - writtenAt, now) : value;
+      return { kind: ChangeKind.Put, entry: { key, value: own, modRevision: version } };
+    });
+    this.quarantine.apply(changes);
+  }
+
+  private applyExpiry(keys: readonly string[]): void {
+    const toChange = (key: string) => ({
+      kind: ChangeKind.Delete,
+      entry: { key, value: '', modRevision: 0 },
+    });
+    this.quarantine.apply(keys.map(toChange));
+  }
+}
--- a/packages/peer-transport/src/input-schemas.ts
+++ b/packages/peer-transport/src/input-schemas.ts
@@ -15,6 +15,16 @@
   value: z.string(),
 });
 
+const sharedValueSchema = z.looseObject({
+  key: z.string(),
+  value: z.string(),
+  version: z.number(),
+  writer: z.string(),
+  writtenAt: z.number(),
+  ageMs: z.number(),
+  remainingMs: z.number(),
+});
+
 const shardSchema = z.number().int().min(0);
 
 type InputSchemas = { [M in PeerMethod]: z.ZodType<PeerCalls[M]['input']> };
@@ -56,4 +66,8 @@
     segmentId: z.string(),
     sources: z.array(z.string()),
   }),
+  [PeerMethod.ExchangeValues]: z.looseObject({
+    versions: z.array(z.tuple([z.string(), z.number(), z.string()])).optional(),
+    values: z.array(sharedValueSchema),
+  }),
 };
