Send the announcement of a planned stop before the socket closes

When a VM had been stopped, the others went on with it until they had detected its loss, which takes seconds: they probed and called it, and listed it among the members.

Cause: a stopping VM announces its end in datagrams and closes the transport right after. Node hands a datagram to the system on a later turn, and drops it silently if the socket is closed by then. No announcement ever left.

Change: the channel counts the datagrams that Node still holds and closes the socket after the last one. New sends are dropped from the start of the close, as before, so that the wait is bounded by the sends already made.

--- a/packages/peer-transport/src/datagram-channel.ts
+++ b/packages/peer-transport/src/datagram-channel.ts
@@ -26,6 +26,11 @@
 export class DatagramChannel {
   private socket: Socket | undefined;
 
+  /** Number of datagrams that Node has not handed to the system yet. */
+  private sending = 0;
+
+  private resolveSent: (() => void) | undefined;
+
   constructor(private readonly options: DatagramChannelOptions) {}
 
   open({ host, port }: HostPort): Reply<void> {
@@ -46,12 +51,18 @@
     });
   }
 
-  close(): Promise<void> {
+  /** Closes the socket once the datagrams sent so far have left; Node would drop them. */
+  async close(): Promise<void> {
     const { socket } = this;
     this.socket = undefined;
-    return new Promise((resolve) => {
-      if (socket === undefined) resolve();
-      else socket.close(() => resolve());
+    if (socket === undefined) return;
+    if (this.sending > 0) {
+      await new Promise<void>((resolve) => {
+        this.resolveSent = resolve;
+      });
+    }
+    await new Promise<void>((resolve) => {
+      socket.close(() => resolve());
     });
   }
 
@@ -64,7 +75,10 @@
     try {
       this.socket.send(packet, port, host, (error) => {
         if (error !== null) counters.countDrop(DropReason.SendFailed);
+        this.sending -= 1;
+        if (this.sending === 0) this.resolveSent?.();
       });
+      this.sending += 1;
     } catch {
       // An invalid address is treated like an unreachable one.
       counters.countDrop(DropReason.SendFailed);
--- a/packages/peer-transport/src/peer-network.test.ts
+++ b/packages/peer-transport/src/peer-network.test.ts
@@ -204,3 +204,30 @@
   const fault = expectFault(await createPeerNetwork(options).start());
   t.like(fault, { code: FaultCode.Unavailable, peer: a.peer.peerAddress });
 });
+
+// Guards against a planned stop that nobody learns of: the VM announced that it leaves and closed the socket
+// at once, Node dropped the datagrams, and the others went on with the VM until they had detected its loss.
+test('datagrams sent just before the stop arrive', async (t) => {
+  const { a, b } = await setUp(t);
+  const senders: string[] = [];
+  b.network.handleDatagram(DatagramKind.Probe, ({ from }) => senders.push(from));
+  await Promise.resolve();
+  for (let index = 0; index < 8; index += 1) a.network.send(b.peer.peerAddress, PROBE);
+  await a.stop();
+  // The loopback interface keeps the order, so this one ends the wait whether the others arrive or not.
+  const c = await startPeer(t, 'c');
+  c.network.send(b.peer.peerAddress, { ...PROBE, from: 'c' });
+  await awaitCondition(() => senders.includes('c'));
+  t.deepEqual(senders, [...Array<string>(8).fill('a'), 'c']);
+});
+
+// Guards against a process that ends because a timer sends on a socket that was closed before.
+test('sends and calls after the stop have no effect', async (t) => {
+  const { a, b } = await setUp(t);
+  await a.stop();
+  t.notThrows(() => a.network.send(b.peer.peerAddress, PROBE));
+  const input = { shard: 1, jobId: 'j' };
+  const fault = expectFault(await a.network.call(b.peer, PeerMethod.NotifyJobChanged, input));
+  t.is(fault.outcome, Outcome.NotRun);
+  await t.notThrowsAsync(a.stop());
+});
