Name leaving VMs to callers while all VMs leave

While all VMs were stopped together, GET /v1/entry-points returned no address for the time for which the VMs still serve (30 s by default). A caller whose answer ran out had nowhere to go, although each VM would have served it.

Cause: leaving members were never chosen, on the assumption that others are live.

Change: when no member is live, the leaving ones are chosen, with a lifetime of a second in the answer, so that callers change to a VM as soon as it is back.

The former tests are unchanged: with live members, no other is chosen, and without members the answer is empty.

--- a/packages/entry-points/src/choice.ts
+++ b/packages/entry-points/src/choice.ts
@@ -24,11 +24,17 @@
   count: number;
 }
 
-/** Ranks live members for a caller, those in the caller's availability zone first. */
-const rankMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
+/** Returns the live members; if all of them leave, the leaving ones, which serve for some time yet. */
+const selectServing = (members: readonly Member[]): Member[] => {
   const live = members.filter(({ state }) => state === MemberState.Alive);
-  const lowestLoad = Math.min(...live.map(({ onlineLoad }) => onlineLoad));
-  return live
+  return live.length > 0 ? live : members.filter(({ state }) => state === MemberState.Leaving);
+};
+
+/** Ranks serving members for a caller, those in the caller's availability zone first. */
+const rankMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
+  const serving = selectServing(members);
+  const lowestLoad = Math.min(...serving.map(({ onlineLoad }) => onlineLoad));
+  return serving
     .map((member) => ({
       member,
       isSameZone: Number(member.availabilityZone === options.availabilityZone),
@@ -39,7 +45,7 @@
 };
 
 /**
- * Chooses up to `count` live members, those in the caller's availability zone first. The last one is
+ * Chooses up to `count` serving members, those in the caller's availability zone first. The last one is
  * in another zone if there is one, so that the caller keeps an address when a zone is lost.
  */
 export const chooseMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
--- a/packages/entry-points/src/entry-points-controller.ts
+++ b/packages/entry-points/src/entry-points-controller.ts
@@ -6,11 +6,15 @@
   Membership,
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import { MemberState } from '@jujubelanding/types';
 import { chooseMembers } from './choice.js';
 
 /** With three addresses a caller has one left after the loss of one VM and one wrong address. */
 export const DEFAULT_ENTRY_POINT_COUNT = 3;
 
+/** Lifetime of an answer of leaving VMs, so that callers change to a VM that is back within a second. */
+export const LEAVING_LIFETIME_MS = 1000;
+
 export interface EntryPointsOptions {
   io: Pick<EntryVmIo, 'createLog'>;
   settings: Pick<EntryVmSettings, 'entryPointLifetimeMs'>;
@@ -34,6 +38,8 @@
   choose(caller: string, availabilityZone?: string): EntryPointResponse {
     const { membership, settings, count = DEFAULT_ENTRY_POINT_COUNT } = this.options;
     const chosen = chooseMembers(membership.members(), { caller, availabilityZone, count });
+    const isLeaving = chosen[0]?.state === MemberState.Leaving;
+    const { entryPointLifetimeMs } = settings;
     this.log.write('entry-points-chosen', {
       caller,
       availabilityZone,
@@ -44,7 +50,9 @@
         address: member.callerAddress,
         availabilityZone: member.availabilityZone,
       })),
-      lifetimeMs: settings.entryPointLifetimeMs,
+      lifetimeMs: isLeaving
+        ? Math.min(LEAVING_LIFETIME_MS, entryPointLifetimeMs)
+        : entryPointLifetimeMs,
     };
   }
 }
--- a/packages/entry-points/src/entry-points.test.ts
+++ b/packages/entry-points/src/entry-points.test.ts
@@ -69,3 +69,28 @@
   });
   t.deepEqual(entryPoints.choose('caller'), { entryPoints: [], lifetimeMs: 30_000 });
 });
+
+// Guards against callers without an address while all VMs are stopped together: the answer was empty although
+// the VMs served for the lifetime of earlier answers.
+test('while all VMs leave, callers get leaving ones, for a short time', (t) => {
+  const states = [MemberState.Leaving, MemberState.Suspect, MemberState.Dead];
+  const stopping = members.map((member, index) => ({ ...member, state: states[index % 3]! }));
+  const choose = (current: readonly Member[]) =>
+    new EntryPointsController({
+      io: { createLog: () => silentLog },
+      settings: { entryPointLifetimeMs: 30_000 },
+      membership: { members: () => [...current] },
+    }).choose('caller');
+  const addresses = stopping
+    .filter(({ state }) => state === MemberState.Leaving)
+    .map(({ callerAddress }) => callerAddress);
+  const { entryPoints, lifetimeMs } = choose(stopping);
+  t.deepEqual(entryPoints.map(({ address }) => address).toSorted(), addresses.toSorted());
+  t.is(lifetimeMs, 1000);
+  const returned = choose([...stopping, createMember(9)]);
+  t.deepEqual(
+    returned.entryPoints.map(({ address }) => address),
+    ['10.0.0.9:8000'],
+  );
+  t.is(returned.lifetimeMs, 30_000);
+});
