Answer requests on open connections until they end in a planned stop

A caller that used an open connection while its VM was stopped got no answer now and then: the connection was closed under its request. Whether the request had run, it could not know.

Cause: the server closed idle connections when it stopped listening and every 200 ms after that, up to 200 ms after an answer with "Connection: keep-alive". A request on its way at that moment was lost. In the 30 s before, answers said keep-alive as well, so busy connections lasted until then.

Change: from the start of the stop, answers say "Connection: close" and Node ends their connections. Stopping closes the listener only; connections that were said to stay open end after Node's keep-alive time of 5 s, and a request on them until then is answered, as not run once the VM is draining.

--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -1,5 +1,5 @@
 /** HTTP server for callers and operators. */
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
 import type { Server } from 'node:http';
 import { serve, type HttpBindings } from '@hono/node-server';
 import { getErrorMessage, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
@@ -8,14 +8,13 @@
 
 type FetchHandler = (request: Request, bindings: HttpBindings) => Response | Promise<Response>;
 
-/** Interval at which idle connections are closed while the server stops. */
-const IDLE_CLOSE_INTERVAL_MS = 200;
-
 export class CallerServer {
   private server: Server | undefined;
 
   private fetch: FetchHandler = () => new Response(null, { status: 503 });
 
+  private isRetiring = false;
+
   /** Sets the application; until then requests get status 503. */
   setApplication(fetch: FetchHandler): void {
     this.fetch = fetch;
@@ -27,7 +26,7 @@
     return new Promise((resolve) => {
       const server = serve(
         {
-          fetch: (request, bindings) => this.fetch(request, bindings as HttpBindings),
+          fetch: (request, bindings) => this.answer(request, bindings as HttpBindings),
           hostname: requested.host,
           port: requested.port,
           overrideGlobalObjects: false,
@@ -50,21 +49,25 @@
     });
   }
 
-  /** Stops accepting connections and resolves when the responses in progress have ended. */
+  /** Lets each connection end with its next answer, which says so; callers then open new ones. */
+  retireConnections(): void {
+    this.isRetiring = true;
+  }
+
+  /** Stops accepting connections and resolves when all have ended. */
   close(): Promise<void> {
     const { server } = this;
     if (server === undefined) return Promise.resolve();
+    this.retireConnections();
     return new Promise((resolve) => {
-      // Keep-alive connections become idle only when their last response has ended.
-      const idleCloseInterval = setInterval(
-        () => server.closeIdleConnections(),
-        IDLE_CLOSE_INTERVAL_MS,
-      );
-      server.close(() => {
-        clearInterval(idleCloseInterval);
-        resolve();
-      });
-      server.closeIdleConnections();
+      // The method of HTTP servers also closes idle connections at once. Callers were told that these stay
+      // open for the keep-alive time, and a request that is on its way on one would get no answer.
+      NetServer.prototype.close.call(server, () => resolve());
     });
   }
+
+  private answer(request: Request, bindings: HttpBindings): Response | Promise<Response> {
+    if (this.isRetiring) bindings.outgoing.shouldKeepAlive = false;
+    return this.fetch(request, bindings);
+  }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -108,6 +108,7 @@
 
   /** Stops after all requests in progress have ended. */
   async stop(): Promise<void> {
+    this.server.retireConnections();
     await this.entryVm?.stop(() => this.server.close());
     await this.transport().stop();
     const { clients, metrics } = this.connections;
