Refuse a request that has crashed three workers in the daemon too

A request that crashes each worker that begins to run it was sent to workers whenever its caller sent it again, at any VM. Other callers lost the streams in progress at these workers.

--- a/packages/interfaces/src/online.ts
+++ b/packages/interfaces/src/online.ts
@@ -79,16 +79,16 @@
 }
 
 /**
- * Refuses requests that crash workers. The parts of a request are its prefix hashes, and last the hash of
- * the whole request.
+ * Refuses requests that crash workers. The parts of a request are its prefix hashes, and last one of its own;
+ * `request` is the same each time that a caller sends the request.
  */
 export interface Quarantine {
-  /** Returns the fault with which a request with these parts is refused, if it is. */
-  findBlock(parts: readonly string[]): Fault | undefined;
-  /** Records that a request with these parts has begun to receive its answer. */
-  recordAnswer(parts: readonly string[]): void;
-  /** Records that a worker's connection broke before a request with these parts received an answer. */
-  recordLoss(workerId: string, parts: readonly string[]): void;
+  /** Returns the fault with which the request is refused, if it is. */
+  findBlock(parts: readonly string[], request: string): Fault | undefined;
+  /** Records that the request has begun to receive its answer. */
+  recordAnswer(parts: readonly string[], request: string): void;
+  /** Records that a worker's connection broke before the request received any of its answer. */
+  recordLoss(workerId: string, parts: readonly string[], request: string): void;
 }
 
 export interface OnlineDispatcher {
--- a/packages/online/src/crash-watch.ts
+++ b/packages/online/src/crash-watch.ts
@@ -8,14 +8,18 @@
 
   private hasAnswer = false;
 
+  private readonly parts: readonly string[];
+
   constructor(
     private readonly quarantine: Quarantine,
-    /** Prefix hashes of the prompt, and last the key of the whole request. */
-    private readonly parts: readonly string[],
-  ) {}
+    prefixes: readonly string[],
+    private readonly requestKey: string,
+  ) {
+    this.parts = [...prefixes, requestKey];
+  }
 
   findBlock(): Fault | undefined {
-    return this.quarantine.findBlock(this.parts);
+    return this.quarantine.findBlock(this.parts, this.requestKey);
   }
 
   beginAttempt(): void {
@@ -26,13 +30,13 @@
   recordAnswer(): void {
     if (this.hasAnswer) return;
     this.hasAnswer = true;
-    this.quarantine.recordAnswer(this.parts);
+    this.quarantine.recordAnswer(this.parts, this.requestKey);
   }
 
   recordFault(workerId: string, { code, outcome }: Fault): void {
     const isLoss = code === FaultCode.Interrupted && outcome !== Outcome.NotRun;
     if (!isLoss || this.hasAnswer) return;
     this.losses += 1;
-    this.quarantine.recordLoss(workerId, this.parts);
+    this.quarantine.recordLoss(workerId, this.parts, this.requestKey);
   }
 }
--- a/packages/online/src/online-dispatch.test.ts
+++ b/packages/online/src/online-dispatch.test.ts
@@ -239,3 +239,48 @@
   const fifth = fleet.promptCrashes[4] ?? Infinity;
   t.true(fleet.promptCrashes.filter((at) => at > fifth + 3000).length <= 3);
 });
+
+// Guards against one request that comes again and crashes each worker that begins to run it. Other requests
+// do not have its beginning.
+test('a request that crashed three workers is refused with a retry delay, others are served', async (t) => {
+  const deadlyText = 'deadly '.repeat(60);
+  const fleet = new Fleet(25, 6, deadlyText);
+  const deadly = { messages: [{ role: 'user', content: deadlyText }] };
+  const sound: ReturnType<Fleet['generate']>[] = [];
+  for (let request = 0; request < 300; request += 1) {
+    if (request % 20 === 0) fleet.generate(deadly);
+    else sound.push(fleet.generate());
+    await fleet.timer.advance(100);
+  }
+  const third = fleet.promptCrashes[2] ?? Infinity;
+  t.is(fleet.promptCrashes.filter((at) => at > third + 3000).length, 0);
+  const refused = getFault(await fleet.generate(deadly).answer);
+  t.like(refused, { code: FaultCode.Unavailable, outcome: Outcome.NotRun });
+  t.true(refused!.retryAfterMs! > 0);
+  await fleet.timer.advance(10_000);
+  const answers = await Promise.all(sound.slice(-200).map(({ answer }) => answer));
+  t.true(answers.every((answer) => answer.isOk()));
+});
+
+// Two crashes prove nothing: the callers of sound requests that were lost send them again.
+test('a sound request that is sent again after two crashes of other cause is served', async (t) => {
+  const fleet = new Fleet(26, 4);
+  const sound = { messages: [{ role: 'user', content: 'sound '.repeat(100) }] };
+  const lost = fleet.generate(sound);
+  for (let crash = 0; crash < 2; crash += 1) {
+    await fleet.timer.advance(1);
+    const engine = fleet.engines.find((candidate) => candidate.countRunning() > 0)!;
+    engine.crash();
+    await fleet.timer.advance(30);
+  }
+  await fleet.timer.advance(1000);
+  t.like(getFault(await lost.answer), {
+    code: FaultCode.Interrupted,
+    outcome: Outcome.OutcomeUnknown,
+  });
+  for (let repeat = 0; repeat < 5; repeat += 1) {
+    const again = fleet.generate(sound);
+    await fleet.timer.advance(2000);
+    t.true((await again.answer).isOk());
+  }
+});
--- a/packages/online/src/online-dispatch.ts
+++ b/packages/online/src/online-dispatch.ts
@@ -98,8 +98,8 @@
       return err(this.createRefusal(FaultCode.NotFound, message));
     }
     const prefixes = computePrefixHashes(generation.messages);
-    const parts = [...prefixes, computeGenerationKey(request)];
-    const crashWatch = new CrashWatch(this.options.quarantine, parts);
+    const requestKey = computeGenerationKey(request, prefixes);
+    const crashWatch = new CrashWatch(this.options.quarantine, prefixes, requestKey);
     const delivered: string[] = [];
     const interTokenLatency = new InterTokenLatency();
     const deliver = (token: Token): void => {
@@ -124,7 +124,7 @@
   async call(request: OnlineServiceRequest, signal: AbortSignal): Reply<ServiceResponse> {
     const { requestId } = request.request;
     const { timer, backendServers } = this.options.io;
-    const crashWatch = new CrashWatch(this.options.quarantine, [computeCallKey(request)]);
+    const crashWatch = new CrashWatch(this.options.quarantine, [], computeCallKey(request));
     const runAttempt = async (
       worker: Worker,
       _attemptNumber: number,
--- a/packages/peer-quarantine/src/peer-quarantine.test.ts
+++ b/packages/peer-quarantine/src/peer-quarantine.test.ts
@@ -16,6 +16,8 @@
 
 const DANGEROUS = 'beginning';
 
+const DEADLY = 'request-deadly';
+
 const startFleet = async (entryVmCount: number, seed = 1): Promise<Fleet> => {
   const fleet = new Fleet({
     seed,
@@ -36,15 +38,16 @@
 const countExchanges = ({ networkState }: Fleet): number =>
   networkState.traffic.calls.get(PeerMethod.ExchangeValues) ?? 0;
 
+/** Returns what each VM answers to a request with these parts, the last of which is the request itself. */
 const findBlocks = (fleet: Fleet, parts: readonly string[]) =>
-  fleet.listLiveNodes().map((node) => getQuarantine(node).findBlock(parts));
+  fleet.listLiveNodes().map((node) => getQuarantine(node).findBlock(parts, parts.at(-1)!));
 
 /** Loses a request with the dangerous beginning at each of the workers, on one VM after the other. */
 const crashWorkers = async (fleet: Fleet, workerIds: readonly string[]): Promise<void> => {
   const nodes = fleet.listLiveNodes();
   for (const [index, workerId] of workerIds.entries()) {
     const parts = [DANGEROUS, `request ${workerId}`];
-    getQuarantine(nodes[index % nodes.length]!).recordLoss(workerId, parts);
+    getQuarantine(nodes[index % nodes.length]!).recordLoss(workerId, parts, parts.at(-1)!);
     await fleet.advance(500);
   }
 };
@@ -69,7 +72,7 @@
   for (const workerId of ['w1', 'w2']) {
     for (const node of fleet.listLiveNodes()) {
       const parts = [DANGEROUS, `${node.settings.entryVmId} at ${workerId}`];
-      getQuarantine(node).recordLoss(workerId, parts);
+      getQuarantine(node).recordLoss(workerId, parts, parts.at(-1)!);
       await fleet.advance(20);
     }
     await fleet.advance(3000);
@@ -83,13 +86,50 @@
 test('an answer on one VM clears a beginning on all', async (t) => {
   const fleet = await startFleet(8);
   await crashWorkers(fleet, ['w1', 'w2']);
-  getQuarantine(fleet.node('entry-7')).recordAnswer([DANGEROUS, 'answered']);
+  getQuarantine(fleet.node('entry-7')).recordAnswer([DANGEROUS, 'answered'], 'answered');
   await fleet.advance(1000);
   await crashWorkers(fleet, ['w3']);
   await fleet.advance(CONTACT_MS);
   t.true(findBlocks(fleet, [DANGEROUS, 'another']).every((fault) => fault === undefined));
 });
 
+/** Loses the same request at each of the workers, on one VM after the other. */
+const crashByRequest = async (fleet: Fleet, workerIds: readonly string[]): Promise<void> => {
+  const nodes = fleet.listLiveNodes();
+  for (const [index, workerId] of workerIds.entries()) {
+    getQuarantine(nodes[index % nodes.length]!).recordLoss(workerId, [DEADLY], DEADLY);
+    await fleet.advance(500);
+  }
+};
+
+// Guards against one request that comes again at other VMs and crashes each worker that begins to run it.
+test('all VMs refuse a request that crashed three workers, without the store', async (t) => {
+  const fleet = await startFleet(8);
+  fleet.keyValue.faults.reachability = Reachability.Refusing;
+  await crashByRequest(fleet, ['w1', 'w2']);
+  await fleet.advance(CONTACT_MS);
+  t.true(findBlocks(fleet, [DEADLY]).every((fault) => fault === undefined));
+  await crashByRequest(fleet, ['w3']);
+  await fleet.advance(CONTACT_MS);
+  for (const fault of findBlocks(fleet, [DEADLY])) {
+    t.like(fault, { code: FaultCode.Unavailable, outcome: Outcome.NotRun });
+    t.true(fault!.retryAfterMs! > 0);
+  }
+  t.true(findBlocks(fleet, ['request-other']).every((fault) => fault === undefined));
+});
+
+// A crash that two VMs see would otherwise make two of the three that are needed.
+test('a request that is lost on two VMs at each of two crashes is not refused', async (t) => {
+  const fleet = await startFleet(3);
+  for (const workerId of ['w1', 'w2']) {
+    ['entry-0', 'entry-1'].forEach((id) => {
+      getQuarantine(fleet.node(id)).recordLoss(workerId, [DEADLY], DEADLY);
+    });
+    await fleet.advance(CONTACT_MS);
+  }
+  t.true(findBlocks(fleet, [DEADLY]).every((fault) => fault === undefined));
+});
+
 test('a VM that starts again after a crash has the blocks of the others', async (t) => {
   const fleet = await startFleet(8);
   await crashWorkers(fleet, ['w1', 'w2', 'w3']);
@@ -98,7 +138,7 @@
   await fleet.advance(5000);
   const node = fleet.startEntryVm('entry-3');
   await fleet.advance(CONTACT_MS);
-  t.not(getQuarantine(node).findBlock([DANGEROUS, 'another']), undefined);
+  t.not(getQuarantine(node).findBlock([DANGEROUS, 'another'], 'another'), undefined);
 });
 
 // A block would otherwise end on a VM that was cut off while the others learned of it.
--- a/packages/peer-quarantine/src/peer-quarantine.ts
+++ b/packages/peer-quarantine/src/peer-quarantine.ts
@@ -74,16 +74,16 @@
     this.exchanger.stop();
   }
 
-  findBlock(parts: readonly string[]): Fault | undefined {
-    return this.quarantine.findBlock(parts);
+  findBlock(parts: readonly string[], request: string): Fault | undefined {
+    return this.quarantine.findBlock(parts, request);
   }
 
-  recordAnswer(parts: readonly string[]): void {
-    this.quarantine.recordAnswer(parts);
+  recordAnswer(parts: readonly string[], request: string): void {
+    this.quarantine.recordAnswer(parts, request);
   }
 
-  recordLoss(workerId: string, parts: readonly string[]): void {
-    this.quarantine.recordLoss(workerId, parts);
+  recordLoss(workerId: string, parts: readonly string[], request: string): void {
+    this.quarantine.recordLoss(workerId, parts, request);
   }
 
   private identifyCrash(workerId: string): string {
