Close connections without a request when a planned stop drains

A VM that was stopped with a connection that a caller had opened in advance took a minute longer: it refused requests and was not back.

Cause: a stop ends when all connections have ended. Node waits 60 s for the first request of a connection, and closing idle connections leaves out those that never had one.

Change: a second after the listener has closed, connections on which no byte has arrived are closed. A first request that was on its way by then is answered.

Result: without the change the test of the unused connection takes 60.1 s and fails at its limit of 15 s; with it, 1 s. A second test shows that a first request that is sent as the server stops is answered; it passes without the change as well.

--- a/packages/daemon/src/caller-server.test.ts
+++ b/packages/daemon/src/caller-server.test.ts
@@ -77,3 +77,26 @@
   next.write(REQUEST);
   t.regex((await readAnswer(next))!, /200 OK/);
 });
+
+// Guards against a stop that waits for callers without requests: a connection that was opened in advance held
+// it up for a minute, in which the VM served nobody and was not back.
+test('a connection without a request does not hold up the stop', async (t) => {
+  t.timeout(15_000);
+  const { server, openConnection } = await startServer(t);
+  const unused = await openConnection();
+  const closed = server.close();
+  await once(unused.resume(), 'close');
+  await closed;
+  t.pass();
+});
+
+test('the first request of a connection is answered if it was on its way at the stop', async (t) => {
+  const { server, openConnection } = await startServer(t);
+  server.setApplication(() => new Response('short'));
+  const [early, late] = [await openConnection(), await openConnection()];
+  early.write(REQUEST);
+  const closed = server.close();
+  late.write(REQUEST);
+  for (const socket of [early, late]) t.regex((await readAnswer(socket)) ?? 'none', /200 OK/);
+  await closed;
+});
--- a/packages/daemon/src/caller-server.ts
+++ b/packages/daemon/src/caller-server.ts
@@ -1,5 +1,5 @@
 /** HTTP server for callers and operators. */
-import { Server as NetServer, type AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import type { Server } from 'node:http';
 import { serve, type HttpBindings } from '@hono/node-server';
 import { getErrorMessage, FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
@@ -8,6 +8,9 @@
 
 type FetchHandler = (request: Request, bindings: HttpBindings) => Response | Promise<Response>;
 
+/** Time for a first request that is on its way when the server stops. */
+const UNUSED_CLOSE_MS = 1000;
+
 export class CallerServer {
   private server: Server | undefined;
 
@@ -15,6 +18,8 @@
 
   private isRetiring = false;
 
+  private readonly connections = new Set<Socket>();
+
   /** Sets the application; until then requests get status 503. */
   setApplication(fetch: FetchHandler): void {
     this.fetch = fetch;
@@ -35,6 +40,7 @@
           resolve(ok(formatAddress({ host: requested.host, port: info.port }))),
       ) as Server;
       this.server = server;
+      server.on('connection', (socket) => this.trackConnection(socket));
       server.once('error', (thrown) =>
         resolve(
           err({
@@ -59,6 +65,8 @@
     const { server } = this;
     if (server === undefined) return Promise.resolve();
     this.retireConnections();
+    // Node would wait a minute for the first request of a connection.
+    setTimeout(() => this.closeUnused(), UNUSED_CLOSE_MS);
     return new Promise((resolve) => {
       // The method of HTTP servers also closes idle connections at once. Callers were told that these stay
       // open for the keep-alive time, and a request that is on its way on one would get no answer.
@@ -66,6 +74,17 @@
     });
   }
 
+  private trackConnection(socket: Socket): void {
+    this.connections.add(socket);
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  private closeUnused(): void {
+    [...this.connections]
+      .filter(({ bytesRead }) => bytesRead === 0)
+      .forEach((socket) => socket.destroySoon());
+  }
+
   private answer(request: Request, bindings: HttpBindings): Response | Promise<Response> {
     if (this.isRetiring) bindings.outgoing.shouldKeepAlive = false;
     return this.fetch(request, bindings);
