Keep the shards of a leaving VM while no other VM is live

While all VMs were stopped together, they still served callers for the lifetime of entry-point answers, but claims of idempotency keys got no answer, so that requests that must not run twice could not be made.

Cause: a stopping VM revoked its lease at once. Leaving VMs take over no shards, so after the last VM had begun to leave no shard had an owner.

A VM that leaves alone hands over a second later than before.

--- a/packages/entry-vm/src/entry-vm.ts
+++ b/packages/entry-vm/src/entry-vm.ts
@@ -40,6 +40,9 @@
 
 const LOAD_PUBLISH_INTERVAL_MS = 1000;
 
+/** Interval at which a leaving VM looks for a live one; long enough to learn of VMs that stop with it. */
+const SUCCESSOR_CHECK_MS = 1000;
+
 class DefaultEntryVm implements EntryVm {
   readonly components: Components;
 
@@ -74,9 +77,9 @@
     // drained.
     this.components.executor.stop();
     this.components.placement.stop();
-    // Revokes the lease, so that other VMs take over the shards while callers are still served.
-    await this.components.shards.stop();
+    const released = this.releaseShards();
     await this.io.timer.sleep(this.settings.entryPointLifetimeMs);
+    await released;
     this.setPhase(Phase.Draining);
     await closeConnections();
     await this.components.dispatcher.drain();
@@ -124,6 +127,26 @@
     ];
   }
 
+  /**
+   * Revokes the lease, so that other VMs take over the shards while callers are still served. While no other
+   * VM is live, the shards stay, because requests that need their owner would be refused.
+   */
+  private async releaseShards(): Promise<void> {
+    const { timer } = this.io;
+    const until = timer.now() + this.settings.entryPointLifetimeMs;
+    do await timer.sleep(Math.min(SUCCESSOR_CHECK_MS, until - timer.now()));
+    while (timer.now() < until && !this.hasLivePeer());
+    await this.components.shards.stop();
+  }
+
+  private hasLivePeer(): boolean {
+    const { membership } = this.components;
+    const self = membership.self().entryVmId;
+    return membership
+      .members()
+      .some(({ entryVmId, state }) => entryVmId !== self && state === MemberState.Alive);
+  }
+
   private publishLoad(): void {
     const onlineLoad = this.components.dispatcher.inFlight();
     if (onlineLoad !== this.components.membership.self().onlineLoad) {
