--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -1,6 +1,7 @@
 /** Creates the components of an entry VM and connects them. */
 import { Gateway } from '@jujubelanding/gateway';
 import { JobExecution } from '@jujubelanding/ledger-execution';
+import { Admission } from '@jujubelanding/planned-stop';
 import { ChangeKind } from '@jujubelanding/platform';
 import { RelayedStore, WatchHub, type SharedCopy } from '@jujubelanding/store-relay';
 import { Router } from '@jujubelanding/routing';
@@ -25,6 +26,8 @@
 import { StartupGate } from './startup-gate.js';
 import type { DeployedVmOptions } from './options.js';
 import { RetirementReporter } from './retirement-reporter.js';
+import { StopCoordinator } from './stop-coordinator.js';
+import { computeCallerDrain, computeStopTime } from './stop-times.js';
 import { createChooser } from './worker-chooser.js';
 
 /** Wait of a watch of the store, so that an idle copy that is current is always below the maximum age. */
@@ -39,13 +42,24 @@
 /** Pause between watches of jobs, so that changes share a call. Every VM must know a new job within 1 s. */
 const JOB_WATCH_PAUSE_MS = 450;
 
-const createWorkers = ({ timer, createLog, keys, decodeWorker }: DeployedVmOptions) =>
-  new WorkerRegistry({
+/**
+ * Share of the drain time of a worker in which it gets requests if its service has no other worker; the
+ * rest is a margin for requests that are tried again.
+ */
+const LAST_RESORT_SHARE = 0.5;
+
+const createWorkers = (options: DeployedVmOptions): WorkerRegistry => {
+  const { timer, createLog, keys, decodeWorker, settings, backends } = options;
+  const workers = new WorkerRegistry({
     timer,
     log: createLog('workers'),
     prefix: keys.workerPrefix,
     decode: decodeWorker,
+    lastResortMs: settings.workerDrainMs * LAST_RESORT_SHARE,
   });
+  backends.onLeaving((worker) => workers.recordLeaving(worker));
+  return workers;
+};
 
 /** Timeout of an online request's first event. Slow workers need 100 ms; callers expect it within 300 ms. */
 const FIRST_EVENT_TIMEOUT_MS = 400;
@@ -140,6 +154,30 @@
 ): RelayedStore =>
   new RelayedStore({ direct: store, relay, listPeers, timer, random, log: createLog('store') });
 
+/** Creates the components that decide on requests and on the end of this VM while it is stopped. */
+const createStop = (
+  { settings, timer, createLog }: DeployedVmOptions,
+  { loads, registry }: Fleet,
+) => {
+  const created: { admission?: Admission } = {};
+  const stop = new StopCoordinator({
+    settings,
+    timer,
+    loads,
+    registry,
+    admission: () => created.admission!,
+  });
+  const admission = new Admission({
+    timer,
+    log: createLog('stop'),
+    stopMs: computeStopTime(settings),
+    callerDrainMs: computeCallerDrain(settings),
+    readFleet: () => stop.readFleet(),
+  });
+  created.admission = admission;
+  return { stop, admission };
+};
+
 /** Creates all components without starting them. */
 export const createComponents = (platformOptions: DeployedVmOptions, sendMessage: SendMessage) => {
   const peers: { list: () => readonly string[] } = { list: () => [] };
@@ -151,6 +189,7 @@
   const workers = createWorkers(options);
   const fleet = createFleet(options, self, workers, sendMessage);
   const { loads } = fleet;
+  const { stop, admission } = createStop(options, fleet);
   peers.list = () => fleet.registry.listPeerAddresses();
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
@@ -216,7 +255,13 @@
     zoneOf: (id) => fleet.registry.find(id)?.availabilityZone ?? availabilityZone,
     isReady: () => followed.jobFollower.isLoaded,
   });
-  const batchJobApi = new BatchJobApi({ ...io, ...batch, log: createLog('batch'), acknowledgeMs });
+  const batchJobApi = new BatchJobApi({
+    ...io,
+    ...batch,
+    log: createLog('batch'),
+    acknowledgeMs,
+    admission,
+  });
   const gateway = new Gateway({
     ...io,
     router,
@@ -228,12 +273,15 @@
     configurationAgeMs: () => followed.operatorFollower.ageMs(),
     waitUntilReady: () => startupGate.wait(),
     batch: options.createBatchRequests(batchJobApi),
+    admission,
   });
   const { retention, quota } = batch;
   return {
     ...fleet,
     ...followed,
     store,
+    stop,
+    admission,
     workers,
     router,
     execution,
