Choose leaving VMs for callers by planned-stop

While all VMs were stopped one after the other, callers could get the address of one that had left first and accepted no more connections. With one live VM of many, all callers were sent to it although the leaving ones still served.

Cause: any leaving member was chosen, and only if none was live.

Change: entry points use selectStaying of planned-stop, with the time at which this VM learned that a member leaves.

--- a/packages/entry-points/src/choice.ts
+++ b/packages/entry-points/src/choice.ts
@@ -22,17 +22,16 @@
   /** Availability zone of the caller; preferred if given. */
   availabilityZone?: string | undefined;
   count: number;
+  /** Ids of leaving members that may be chosen too. */
+  staying?: readonly string[];
 }
 
-/** Returns the live members; if all of them leave, the leaving ones, which serve for some time yet. */
-const selectServing = (members: readonly Member[]): Member[] => {
-  const live = members.filter(({ state }) => state === MemberState.Alive);
-  return live.length > 0 ? live : members.filter(({ state }) => state === MemberState.Leaving);
-};
-
 /** Ranks serving members for a caller, those in the caller's availability zone first. */
 const rankMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
-  const serving = selectServing(members);
+  const serving = members.filter(
+    ({ entryVmId, state }) =>
+      state === MemberState.Alive || options.staying?.includes(entryVmId) === true,
+  );
   const lowestLoad = Math.min(...serving.map(({ onlineLoad }) => onlineLoad));
   return serving
     .map((member) => ({
--- a/packages/entry-points/src/entry-points-controller.ts
+++ b/packages/entry-points/src/entry-points-controller.ts
@@ -6,6 +6,8 @@
   Membership,
 } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
+import { selectStaying } from '@jujubelanding/planned-stop';
+import type { Subscription } from '@jujubelanding/timer';
 import { MemberState } from '@jujubelanding/types';
 import { chooseMembers } from './choice.js';
 
@@ -16,9 +18,9 @@
 export const LEAVING_LIFETIME_MS = 1000;
 
 export interface EntryPointsOptions {
-  io: Pick<EntryVmIo, 'createLog'>;
+  io: Pick<EntryVmIo, 'createLog' | 'timer'>;
   settings: Pick<EntryVmSettings, 'entryPointLifetimeMs'>;
-  membership: Pick<Membership, 'members'>;
+  membership: Pick<Membership, 'members' | 'onChange'>;
   /** Number of addresses in each answer. */
   count?: number;
 }
@@ -27,18 +29,29 @@
 export class EntryPointsController implements EntryPoints {
   private readonly log: Log;
 
+  private subscription: Subscription | undefined;
+
+  /** Times at which this VM learned that members leave. */
+  private leavingSince: ReadonlyMap<string, number> = new Map();
+
   constructor(private readonly options: EntryPointsOptions) {
     this.log = options.io.createLog('entry-points');
   }
 
-  start(): void {}
+  start(): void {
+    this.subscription ??= this.options.membership.onChange(() => this.recordLeaving());
+  }
 
-  stop(): void {}
+  stop(): void {
+    this.subscription?.cancel();
+  }
 
   choose(caller: string, availabilityZone?: string): EntryPointResponse {
     const { membership, settings, count = DEFAULT_ENTRY_POINT_COUNT } = this.options;
-    const chosen = chooseMembers(membership.members(), { caller, availabilityZone, count });
-    const isLeaving = chosen[0]?.state === MemberState.Leaving;
+    const staying = this.selectStaying();
+    const choice = { caller, availabilityZone, count, staying };
+    const chosen = chooseMembers(membership.members(), choice);
+    const isLeaving = chosen.some(({ state }) => state === MemberState.Leaving);
     const { entryPointLifetimeMs } = settings;
     this.log.write('entry-points-chosen', {
       caller,
@@ -55,4 +68,27 @@
         : entryPointLifetimeMs,
     };
   }
+
+  /** Selects the leaving VMs that callers may use because too few VMs are live. */
+  private selectStaying(): string[] {
+    const { io, membership, settings } = this.options;
+    this.recordLeaving();
+    const live = membership.members().filter(({ state }) => state === MemberState.Alive);
+    return selectStaying({
+      now: io.timer.now(),
+      servingVms: live.length,
+      stopping: [...this.leavingSince].map(([entryVmId, since]) => ({ entryVmId, since })),
+      graceMs: settings.entryPointLifetimeMs,
+      minStayMs: LEAVING_LIFETIME_MS,
+    });
+  }
+
+  private recordLeaving(): void {
+    const { io, membership } = this.options;
+    const leaving = membership.members().filter(({ state }) => state === MemberState.Leaving);
+    const now = io.timer.now();
+    this.leavingSince = new Map(
+      leaving.map(({ entryVmId }) => [entryVmId, this.leavingSince.get(entryVmId) ?? now]),
+    );
+  }
 }
--- a/packages/entry-vm/src/entry-vm.ts
+++ b/packages/entry-vm/src/entry-vm.ts
@@ -112,6 +112,7 @@
       components.membership,
       components.shards,
       components.configuration,
+      components.entryPoints,
       components.ownedWorkers,
       components.loads,
       components.router,
