--- a/packages/entry-points/src/choice.ts
+++ b/packages/entry-points/src/choice.ts
@@ -22,13 +22,18 @@
   /** Availability zone of the caller; preferred if given. */
   availabilityZone?: string | undefined;
   count: number;
+  /** Ids of leaving members that may be chosen too. */
+  staying?: readonly string[];
 }
 
-/** Ranks live members for a caller, those in the caller's availability zone first. */
+/** Ranks serving members for a caller, those in the caller's availability zone first. */
 const rankMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
-  const live = members.filter(({ state }) => state === MemberState.Alive);
-  const lowestLoad = Math.min(...live.map(({ onlineLoad }) => onlineLoad));
-  return live
+  const serving = members.filter(
+    ({ entryVmId, state }) =>
+      state === MemberState.Alive || options.staying?.includes(entryVmId) === true,
+  );
+  const lowestLoad = Math.min(...serving.map(({ onlineLoad }) => onlineLoad));
+  return serving
     .map((member) => ({
       member,
       isSameZone: Number(member.availabilityZone === options.availabilityZone),
@@ -39,7 +44,7 @@
 };
 
 /**
- * Chooses up to `count` live members, those in the caller's availability zone first. The last one is
+ * Chooses up to `count` serving members, those in the caller's availability zone first. The last one is
  * in another zone if there is one, so that the caller keeps an address when a zone is lost.
  */
 export const chooseMembers = (members: readonly Member[], options: ChoiceOptions): Member[] => {
--- a/packages/interfaces/src/online.ts
+++ b/packages/interfaces/src/online.ts
@@ -78,6 +78,19 @@
   deadline: number;
 }
 
+/**
+ * Refuses requests that crash workers. The parts of a request are its prefix hashes, and last one of its own;
+ * `request` is the same each time that a caller sends the request.
+ */
+export interface Quarantine {
+  /** Returns the fault with which the request is refused, if it is. */
+  findBlock(parts: readonly string[], request: string): Fault | undefined;
+  /** Records that the request has begun to receive its answer. */
+  recordAnswer(parts: readonly string[], request: string): void;
+  /** Records that a worker's connection broke before the request received any of its answer. */
+  recordLoss(workerId: string, parts: readonly string[], request: string): void;
+}
+
 export interface OnlineDispatcher {
   /** Streams a complete, validated answer; each token is delivered exactly once and in order. */
   generate(
