Agree on one order of planned stops

Callers would see: two stopping VMs that each leave it to the other to stay, or an address of a VM that has ended.

Cause: VMs compared the times at which they had learned of stops, and ids where these were close. Such a comparison is no order: it differs between VMs, and it is not transitive. A stopping VM that had crashed or closed its listener counted among those that stay.

Fix: a departure carries the time of the stop on the wall clock of its VM. Clocks differ, but all VMs get the same value, so that all come to the same order. A VM tells the others when it accepts no connections, and one that is silent for 1.3 s is not counted on. How many VMs are enough is decided in one place. Addresses live half a second while too few VMs serve, also if none is named beside them. Connections to workers are shared among all VMs that accept callers, not only those that are not stopping.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -159,14 +159,7 @@
   { settings, timer, createLog }: DeployedVmOptions,
   { loads, registry }: Fleet,
 ) => {
-  const created: { admission?: Admission } = {};
-  const stop = new StopCoordinator({
-    settings,
-    timer,
-    loads,
-    registry,
-    admission: () => created.admission!,
-  });
+  const stop = new StopCoordinator({ settings, timer, loads, registry });
   const admission = new Admission({
     timer,
     log: createLog('stop'),
@@ -174,7 +167,6 @@
     callerDrainMs: computeCallerDrain(settings),
     readFleet: () => stop.readFleet(),
   });
-  created.admission = admission;
   return { stop, admission };
 };
 
@@ -194,16 +186,18 @@
   const vmPrefix = `${keys.followedPrefix}vm/`;
   const followers: { jobs?: StoreFollower; configuration?: ConfigurationState } = {};
   const readTable = () => followers.configuration?.table;
+  const countEntryVms = () => stop.countOthers() + 1;
   const backends = new ConnectionLimiter({
     backends: options.backends,
     maxConnectionsOf: (service) => readTable()?.findService(service)?.maxConnections,
-    countEntryVms: () => loads.listServing().length + 1,
+    countEntryVms,
   });
-  const batch = createJobs(options, self, fleet, () => followers.jobs);
+  const batch = createJobs(options, self, fleet, () => followers.jobs, countEntryVms);
   const quarantine = createQuarantine(options, fleet, workers);
   const startupGate = new StartupGate(
     timer,
-    () => readTable() !== undefined && workers.all().length > 0,
+    () =>
+      readTable() !== undefined && workers.all().length > 0,
   );
   workers.onChange(() => startupGate.releaseIfReady());
   const followed = createFollowers(
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -92,7 +92,9 @@
     const lifetimeMs = computeEntryPointLifetime(settings);
     return {
       entryPoints,
-      lifetimeMs: staying.length > 0 ? Math.min(STAYING_LIFETIME_MS, lifetimeMs) : lifetimeMs,
+      lifetimeMs: this.components.stop.isFleetShort(serving.length)
+        ? Math.min(STAYING_LIFETIME_MS, lifetimeMs)
+        : lifetimeMs,
     };
   }
 
@@ -101,6 +103,11 @@
     return this.components.stop.decide(isListening, requestsInProgress);
   }
 
+  /** Tells the other VMs that this VM accepts no connections any more. */
+  announceClosing(): void {
+    this.components.loads.announceClosing();
+  }
+
   /** Removes this VM from the entry points and releases its jobs; requests are still served. */
   async leave(): Promise<void> {
     const { registry, loads, execution, lease, admission } = this.components;
--- a/packages/deployed-vm/src/job-components.ts
+++ b/packages/deployed-vm/src/job-components.ts
@@ -20,6 +20,7 @@
   self: Ownership,
   fleet: Fleet,
   readFollower: () => StoreFollower | undefined,
+  countEntryVms: () => number,
 ) => {
   const keySpace = new KeySpace(keys.followedPrefix, keys.onDemandPrefix);
   const log = createLog('jobs');
@@ -29,7 +30,7 @@
     keys: keySpace,
     table,
     isTableLoaded: () => readFollower()?.isLoaded ?? false,
-    countEntryVms: () => fleet.loads.listServing().length + 1,
+    countEntryVms,
   });
   const leaseId = () => fleet.lease.current;
   const transactions = new JobTransactions({
--- a/packages/deployed-vm/src/stop-coordinator.ts
+++ b/packages/deployed-vm/src/stop-coordinator.ts
@@ -1,13 +1,12 @@
 import type { EntryVmRegistry, Registration } from '@jujubelanding/entry-vm-registry';
-import type { FleetLoad } from '@jujubelanding/fleet-load';
+import { PEER_TIMEOUT_MS, type Departure, type FleetLoad } from '@jujubelanding/fleet-load';
 import {
   compareStops,
+  countEnough,
   decideStop,
   selectStaying,
   StopStep,
-  type Admission,
   type FleetState,
-  type StoppingVm,
 } from '@jujubelanding/planned-stop';
 import type { Timer } from '@jujubelanding/timer';
 import type { DeployedSettings } from './settings.js';
@@ -16,15 +15,14 @@
 /** Time after the end of its grace in which a stopped VM has usually returned. */
 const RETURN_MS = 3000;
 
-/** Time that most requests take; a VM that ends sooner is of no use to new callers. */
+/** Time that a VM must stay after the last caller that gets its address has come. */
 const REQUEST_MS = 1500;
 
 export interface StopCoordinatorOptions {
   settings: DeployedSettings;
   timer: Timer;
-  loads: Pick<FleetLoad, 'listServing' | 'listLeaving'>;
+  loads: Pick<FleetLoad, 'listServing' | 'listLeaving' | 'departure'>;
   registry: Pick<EntryVmRegistry, 'self' | 'find'>;
-  admission: () => Pick<Admission, 'stoppingSince'>;
 }
 
 /** Coordinates the planned stops of the fleet, so that callers find VMs however many stop at once. */
@@ -36,44 +34,46 @@
 
   /** Decides what this VM does next once it is being stopped. */
   decide(isListening: boolean, requestsInProgress: number): StopStep {
-    const { settings, timer, loads, admission } = this.options;
-    const since = admission().stoppingSince;
-    if (since === undefined) return StopStep.Serve;
+    const { settings, timer, loads } = this.options;
+    const own = loads.departure;
+    if (own === undefined) return StopStep.Serve;
+    this.extendIfNamed();
     const servingVms = loads.listServing().length;
-    const stopping = this.listStopping();
-    const self = { entryVmId: settings.entryVmId, since };
-    this.listStaying(servingVms);
+    const later = this.listAccepting().filter((vm) => compareStops(own, vm) < 0);
     return decideStop({
-      elapsedMs: timer.now() - since,
+      elapsedMs: timer.now() - own.since,
       deadlineMs: computeStopTime(settings),
-      callerDrainMs: Math.max(computeCallerDrain(settings), this.neededUntil - since),
+      callerDrainMs: Math.max(computeCallerDrain(settings), this.neededUntil - own.since),
       isListening,
       requestsInProgress,
-      fleetVms: servingVms + stopping.length + 1,
-      remainingVms: servingVms + stopping.filter((vm) => compareStops(self, vm) < 0).length,
+      fleetVms: this.countFleet(servingVms),
+      remainingVms: servingVms + later.length,
     });
   }
 
   /** Lists the stopping VMs that callers may use because too few VMs serve. */
   listStaying(servingVms: number): Registration[] {
-    const { settings, timer, registry, admission } = this.options;
-    const { entryVmId } = settings;
-    const since = admission().stoppingSince;
-    const ids = selectStaying({
-      now: timer.now(),
-      servingVms,
-      stopping: [...this.listStopping(), ...(since === undefined ? [] : [{ entryVmId, since }])],
-      graceMs: computeStopTime(settings),
-      minStayMs: STAYING_DRAIN_MS + REQUEST_MS,
-    });
-    // The other VMs come to the same choice, so callers may have got the address of this VM.
-    if (ids.includes(entryVmId)) this.neededUntil = timer.now() + STAYING_DRAIN_MS;
-    return ids
-      .map((id) => (id === entryVmId ? registry.self : registry.find(id)))
+    const { settings, registry } = this.options;
+    return this.selectStayingIds(servingVms)
+      .map((id) => (id === settings.entryVmId ? registry.self : registry.find(id)))
       .filter((vm) => vm !== undefined)
       .filter(({ callerAddress }) => callerAddress !== '');
   }
 
+  /** True while too few VMs serve. */
+  isFleetShort(servingVms: number): boolean {
+    return servingVms < countEnough(this.countFleet(servingVms));
+  }
+
+  /** Number of other VMs that accept callers, serving or stopping. */
+  countOthers(): number {
+    const { loads, settings } = this.options;
+    const stopping = this.listAccepting().filter(
+      ({ entryVmId }) => entryVmId !== settings.entryVmId,
+    );
+    return loads.listServing().length + stopping.length;
+  }
+
   readFleet(): FleetState {
     return {
       servingVms: this.options.loads.listServing().length,
@@ -81,8 +81,44 @@
     };
   }
 
+  /** The other VMs come to the same selection, so callers may have got the address of this VM. */
+  private extendIfNamed(): void {
+    const { loads, settings, timer } = this.options;
+    const ids = this.selectStayingIds(loads.listServing().length);
+    if (ids.includes(settings.entryVmId)) this.neededUntil = timer.now() + STAYING_DRAIN_MS;
+  }
+
+  private selectStayingIds(servingVms: number): string[] {
+    const { settings, timer } = this.options;
+    return selectStaying({
+      now: timer.now(),
+      fleetVms: this.countFleet(servingVms),
+      servingVms,
+      stopping: this.listAccepting(),
+      graceMs: computeStopTime(settings),
+      minStayMs: STAYING_DRAIN_MS + REQUEST_MS,
+    });
+  }
+
+  /** Counts the VMs that serve, that are stopping, or that have stopped and are not back yet. */
+  private countFleet(servingVms: number): number {
+    const own = this.options.loads.departure === undefined ? 0 : 1;
+    return servingVms + own + this.listStopping().length;
+  }
+
+  /** Lists the stopping VMs, this one included, that still accept connections. */
+  private listAccepting(): Departure[] {
+    const { loads, timer } = this.options;
+    const oldest = timer.now() - PEER_TIMEOUT_MS;
+    const others = this.listStopping().filter(
+      ({ isClosed, heardAt }) => !isClosed && heardAt >= oldest,
+    );
+    const own = loads.departure;
+    return own === undefined || own.isClosed ? others : [...others, own];
+  }
+
   /** Lists the other VMs that are stopping, or have stopped and are not back yet. */
-  private listStopping(): readonly StoppingVm[] {
+  private listStopping(): readonly Departure[] {
     const { loads, settings } = this.options;
     return loads.listLeaving(settings.terminationGraceMs + RETURN_MS);
   }
--- a/packages/entry-points/src/entry-points-controller.ts
+++ b/packages/entry-points/src/entry-points-controller.ts
@@ -76,8 +76,14 @@
     const live = membership.members().filter(({ state }) => state === MemberState.Alive);
     return selectStaying({
       now: io.timer.now(),
+      fleetVms: live.length + this.leavingSince.size,
       servingVms: live.length,
-      stopping: [...this.leavingSince].map(([entryVmId, since]) => ({ entryVmId, since })),
+      // Each VM chooses for its own callers, so the order need not be the same on all VMs.
+      stopping: [...this.leavingSince].map(([entryVmId, since]) => ({
+        entryVmId,
+        since,
+        stoppedAt: since,
+      })),
       graceMs: settings.entryPointLifetimeMs,
       minStayMs: LEAVING_LIFETIME_MS,
     });
--- a/packages/fleet-load/src/departure.ts
+++ b/packages/fleet-load/src/departure.ts
@@ -1,67 +1,74 @@
 /** Planned stops of VMs, and how messages state them. */
-import type { Report, View } from './load-message.js';
+import type { DepartureMessage, Report, View } from './load-message.js';
 
 /** A run of a VM that is leaving. */
 export interface Departure {
   entryVmId: string;
   bootId: string;
-  /** Time at which it began to leave, on the clock of this VM. */
+  /** Time at which it began to leave, on the monotonic clock of this VM. */
   since: number;
+  /**
+   * The same on the wall clock of the leaving VM, in epoch milliseconds. Clocks differ, but all VMs have the
+   * same value.
+   */
+  stoppedAt: number;
+  /** True once it accepts no connections. */
+  isClosed: boolean;
+  /** Time of the last message about it. */
+  heardAt: number;
 }
 
-type DepartureFields = Pick<View, 'leaving' | 'leavingForMs'>;
+type DepartureFields = Pick<View, 'leaving' | 'departures'>;
+
+export const toMessage = (
+  { entryVmId, bootId, since, stoppedAt, isClosed }: Departure,
+  now: number,
+): DepartureMessage => ({
+  entryVmId,
+  bootId,
+  leavingForMs: Math.round(now - since),
+  stoppedAt,
+  isClosed,
+});
+
+const fromMessage = (
+  { leavingForMs, ...departure }: DepartureMessage,
+  receivedAt: number,
+): Departure => ({ ...departure, since: receivedAt - leavingForMs, heardAt: receivedAt });
+
+/** Messages of former versions state only which run of which VM is leaving. */
+const fromIds = (entryVmId: string, bootId: string, receivedAt: number): Departure => ({
+  entryVmId,
+  bootId,
+  since: receivedAt,
+  stoppedAt: 0,
+  isClosed: false,
+  heardAt: receivedAt,
+});
 
-/** Clocks differ between VMs, so messages state ages. */
 export const encodeDepartures = (
   departures: readonly Departure[],
   now: number,
 ): DepartureFields => ({
   leaving: departures.map(({ entryVmId, bootId }) => [entryVmId, bootId]),
-  leavingForMs: departures.map(({ since }) => Math.round(now - since)),
+  departures: departures.map((departure) => toMessage(departure, now)),
 });
 
 export const decodeDepartures = (
-  { leaving, leavingForMs }: DepartureFields,
+  { leaving, departures }: DepartureFields,
   receivedAt: number,
 ): Departure[] =>
-  leaving.map(([entryVmId, bootId], index) => ({
-    entryVmId,
-    bootId,
-    since: receivedAt - (leavingForMs?.[index] ?? 0),
-  }));
+  departures === undefined
+    ? leaving.map(([entryVmId, bootId]) => fromIds(entryVmId, bootId, receivedAt))
+    : departures.map((departure) => fromMessage(departure, receivedAt));
 
 /** Returns the departure that a report states, if its VM is leaving. */
 export const readDeparture = (
-  { entryVmId, bootId, isLeaving, leavingForMs = 0 }: Report,
+  { entryVmId, bootId, isLeaving, departure }: Report,
   receivedAt: number,
-): Departure[] => (isLeaving ? [{ entryVmId, bootId, since: receivedAt - leavingForMs }] : []);
-
-/** The VMs that have left and do not serve again yet. */
-export class DepartureList {
-  private readonly departures = new Map<string, Departure>();
-
-  /** Removes a VM that serves again after a restart. */
-  remove(entryVmId: string): void {
-    this.departures.delete(entryVmId);
-  }
-
-  add(departure: Departure): void {
-    const known = this.departures.get(departure.entryVmId);
-    const isNew = known?.bootId !== departure.bootId;
-    // A delayed message makes a departure seem later than it was.
-    if (isNew || departure.since < known.since) this.departures.set(departure.entryVmId, departure);
-  }
-
-  has(entryVmId: string): boolean {
-    return this.departures.has(entryVmId);
-  }
-
-  /** Returns whether the given run of a VM has left. */
-  hasRun(entryVmId: string, bootId: string): boolean {
-    return this.departures.get(entryVmId)?.bootId === bootId;
-  }
-
-  listSince(oldest: number): Departure[] {
-    return [...this.departures.values()].filter(({ since }) => since >= oldest);
-  }
-}
+): Departure[] => {
+  if (!isLeaving) return [];
+  return departure === undefined
+    ? [fromIds(entryVmId, bootId, receivedAt)]
+    : [fromMessage(departure, receivedAt)];
+};
--- a/packages/fleet-load/src/fleet-load.ts
+++ b/packages/fleet-load/src/fleet-load.ts
@@ -1,8 +1,9 @@
 import type { WorkerLoad, WorkerLoads } from '@jujubelanding/interfaces';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { CollectorChoice, type CollectorCandidate } from './collector-choice.js';
-import { decodeDepartures, DepartureList, readDeparture, type Departure } from './departure.js';
-import { GroupCollector, PEER_TIMEOUT_MS } from './group-collector.js';
+import { decodeDepartures, readDeparture, type Departure } from './departure.js';
+import { DepartureList } from './departure-list.js';
+import { FORGET_AFTER_MS, GroupCollector, PEER_TIMEOUT_MS } from './group-collector.js';
 import {
   MessageKind,
   type BatchWork,
@@ -69,8 +70,8 @@
 
   private readonly subscriptions: Subscription[] = [];
 
-  /** Time at which this VM began to leave. */
-  private leavingSince: number | undefined;
+  /** The planned stop of this VM. */
+  private ownDeparture: Departure | undefined;
 
   constructor(private readonly options: FleetLoadOptions) {
     const { timer, self } = options;
@@ -84,14 +85,14 @@
       collector: this.collector,
       isOwnCollector: () => this.choice.isOwnCollector,
       timer,
-      leavingSince: () => this.leavingSince,
+      readOwnDeparture: () => this.ownDeparture,
     });
     this.publisher = new LoadPublisher({
       ...options,
       collector: this.collector,
       choice: this.choice,
       messages: this.messages,
-      isLeaving: () => this.leavingSince !== undefined,
+      isLeaving: () => this.ownDeparture !== undefined,
       hasLeft: (entryVmId) => this.left.has(entryVmId),
     });
   }
@@ -108,10 +109,31 @@
 
   /** Announces at once that this VM accepts no new callers. */
   announceLeaving(): void {
-    this.leavingSince ??= this.options.timer.now();
+    const { timer, self, bootId } = this.options;
+    const now = timer.now();
+    this.ownDeparture ??= {
+      entryVmId: self.entryVmId,
+      bootId,
+      since: now,
+      stoppedAt: timer.wallClock(),
+      isClosed: false,
+      heardAt: now,
+    };
     this.publisher.sendAll();
   }
 
+  /** Announces at once that this VM, which is leaving, accepts no connections. */
+  announceClosing(): void {
+    if (this.ownDeparture === undefined) return;
+    this.ownDeparture.isClosed = true;
+    this.publisher.sendAll();
+  }
+
+  /** The planned stop of this VM; undefined while it serves. */
+  get departure(): Departure | undefined {
+    return this.ownDeparture;
+  }
+
   get(workerId: string): WorkerLoad {
     const { online, batch } = this.sum(workerId);
     return { workerId, slots: this.options.slotsOf(workerId), ageMs: 0, online, batch };
@@ -315,6 +337,7 @@
     const former = this.choice.update();
     if (former !== undefined) this.publisher.detach(former);
     this.collector.prune();
+    this.left.prune(this.options.timer.now() - FORGET_AFTER_MS);
     this.publisher.beat();
   }
 }
--- a/packages/fleet-load/src/group-collector.ts
+++ b/packages/fleet-load/src/group-collector.ts
@@ -8,7 +8,7 @@
 export const PEER_TIMEOUT_MS = 1300;
 
 /** Silent VMs are remembered this long, so that their delayed messages are recognized as old. */
-const FORGET_AFTER_MS = 60_000;
+export const FORGET_AFTER_MS = 60_000;
 
 interface Received<T> {
   message: T;
--- a/packages/fleet-load/src/load-message.ts
+++ b/packages/fleet-load/src/load-message.ts
@@ -31,6 +31,17 @@
   avoided: z.array(z.string()),
 });
 
+const departureSchema = z.object({
+  entryVmId: z.string(),
+  bootId: z.string(),
+  /** Time since the planned stop began, in milliseconds. */
+  leavingForMs: z.number(),
+  /** Time at which it began on the clock of that VM, in epoch milliseconds. */
+  stoppedAt: z.number(),
+  /** True once the VM accepts no connections. */
+  isClosed: z.boolean(),
+});
+
 const reportSchema = z.object({
   kind: z.literal(MessageKind.Report),
   entryVmId: z.string(),
@@ -39,8 +50,8 @@
   sequence: z.number(),
   /** True once a planned stop has begun. */
   isLeaving: z.boolean(),
-  /** Time since the planned stop began, in milliseconds. */
-  leavingForMs: z.number().optional(),
+  /** Departure of this VM, once a planned stop has begun. */
+  departure: departureSchema.optional(),
   /** True in the last report to a collector, when the VM has chosen another one. */
   isDetaching: z.boolean(),
   /** True if an online request may have to wait for a batch item. */
@@ -64,8 +75,8 @@
   /** Live VMs of the group; in some messages only. */
   members: z.array(z.string()).optional(),
   leaving: z.array(leavingSchema),
-  /** Times since the VMs of `leaving` began to leave, in the same order and in milliseconds. */
-  leavingForMs: z.array(z.number()).optional(),
+  /** More about the VMs of `leaving`. */
+  departures: z.array(departureSchema).optional(),
   /** Collectors that the sender hears from. */
   collectors: z.array(z.string()),
   /** Batch work by VM; only in messages to the planner. */
@@ -85,7 +96,7 @@
   alive: z.array(z.string()).optional(),
   leaving: z.array(leavingSchema),
   /** As in totals. */
-  leavingForMs: z.array(z.number()).optional(),
+  departures: z.array(departureSchema).optional(),
 });
 
 const planSchema = z.object({
@@ -115,6 +126,7 @@
   lossesSchema,
 ]);
 
+export type DepartureMessage = z.infer<typeof departureSchema>;
 export type WorkerCount = z.infer<typeof workerCountSchema>;
 export type BatchRun = z.infer<typeof batchRunSchema>;
 export type WaitingCount = z.infer<typeof waitingSchema>;
--- a/packages/fleet-load/src/message-factory.ts
+++ b/packages/fleet-load/src/message-factory.ts
@@ -1,5 +1,5 @@
 import type { Timer } from '@jujubelanding/timer';
-import { encodeDepartures, type Departure } from './departure.js';
+import { encodeDepartures, toMessage, type Departure } from './departure.js';
 import type { GroupCollector } from './group-collector.js';
 import {
   MessageKind,
@@ -19,8 +19,8 @@
   /** True if no other VM collects the load of this one. */
   isOwnCollector: () => boolean;
   timer: Pick<Timer, 'now'>;
-  /** Time at which this VM began to leave. */
-  leavingSince: () => number | undefined;
+  /** The planned stop of this VM. */
+  readOwnDeparture: () => Departure | undefined;
 }
 
 /** Creates the messages of this VM from its own work and the work that it collects. */
@@ -30,8 +30,8 @@
   constructor(private readonly options: MessageFactoryOptions) {}
 
   createReport(isUrgent: boolean, isDetaching: boolean): Report {
-    const { entryVmId, bootId, local, timer, leavingSince } = this.options;
-    const since = leavingSince();
+    const { entryVmId, bootId, local, timer, readOwnDeparture } = this.options;
+    const departure = readOwnDeparture();
     const sequence = this.nextSequence();
     local.keepReport(sequence);
     return {
@@ -39,8 +39,8 @@
       entryVmId,
       bootId,
       sequence,
-      isLeaving: since !== undefined,
-      ...(since === undefined ? {} : { leavingForMs: Math.round(timer.now() - since) }),
+      isLeaving: departure !== undefined,
+      ...(departure === undefined ? {} : { departure: toMessage(departure, timer.now()) }),
       isDetaching,
       isUrgent,
       workers: local.list(),
@@ -74,9 +74,8 @@
   }
 
   createView(withAlive: boolean): View {
-    const { entryVmId, bootId, local, collector, isOwnCollector, timer, leavingSince } =
-      this.options;
-    const ownIds = leavingSince() === undefined ? [entryVmId] : [];
+    const { entryVmId, bootId, local, collector, isOwnCollector, timer } = this.options;
+    const ownIds = this.listOwnDeparture().length === 0 ? [entryVmId] : [];
     return {
       kind: MessageKind.View,
       collectorId: entryVmId,
@@ -96,9 +95,8 @@
   }
 
   private listOwnDeparture(): Departure[] {
-    const { entryVmId, bootId, leavingSince } = this.options;
-    const since = leavingSince();
-    return since === undefined ? [] : [{ entryVmId, bootId, since }];
+    const departure = this.options.readOwnDeparture();
+    return departure === undefined ? [] : [departure];
   }
 
   private nextSequence(): number {
--- a/packages/planned-stop/src/staying-vms.test.ts
+++ b/packages/planned-stop/src/staying-vms.test.ts
@@ -4,8 +4,9 @@
 const select = (servingVms: number, since: readonly number[]): string[] =>
   selectStaying({
     now: 6000,
+    fleetVms: servingVms + since.length,
     servingVms,
-    stopping: since.map((at) => ({ entryVmId: `stopped-at-${at}`, since: at })),
+    stopping: since.map((at) => ({ entryVmId: `stopped-at-${at}`, since: at, stoppedAt: at })),
     graceMs: 7500,
     minStayMs: 3000,
   });
--- a/packages/planned-stop/src/staying-vms.ts
+++ b/packages/planned-stop/src/staying-vms.ts
@@ -1,11 +1,12 @@
+import { countEnough } from './fleet-share.js';
 import { compareStops, type StoppingVm } from './stop-order.js';
 
-/** A share of the fleet that is enough for its callers; with fewer VMs, stopping ones help. */
-const ENOUGH_SHARE = 0.5;
-
 export interface StayingOptions {
   now: number;
+  /** VMs of the fleet, including those that are stopping or not back yet. */
+  fleetVms: number;
   servingVms: number;
+  /** Stopping VMs that still accept connections. */
   stopping: readonly StoppingVm[];
   /** Time from the start of a stop to the end of the process. */
   graceMs: number;
@@ -19,12 +20,13 @@
  */
 export const selectStaying = ({
   now,
+  fleetVms,
   servingVms,
   stopping,
   graceMs,
   minStayMs,
 }: StayingOptions): string[] => {
-  const missing = Math.ceil((servingVms + stopping.length) * ENOUGH_SHARE) - servingVms;
+  const missing = countEnough(fleetVms) - servingVms;
   if (missing <= 0) return [];
   const lastFirst = stopping.toSorted((a, b) => compareStops(b, a));
   const staying = lastFirst.filter(({ since }) => since + graceMs - now >= minStayMs);
--- a/packages/planned-stop/src/stop-decision.ts
+++ b/packages/planned-stop/src/stop-decision.ts
@@ -1,7 +1,6 @@
-/** Share of the fleet that remains for callers before a stopping VM closes its listener early. */
-const MIN_REMAINING_SHARE = 0.5;
+import { countEnough } from './fleet-share.js';
 
-/** Time for requests that arrived just before the listener closed; most take less. */
+/** Time for requests that arrived just before the listener closed at the end of the grace. */
 const COMPLETION_MS = 500;
 
 export enum StopStep {
@@ -21,14 +20,14 @@
   requestsInProgress: number;
   /** VMs of the fleet with this one, including those that are stopping or not back yet. */
   fleetVms: number;
-  /** Other VMs that serve, or that began to stop after this one. */
+  /** Other VMs that serve, or that still accept connections and end after this one. */
   remainingVms: number;
 }
 
 const decideWhileListening = (state: StopState): StopStep => {
   if (state.elapsedMs >= state.deadlineMs - COMPLETION_MS) return StopStep.CloseListener;
   if (state.elapsedMs < state.callerDrainMs) return StopStep.Serve;
-  return state.remainingVms >= state.fleetVms * MIN_REMAINING_SHARE
+  return state.remainingVms >= countEnough(state.fleetVms)
     ? StopStep.CloseListener
     : StopStep.Serve;
 };
