Do not refuse a stored job as not run during a planned stop

Callers would see: 503 as not run for a job that runs. The first submission was stored and its answer lost; the repeat reached a stopping VM, which refused it without looking.

Fix: before a submission is refused as not run, the store is read. A stored job is acknowledged again; if the store does not answer, the outcome is unknown. The extended test fails before.

--- a/packages/deployed-vm/src/batch-job-api.test.ts
+++ b/packages/deployed-vm/src/batch-job-api.test.ts
@@ -32,6 +32,7 @@
     callerDrainMs: 3300,
     readFleet: () => ({ servingVms: 1, stoppingSince: [] }),
   });
+  const stored = new Map<string, object>();
   const jobs: Pick<JobStore, 'submit'> = {
     submit: () => Promise.resolve(ok(SubmitStatus.Accepted)),
   };
@@ -40,7 +41,7 @@
     log: silentLog,
     metrics: silentMetrics,
     jobs: jobs as JobStore,
-    reader: {} as never,
+    reader: { find: (jobId: string) => Promise.resolve(ok(stored.get(jobId))) } as never,
     requests: {} as never,
     acknowledgeMs: 4000,
     admission,
@@ -53,4 +54,6 @@
   t.true(await submit('early'));
   await timer.advance(7600);
   t.false(await submit('late'));
+  stored.set('known', {});
+  t.true(await submit('known'), 'an earlier submission is stored and runs');
 });
--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -59,9 +59,11 @@
   async submit(submission: JobSubmission, route: Route, arrivedAt: number): Reply<SubmitStatus> {
     const { timer, log, metrics, acknowledgeMs } = this.options;
     const { jobId, items } = submission;
-    const reply = await this.answer('submit-job', jobId, acknowledgeMs, () =>
+    const answered = await this.answer('submit-job', jobId, acknowledgeMs, () =>
       this.store(submission, route, arrivedAt),
     );
+    const isRefused = answered.isErr() && answered.error.outcome === Outcome.NotRun;
+    const reply = isRefused ? await this.checkRefusal(jobId, answered.error) : answered;
     const outcome = reply.isOk() ? reply.value : reply.error.outcome;
     log.write('job-submitted', {
       job: jobId,
@@ -107,6 +109,13 @@
     });
   }
 
+  /** A job whose earlier submission is stored runs, so that a refusal of it as not run would be untrue. */
+  private async checkRefusal(jobId: string, refusal: Fault): Reply<SubmitStatus> {
+    const found = await this.options.reader.find(jobId);
+    if (found.isErr()) return err({ ...refusal, outcome: Outcome.OutcomeUnknown });
+    return found.value === undefined ? err(refusal) : ok(SubmitStatus.AlreadyAccepted);
+  }
+
   private store(
     { jobId, host, target, items }: JobSubmission,
     route: Route,
@@ -154,7 +163,7 @@
     const startedAt = timer.now();
     const refusal = admission.refuse(step, maxMs);
     const reply = refusal === undefined ? await run() : err(refusal);
-    if (refusal === undefined) admission.recordDuration(step, timer.now() - startedAt);
+    if (reply.isOk()) admission.recordDuration(step, timer.now() - startedAt);
     if (reply.isErr()) {
       const { code, outcome, message } = reply.error;
       log.write('batch-call-refused', { job: jobId, step, code, outcome, message });
