Estimate the time of requests from answered ones only

Callers would see: a stream that a stopping VM accepts and cuts, after a short refusal or failure was the only recent request of its kind. Or a refusal from the start of a stop, since no request of its kind had come.

Fix: only answered requests count, an estimate is a second at least and twice the longest recent one, and a kind without recent requests is estimated from the others. A refused caller is told the next expected return of a VM, for the last VM its own.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -93,8 +93,9 @@
 ) => Promise<void>;
 
 const forwardOnline: Handler = async (exchange, route, table, options) => {
-  await new OnlineForwarder(options, exchange, route, table.version).run();
+  const isAnswered = await new OnlineForwarder(options, exchange, route, table.version).run();
   const { timer, admission } = options;
+  if (!isAnswered) return;
   admission.recordDuration(route.name, timer.now() - exchange.request.arrivedAt);
 };
 
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -75,7 +75,8 @@
     });
   }
 
-  async run(): Promise<void> {
+  /** Resolves with whether the caller got the answer of a worker. */
+  async run(): Promise<boolean> {
     const { timer } = this.options;
     const { signal } = this.exchange;
     const abortOnDisconnect = (): void => this.abortController.abort();
@@ -88,7 +89,7 @@
     const lastResult = await this.runAttempts();
     timeout.cancel();
     signal.removeEventListener('abort', abortOnDisconnect);
-    this.finish(lastResult);
+    return this.finish(lastResult);
   }
 
   private async runAttempts(): Promise<Attempt | Fault> {
@@ -193,17 +194,17 @@
     });
   }
 
-  private finish(lastResult: Attempt | Fault): void {
+  private finish(lastResult: Attempt | Fault): boolean {
     const attempt = 'worker' in lastResult ? lastResult : undefined;
     const fault = 'worker' in lastResult ? lastResult.fault : lastResult;
     if (this.exchange.signal.aborted) {
       this.logEnd('caller-left', attempt, fault);
-      return;
+      return false;
     }
     if (fault === undefined) {
       this.relay.finish();
       this.logEnd('answered', attempt, fault);
-      return;
+      return true;
     }
     const outcome = this.chooseOutcome(fault);
     const timedOut = this.isTimedOut
@@ -211,6 +212,7 @@
       : fault;
     this.logEnd(outcome === Outcome.NotRun ? 'refused' : 'failed', attempt, timedOut);
     sendError(this.exchange, { ...timedOut, outcome });
+    return false;
   }
 
   /** A request counts as not run only if no attempt has run, even if the last one did not. */
--- a/packages/planned-stop/src/admission.ts
+++ b/packages/planned-stop/src/admission.ts
@@ -72,10 +72,14 @@
 
   /** Another VM that serves can take the request at once; otherwise the first one to return can. */
   private computeRetryAfter(now: number): number {
-    const { readFleet, callerDrainMs } = this.options;
+    const { readFleet, callerDrainMs, stopMs } = this.options;
     const { servingVms, stoppingSince } = readFleet();
     if (servingVms > 0) return 0;
-    const first = Math.min(this.stoppedAt!, ...stoppingSince);
-    return Math.max(MIN_RETRY_AFTER_MS, first + callerDrainMs + RESTART_MS - now);
+    const returns = [
+      ...stoppingSince.map((since) => since + callerDrainMs + RESTART_MS),
+      this.stoppedAt! + stopMs + RESTART_MS,
+    ];
+    const next = Math.min(...returns.filter((at) => at > now));
+    return Number.isFinite(next) ? Math.max(MIN_RETRY_AFTER_MS, next - now) : MIN_RETRY_AFTER_MS;
   }
 }
--- a/packages/planned-stop/src/request-durations.ts
+++ b/packages/planned-stop/src/request-durations.ts
@@ -2,7 +2,10 @@
 const WINDOW_MS = 15_000;
 
 /** A request may take longer than the longest recent one by this factor. */
-const MARGIN_FACTOR = 1.5;
+const MARGIN_FACTOR = 2;
+
+/** Lower bound of an estimate, as a few short requests say little about the next one. */
+const MIN_ESTIMATE_MS = 1000;
 
 interface Longest {
   current: number;
@@ -21,12 +24,17 @@
     this.longest.set(kind, { ...known, current: Math.max(known.current, durationMs) });
   }
 
-  /** Returns the time that a request takes at most, which is `maxMs` if no recent one is known. */
+  /**
+   * Returns the time that a request probably takes at most, from recent ones of its kind, else of any kind. If
+   * none is known, it is `maxMs`.
+   */
   estimate(kind: string, maxMs: number, now: number): number {
     this.startWindow(now);
-    const { current = 0, former = 0 } = this.longest.get(kind) ?? {};
-    const longest = Math.max(current, former);
-    return longest === 0 ? maxMs : Math.min(maxMs, longest * MARGIN_FACTOR);
+    const known = this.longest.get(kind);
+    const entries = known === undefined ? [...this.longest.values()] : [known];
+    const longest = Math.max(0, ...entries.flatMap(({ current, former }) => [current, former]));
+    if (longest === 0) return maxMs;
+    return Math.min(maxMs, Math.max(MIN_ESTIMATE_MS, longest * MARGIN_FACTOR));
   }
 
   private startWindow(now: number): void {
