Store evidence of crashes again under a new lease

A VM that had lost its lease, or ended it for a planned stop, left its report on crashes out of the store until the next crash. VMs that started meanwhile did not know of the earlier ones. The report is now written again when the lease has changed.

--- a/packages/prompt-quarantine/src/evidence-publisher.ts
+++ b/packages/prompt-quarantine/src/evidence-publisher.ts
@@ -42,6 +42,9 @@
 
   private isStopped = false;
 
+  /** Lease of the last report that was stored. */
+  private storedLeaseId: string | undefined;
+
   constructor(private readonly options: EvidencePublisherOptions) {}
 
   /** Writes the report soon, with further changes until then. */
@@ -53,6 +56,13 @@
     });
   }
 
+  /** Writes the report again if it was removed with its lease. */
+  restore(): void {
+    const { current } = this.options.lease();
+    const isRemoved = this.storedLeaseId !== undefined && this.storedLeaseId !== current;
+    if (isRemoved && current !== undefined) this.schedule();
+  }
+
   stop(): void {
     this.isStopped = true;
     this.pending?.cancel();
@@ -73,7 +83,10 @@
       removals: [],
     });
     this.isWriting = false;
-    if (committed.isOk() && committed.value.status === CommitStatus.Committed) return;
+    if (committed.isOk() && committed.value.status === CommitStatus.Committed) {
+      this.storedLeaseId = leaseId;
+      return;
+    }
     if (committed.isOk()) lease().replace(leaseId);
     const code = committed.isErr() ? committed.error.code : committed.value.status;
     log.write('evidence-not-stored', { code });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -254,6 +254,7 @@
 
   private evaluate(): void {
     const now = this.options.timer.now();
+    this.publisher.restore();
     this.evidence.prune(now);
     let parts = this.evidence.findDangerous(now);
     while (parts.length > 0) {
