Leave jobs that a stopping VM accepts to the other VMs

Callers saw: items of a job that a stopping VM had accepted began seconds late. Until it was back, nobody ran them.

Cause: since a stopping VM registers under a new lease, it also stored new jobs as their owner under that lease, although it executes none.

Fix: after it has released its jobs, a VM has no lease to own others. The assertion fails before: the lease that owns is the new one.

--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -117,7 +117,7 @@
     loads.announceLeaving();
     await execution.stop();
     // Releases what this VM still owns; its new registration tells VMs that start now that it is leaving.
-    await lease.restart();
+    await lease.release();
   }
 
   /** Stops all components and closes all connections. */
--- a/packages/deployed-vm/src/job-components.ts
+++ b/packages/deployed-vm/src/job-components.ts
@@ -32,7 +32,7 @@
     isTableLoaded: () => readFollower()?.isLoaded ?? false,
     countEntryVms,
   });
-  const leaseId = () => fleet.lease.current;
+  const leaseId = () => fleet.lease.owning;
   const transactions = new JobTransactions({
     store,
     keys: keySpace,
--- a/packages/entry-vm-registry/src/entry-vm-registry.test.ts
+++ b/packages/entry-vm-registry/src/entry-vm-registry.test.ts
@@ -104,9 +104,10 @@
   lease.start();
   await timer.advance(50);
   registry.leave();
-  await Promise.all([lease.restart(), timer.advance(50)]);
+  await Promise.all([lease.release(), timer.advance(50)]);
   const { value } = service.state.get(`${PREFIX}vm-1`)!;
   t.like(decodeRegistration(value), { entryVmId: 'vm-1', isLeaving: true });
+  t.is(lease.owning, undefined);
   t.deepEqual(registry.listServing(), []);
 
   const entry = { key: `${PREFIX}vm-9`, value: value.replaceAll('vm-1', 'vm-9'), modRevision: 1 };
--- a/packages/entry-vm-registry/src/lease-keeper.ts
+++ b/packages/entry-vm-registry/src/lease-keeper.ts
@@ -26,6 +26,8 @@
 
   private isStopped = false;
 
+  private hasReleased = false;
+
   /** The next renewal or attempt to obtain a lease. */
   private pending: Subscription | undefined;
 
@@ -45,8 +47,14 @@
     this.pending?.cancel();
   }
 
-  /** Revokes the lease, which removes all keys under it, and obtains a new one. */
-  async restart(): Promise<void> {
+  /** The lease under which this VM owns things; undefined once it has released all for a planned stop. */
+  get owning(): string | undefined {
+    return this.hasReleased ? undefined : this.leaseId;
+  }
+
+  /** Revokes the lease, which removes all keys under it, and obtains a new one that owns nothing. */
+  async release(): Promise<void> {
+    this.hasReleased = true;
     this.pending?.cancel();
     const { leaseId } = this;
     this.leaseId = undefined;
