Answer only once the registrations and blocks are known

Cause: a VM counted as started once the configuration and the workers were known. Registrations of VMs and blocks of prompts come with other keys, some 50 ms later.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -194,10 +194,11 @@
   });
   const batch = createJobs(options, self, fleet, () => followers.jobs, countEntryVms);
   const quarantine = createQuarantine(options, fleet, workers);
+  // Without the followed keys, requests that crash workers would not be known as such.
   const startupGate = new StartupGate(
     timer,
     () =>
-      readTable() !== undefined && workers.all().length > 0,
+      readTable() !== undefined && workers.all().length > 0 && followers.jobs?.isLoaded === true,
   );
   workers.onChange(() => startupGate.releaseIfReady());
   const followed = createFollowers(
@@ -211,6 +212,7 @@
       batch.table.apply(changes);
       batch.quota.apply(changes);
       quarantine.apply(changes);
+      startupGate.releaseIfReady();
     },
     () => startupGate.releaseIfReady(),
   );
--- a/packages/deployed-vm/src/deployed-vm.ts
+++ b/packages/deployed-vm/src/deployed-vm.ts
@@ -82,6 +82,8 @@
 
   chooseEntryPoints(): EntryPointResponse | undefined {
     const { settings } = this.options;
+    // Without the registrations this VM would name only itself.
+    if (!this.components.jobFollower.isLoaded) return undefined;
     const serving = this.listServing();
     const staying = this.components.stop.listStaying(serving.length);
     if (serving.length + staying.length === 0) return undefined;
