Look a job up only if the stop is why it is refused

A submission that the store did not confirm in time was answered as of unknown outcome (504) although it certainly did not run, since the check for an earlier submission was made for every refusal.

While no other VM serves, a request is accepted if it will just end in time: a refused caller has nowhere to go.

--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -13,7 +13,7 @@
 import { FaultCode, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type { Admission } from '@jujubelanding/planned-stop';
+import { STOP_STEP, type Admission } from '@jujubelanding/planned-stop';
 import type { Route } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
 import { err, ok } from 'neverthrow';
@@ -62,8 +62,8 @@
     const answered = await this.answer('submit-job', jobId, acknowledgeMs, () =>
       this.store(submission, route, arrivedAt),
     );
-    const isRefused = answered.isErr() && answered.error.outcome === Outcome.NotRun;
-    const reply = isRefused ? await this.checkRefusal(jobId, answered.error) : answered;
+    const isRefusedByStop = answered.isErr() && answered.error.step === STOP_STEP;
+    const reply = isRefusedByStop ? await this.checkRefusal(jobId, answered.error) : answered;
     const outcome = reply.isOk() ? reply.value : reply.error.outcome;
     log.write('job-submitted', {
       job: jobId,
--- a/packages/deployed-vm/src/stop-coordinator.test.ts
+++ b/packages/deployed-vm/src/stop-coordinator.test.ts
@@ -22,8 +22,6 @@
 class SimulatedVm {
   readonly coordinator: StopCoordinator;
 
-  departure: Departure | undefined;
-
   /** What this VM knows of the others. */
   readonly departures = new Map<string, Departure>();
 
@@ -34,6 +32,12 @@
 
   closedAt: number | undefined;
 
+  private readonly loads: {
+    listServing: () => string[];
+    listLeaving: () => Departure[];
+    departure: Departure | undefined;
+  };
+
   private readonly clockOffset: number;
 
   constructor(
@@ -43,6 +47,12 @@
     private readonly fleet: Map<string, SimulatedVm>,
   ) {
     this.clockOffset = (2 * random.next() - 1) * MAX_CLOCK_OFFSET_MS;
+    this.loads = {
+      listServing: () =>
+        [...fleet.keys()].filter((other) => other !== id && !this.departures.has(other)),
+      listLeaving: () => [...this.departures.values()],
+      departure: undefined,
+    };
     this.coordinator = new StopCoordinator({
       settings: {
         entryVmId: id,
@@ -50,12 +60,7 @@
         maxEntryPointLifetimeMs: 5000,
       } as DeployedSettings,
       timer,
-      loads: {
-        listServing: () =>
-          [...fleet.keys()].filter((other) => other !== id && !this.departures.has(other)),
-        listLeaving: () => [...this.departures.values()],
-        departure: undefined,
-      },
+      loads: this.loads,
       registry: {
         self: { entryVmId: id, callerAddress: id } as Registration,
         find: (other) => ({ entryVmId: other, callerAddress: other }) as Registration,
@@ -68,34 +73,32 @@
     const now = timer.now();
     const stoppedAt = timer.wallClock() + this.clockOffset;
     const shared = { entryVmId: id, bootId: id, stoppedAt, isClosed: false, heardAt: Infinity };
-    this.departure = { ...shared, since: now };
-    Object.assign(this.coordinator['options'].loads, { departure: this.departure });
+    this.loads.departure = { ...shared, since: now };
     this.tellOthers((vm) => vm.departures.set(id, { ...shared, since: now }));
   }
 
   check(): void {
-    if (this.departure === undefined || !this.isListening) return;
+    if (this.loads.departure === undefined || !this.isListening) return;
     const step = this.coordinator.decide(true, 0);
     if (step === StopStep.Serve) return;
     const { timer, id } = this;
     this.isListening = false;
     this.closedAt = timer.now();
-    this.departure.isClosed = true;
+    this.loads.departure.isClosed = true;
     this.tellOthers((vm) => {
       const known = vm.departures.get(id);
       if (known !== undefined) known.isClosed = true;
     });
     timer.after(RESTART_MS, () => {
       this.isListening = true;
-      this.departure = undefined;
-      Object.assign(this.coordinator['options'].loads, { departure: undefined });
+      this.loads.departure = undefined;
       this.tellOthers((vm) => vm.departures.delete(id));
     });
   }
 
   lookUp(): void {
     const serving = [...this.fleet.keys()].filter((id) => !this.departures.has(id));
-    const isServing = this.departure === undefined;
+    const isServing = this.loads.departure === undefined;
     const count = isServing ? serving.length : serving.filter((id) => id !== this.id).length;
     this.coordinator.listStaying(count).forEach(({ entryVmId }) => {
       this.fleet.get(entryVmId)!.namedAt.push(this.timer.now());
--- a/packages/planned-stop/src/admission.test.ts
+++ b/packages/planned-stop/src/admission.test.ts
@@ -32,6 +32,19 @@
   t.snapshot(accepted);
 });
 
+test('while no other VM serves, a request is accepted that will just end in time', async (t) => {
+  for (const [servingVms, isAccepted] of [
+    [0, true],
+    [1, false],
+  ] as const) {
+    const { timer, admission } = setUp({ servingVms, stoppingSince: [] });
+    admission.recordDuration('ask', 2000);
+    admission.beginStop();
+    await timer.advance(4800);
+    t.is(admission.refuse('ask', 5000) === undefined, isAccepted);
+  }
+});
+
 test('a request of an unknown kind may take as long as its caller waits', async (t) => {
   const { timer, admission } = setUp();
   admission.beginStop();
--- a/packages/planned-stop/src/admission.ts
+++ b/packages/planned-stop/src/admission.ts
@@ -8,6 +8,15 @@
 
 const MIN_RETRY_AFTER_MS = 200;
 
+/** A request may take longer than the longest recent one by this factor. */
+const MARGIN = 2;
+
+/** The same while no other VM serves, when a refused caller has nowhere to go. */
+const MARGIN_OF_LAST_RESORT = 1.25;
+
+/** Step of the faults with which a stopping VM refuses requests. */
+export const STOP_STEP = 'planned-stop';
+
 /** The VMs of the fleet without this one. */
 export interface FleetState {
   servingVms: number;
@@ -49,10 +58,11 @@
   /** Returns a fault if a request that takes up to `maxMs` would be cut by the end of this process. */
   refuse(kind: string, maxMs: number): Fault | undefined {
     if (this.stoppedAt === undefined) return undefined;
-    const { timer, stopMs, log } = this.options;
+    const { timer, stopMs, log, readFleet } = this.options;
     const now = timer.now();
     const remainingMs = this.stoppedAt + stopMs - now;
-    const neededMs = this.durations.estimate(kind, maxMs, now);
+    const margin = readFleet().servingVms > 0 ? MARGIN : MARGIN_OF_LAST_RESORT;
+    const neededMs = this.durations.estimate(kind, maxMs, margin, now);
     if (neededMs <= remainingMs) return undefined;
     const retryAfterMs = this.computeRetryAfter(now);
     log.write('refused-by-stop', {
@@ -64,7 +74,7 @@
     return {
       code: FaultCode.Unavailable,
       outcome: Outcome.NotRun,
-      step: 'planned-stop',
+      step: STOP_STEP,
       message: 'this VM is being stopped and could not complete the request',
       retryAfterMs,
     };
--- a/packages/planned-stop/src/request-durations.ts
+++ b/packages/planned-stop/src/request-durations.ts
@@ -1,9 +1,6 @@
 /** Time after which durations no longer count is between one and two of these intervals. */
 const WINDOW_MS = 15_000;
 
-/** A request may take longer than the longest recent one by this factor. */
-const MARGIN_FACTOR = 2;
-
 /** Lower bound of an estimate, as a few short requests say little about the next one. */
 const MIN_ESTIMATE_MS = 1000;
 
@@ -25,16 +22,16 @@
   }
 
   /**
-   * Returns the time that a request probably takes at most, from recent ones of its kind, else of any kind. If
-   * none is known, it is `maxMs`.
+   * Returns the time that a request probably takes at most: that of the longest recent one of its kind,
+   * else of any kind, times a margin. If none is known, it is `maxMs`.
    */
-  estimate(kind: string, maxMs: number, now: number): number {
+  estimate(kind: string, maxMs: number, margin: number, now: number): number {
     this.startWindow(now);
     const known = this.longest.get(kind);
     const entries = known === undefined ? [...this.longest.values()] : [known];
     const longest = Math.max(0, ...entries.flatMap(({ current, former }) => [current, former]));
     if (longest === 0) return maxMs;
-    return Math.min(maxMs, Math.max(MIN_ESTIMATE_MS, longest * MARGIN_FACTOR));
+    return Math.min(maxMs, Math.max(MIN_ESTIMATE_MS, longest * margin));
   }
 
   private startWindow(now: number): void {
