Report each answer to a request that was lost before

Callers would see: a sound request that was answered between crashes is refused for ten minutes on all VMs.

Cause: a VM that answers a request reported this only if two crashes were known by then. The answer was recorded all the same, so that it was no change after the second crash, and the other VMs never learned of it.

Fix: each answer that clears a crash is reported. The test fails before: the VM that lost the request three times refuses it.

--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -33,14 +33,13 @@
     lost.forEach(([request, crashId]) => this.evidence.addLoss(request, crashId, now));
   }
 
-  /** Returns true if the other VMs should know of the answer. */
+  /** Returns true if the report changes. */
   recordAnswer(request: string, now: number): boolean {
     this.answered.add([request]);
     const crashIds = this.evidence.listOpenCrashes(request);
     if (crashIds.length === 0) return false;
-    const isSuspected = this.evidence.isSuspected(request);
     this.evidence.addAnswer(request, crashIds, now);
-    return this.ownAnswers.add(request, crashIds, now) && isSuspected;
+    return this.ownAnswers.add(request, crashIds, now);
   }
 
   apply({ lost, answered }: RequestReport, now: number): void {
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -185,6 +185,31 @@
   vms.forEach((vm) => vm.stop());
 });
 
+// The VM with the answer did not report it, as one crash alone does not make a request suspected.
+test('an answer between crashes counts at the other VMs too', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  b.recordLoss('w1', [], DEADLY);
+  await exchange();
+  a.recordAnswer([], DEADLY);
+  for (let other = 0; other < 600; other += 1) a.recordAnswer([], `request-${other}`);
+  for (const worker of ['w2', 'w3']) {
+    await exchange();
+    b.recordLoss(worker, [], DEADLY);
+  }
+  await exchange();
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  await timer.advance(2000);
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  vms.forEach((vm) => vm.stop());
+});
+
 // Many callers send the same request, so it is in progress when all workers crash at once.
 test('a request that was answered before needs more crashes', async (t) => {
   const { timer, vms } = setUp('a');
