Remove expired losses from the stored reports

Callers would see: a request that was lost three times hours ago is refused again, at each VM that starts.

Cause: a VM writes its report on a change only, and the end of the lifetime of an entry was none. A VM that starts takes all it reads for new.

Fix: the report is written again once entries have expired. The test fails before: a VM that starts two hours after the losses refuses the request.

--- a/packages/prompt-quarantine/src/own-evidence.ts
+++ b/packages/prompt-quarantine/src/own-evidence.ts
@@ -26,6 +26,11 @@
     return this.answers.add(part, crashIds, now);
   }
 
+  /** Returns true if the report changes. */
+  prune(now: number): boolean {
+    return [this.crashes, this.answers].map((report) => report.prune(now)).includes(true);
+  }
+
   report(now: number): Omit<VmEvidence, 'requests'> {
     const crashes = this.crashes
       .list(now)
--- a/packages/prompt-quarantine/src/own-report.ts
+++ b/packages/prompt-quarantine/src/own-report.ts
@@ -23,10 +23,17 @@
     return isNew;
   }
 
-  list(now: number): [string, string[]][] {
+  /** Removes entries that have reached the end of their lifetime; returns true if the report changes. */
+  prune(now: number): boolean {
+    const sizeBefore = this.entries.size;
     for (const [key, { at }] of this.entries) {
       if (now - at > this.lifetimeMs) this.entries.delete(key);
     }
+    return this.entries.size < sizeBefore;
+  }
+
+  list(now: number): [string, string[]][] {
+    this.prune(now);
     return [...this.entries].map(([key, { values }]) => [key, [...values]]);
   }
 }
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -255,6 +255,7 @@
   private evaluate(): void {
     const now = this.options.timer.now();
     this.publisher.restore();
+    this.pruneReport(now);
     this.evidence.prune(now);
     let parts = this.evidence.findDangerous(now);
     while (parts.length > 0) {
@@ -268,6 +269,12 @@
     this.storeBlocks();
   }
 
+  /** A VM that starts takes what is stored for new, so the stored report must not hold what has expired. */
+  private pruneReport(now: number): void {
+    const isChanged = [this.own.prune(now), this.requests.pruneReport(now)].includes(true);
+    if (isChanged) this.publisher.schedule();
+  }
+
   private logBlock(block: string, reason: BlockReason): void {
     const event = isRequestKey(block) ? 'request-blocked' : 'prompt-part-blocked';
     this.options.log.write(event, { block, reason });
--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -93,6 +93,11 @@
     this.evidence.explain([request], now);
   }
 
+  /** Removes what is no longer reported; returns true if the report changes. */
+  pruneReport(now: number): boolean {
+    return [this.ownLosses, this.ownAnswers].map((report) => report.prune(now)).includes(true);
+  }
+
   report(now: number): RequestReport {
     return { lost: this.ownLosses.list(now), answered: this.ownAnswers.list(now) };
   }
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -24,6 +24,9 @@
 
 const DEADLY = 'request-deadly';
 
+/** Leases of VMs are kept alive. */
+const VM_LEASE_MS = 86_400_000;
+
 const loadArbitrary: fc.Arbitrary<TaintedLoad> = fc.record({
   seed: fc.nat(),
   vmCount: fc.integer({ min: 2, max: 12 }),
@@ -92,7 +95,7 @@
 ) => {
   const lease = { current: undefined as string | undefined, replace: () => {} };
   const store = service.createClient(name);
-  void store.grantLease(600_000).then((granted) => {
+  void store.grantLease(VM_LEASE_MS).then((granted) => {
     lease.current = granted.map(({ leaseId }) => leaseId).unwrapOr(undefined);
   });
   const vm = new PromptQuarantine({
@@ -123,7 +126,7 @@
     const changes = entries.map((entry) => ({ kind: ChangeKind.Put, entry }));
     vms.forEach((vm) => vm.apply(changes));
   };
-  return { timer, vms, exchange };
+  return { timer, service, vms, exchange };
 };
 
 // A caller that sends its request again after a crash of other cause must be served.
@@ -237,6 +240,18 @@
   b.stop();
 });
 
+// A VM takes the reports that it reads at its start for new ones, and the stored ones kept old losses.
+test('losses of two hours ago do not refuse a request at a VM that starts', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a');
+  ['w1', 'w2', 'w3'].forEach((worker) => vms[0]!.recordLoss(worker, ['part', 'own'], DEADLY));
+  await timer.advance(7_200_000);
+  vms.push(createVm(service, timer, 'b'));
+  await exchange();
+  await timer.advance(2000);
+  t.is(vms[1]!.findBlock(['part', 'own'], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
 test('attempts at a request have the same key, and other requests have others', (t) => {
   const request: RepeatableRequest = {
     method: 'POST',
