Name crashes by the run of the worker that got the request

Callers would see: a request is refused after two crashes, or crashes one worker more than needed.

Cause: the run of a worker was looked up when the loss was noticed. By then the worker may have registered under its id again, so that two requests lost at one crash got two ids, and losses at two runs one.

Fix: the forwarder and the scheduler of batch items pass the start time that the worker had when the request was sent. The test of the forwarder fails before: the quarantine gets no start time.

--- a/packages/deployed-vm/src/components.ts
+++ b/packages/deployed-vm/src/components.ts
@@ -193,7 +193,7 @@
     countEntryVms,
   });
   const batch = createJobs(options, self, fleet, () => followers.jobs, countEntryVms);
-  const quarantine = createQuarantine(options, fleet, workers);
+  const quarantine = createQuarantine(options, fleet);
   // Without the followed keys, requests that crash workers would not be known as such.
   const startupGate = new StartupGate(
     timer,
--- a/packages/deployed-vm/src/fleet-components.ts
+++ b/packages/deployed-vm/src/fleet-components.ts
@@ -104,7 +104,6 @@
 export const createQuarantine = (
   { timer, store, createLog, metrics, keys, settings }: DeployedVmOptions,
   { lease, loads }: Fleet,
-  workers: WorkerRegistry,
 ): PromptQuarantine => {
   const quarantine = new PromptQuarantine({
     timer,
@@ -117,8 +116,7 @@
     self: settings.entryVmId,
     listServing: () => loads.listServing(),
     announce: (lost) => loads.announceLosses(lost),
-    // A loss is noticed at once, and the entry of a worker that crashed is removed seconds later.
-    runIdOf: (workerId) => `${workerId}@${workers.find(workerId)?.startedAt ?? 0}`,
+    runIdOf: (workerId, startedAt = 0) => `${workerId}@${startedAt}`,
   });
   loads.onLosses((lost) => quarantine.applyLosses(lost));
   return quarantine;
--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -17,6 +17,7 @@
   address: '',
   availabilityZone: 'z',
   state: VmState.Live,
+  startedAt: 7,
 };
 
 const createFault = (code: FaultCode, outcome: Outcome): Fault => ({
@@ -42,7 +43,7 @@
 interface ForwardOptions {
   requestId?: string;
   isSuspected?: boolean;
-  onLoss?: (key?: string) => void;
+  onLoss?: (key?: string, startedAt?: number) => void;
   onRoute?: (request: RouteRequest) => void;
 }
 
@@ -99,9 +100,9 @@
         findBlock: () => undefined,
         isSuspected: () => isSuspected,
         recordAnswer: () => seen.push('answer'),
-        recordLoss: (workerId, parts, key) => {
+        recordLoss: (workerId, parts, key, startedAt) => {
           seen.push(`loss ${workerId} ${String(parts)}`);
-          onLoss?.(key);
+          onLoss?.(key, startedAt);
         },
       },
       backends: {
@@ -151,6 +152,15 @@
   t.is(keys[0], keys[1]);
 });
 
+// The worker may be back under its id when the loss is noticed.
+test('a loss is reported for the run of the worker to which the request was sent', async (t) => {
+  const runs: unknown[] = [];
+  const lose = () =>
+    Promise.resolve(err(createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown)));
+  await forward(lose, { onLoss: (_key, startedAt) => runs.push(startedAt) });
+  t.deepEqual(runs, [7]);
+});
+
 test('only a request under which workers crashed is gathered at one worker', async (t) => {
   const gathered: boolean[] = [];
   const refuse = () =>
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -174,7 +174,7 @@
     metrics.increment('online.attempt_failed', { code: fault.code });
     if (fault.code !== FaultCode.Overloaded) router.recordFault(worker);
     if (fault.code === FaultCode.Interrupted && !this.hasAttemptData) {
-      quarantine.recordLoss(worker.id, promptPrefixes, this.requestKey);
+      quarantine.recordLoss(worker.id, promptPrefixes, this.requestKey, worker.startedAt);
     }
   }
 
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -217,7 +217,8 @@
     this.logRun(candidate, worker, result);
     this.recordRun(worker.id, result, now);
     if (result.fault?.code === FaultCode.Interrupted && result.events === 0) {
-      this.options.quarantine.recordLoss(worker.id, this.listParts(ownedJob, item));
+      const parts = this.listParts(ownedJob, item);
+      this.options.quarantine.recordLoss(worker.id, parts, undefined, worker.startedAt);
     }
     if (outcome === RunOutcome.Completed) {
       this.runTimeEstimator.recordItem(item.progress.events.length);
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -34,7 +34,7 @@
   /** Tells the other VMs at once of requests that were lost; messages may get lost. */
   announce: (lost: RequestLoss[]) => void;
   /** Identifies a run of a worker, which may restart under its id. */
-  runIdOf: (workerId: string) => string;
+  runIdOf: (workerId: string, startedAt: number | undefined) => string;
 }
 
 enum BlockReason {
@@ -140,10 +140,18 @@
     }
   }
 
-  /** Records that a worker's connection broke before a request with these parts received an answer. */
-  recordLoss(workerId: string, parts: readonly string[], request?: string): void {
+  /**
+   * Records that a worker's connection broke before a request with these parts received an answer. The start
+   * time is the one of the run to which the request was sent.
+   */
+  recordLoss(
+    workerId: string,
+    parts: readonly string[],
+    request?: string,
+    startedAt?: number,
+  ): void {
     const now = this.options.timer.now();
-    const crashId = this.options.runIdOf(workerId);
+    const crashId = this.options.runIdOf(workerId, startedAt);
     if (request !== undefined && this.requests.recordLoss(request, crashId, now)) {
       this.announcer.add([request, crashId]);
       this.publisher.schedule();
