End the block of a request ten minutes after its crashes

Callers would see: a request that was blocked by mistake stays refused for ever, if its caller waits as Retry-After says.

Cause: each refused attempt prolonged the block and had it stored again, as for prompt parts, which come from many callers. Found in review.

Fix: the block of a request lasts ten minutes from its crashes on all VMs; the stored value has the time at which it began, and its lease the rest. After its end one more crash refuses the request again, unless it was answered, so that a request that crashes workers does not crash three more after each block. Three of the four tests fail before: of Retry-After, of a VM that starts during the block, and of the crash after its end. Blocks of prompt parts are as before.

--- a/packages/prompt-quarantine/src/block-list.ts
+++ b/packages/prompt-quarantine/src/block-list.ts
@@ -1,6 +1,10 @@
-/** Blocked combinations of prompt parts on this VM. Times are passed in. */
+/** Blocked combinations of prompt parts, and blocked requests, on this VM. Times are passed in. */
+import { isRequestKey } from './request-key.js';
 
-/** A combination stays blocked until no request with it has come for this long. */
+/**
+ * A combination stays blocked until no request with it has come for this long. A request stays blocked for
+ * this long, so that callers that come again after Retry-After do not prolong its block.
+ */
 export const BLOCK_MS = 600_000;
 
 const SEPARATOR = '+';
@@ -13,7 +17,7 @@
   id: string;
   /** A request is refused if it has all of them. */
   parts: readonly string[];
-  /** Time of the block, or of the last request with it on a VM that stored it. */
+  /** Time of the block or, for combinations, of the last request with it on a VM that stored it. */
   renewedAt: number;
   /** Time of the last request that was refused on this VM. */
   lastHitAt: number;
@@ -36,10 +40,15 @@
     return true;
   }
 
-  /** Records a stored block, also one of another VM; returns true if it is new. */
-  recordStored(id: string, now: number): boolean {
-    const isNew = this.add(id, now);
-    Object.assign(this.blocks.get(id)!, { unstoredSince: undefined, renewedAt: now });
+  /**
+   * Records a stored block, also one of another VM, with the time at which it began or was renewed; returns
+   * true if it is new.
+   */
+  recordStored(id: string, renewedAt: number): boolean {
+    const isNew = this.add(id, renewedAt);
+    const block = this.blocks.get(id)!;
+    block.unstoredSince = undefined;
+    block.renewedAt = Math.max(block.renewedAt, renewedAt);
     return isNew;
   }
 
@@ -53,6 +62,10 @@
     return this.blocks.has(id);
   }
 
+  get(id: string): Block | undefined {
+    return this.blocks.get(id);
+  }
+
   remove(id: string): void {
     this.blocks.delete(id);
   }
@@ -73,7 +86,8 @@
   }
 
   /** Time until the block ends if no further request comes. */
-  remainingMs({ renewedAt, lastHitAt }: Block, now: number): number {
-    return Math.max(renewedAt, lastHitAt) + BLOCK_MS - now;
+  remainingMs({ id, renewedAt, lastHitAt }: Block, now: number): number {
+    const since = isRequestKey(id) ? renewedAt : Math.max(renewedAt, lastHitAt);
+    return since + BLOCK_MS - now;
   }
 }
--- a/packages/prompt-quarantine/src/block-store.ts
+++ b/packages/prompt-quarantine/src/block-store.ts
@@ -3,6 +3,7 @@
 import { CommitStatus, type CommitResult, type TransactionalStore } from '@jujubelanding/platform';
 import { err } from 'neverthrow';
 import { BLOCK_MS, type Block } from './block-list.js';
+import { isRequestKey } from './request-key.js';
 
 /** A stored block is renewed after this time if requests to which it applies still come. */
 const RENEWAL_MS = BLOCK_MS / 2;
@@ -13,6 +14,12 @@
  */
 const TAKEOVER_MS = 100;
 
+/** The stored block of a request expires by itself, so it is not stored again when it ends this soon. */
+const MIN_STORED_MS = 5000;
+
+/** Separates the state of a block from the time at which it began, in epoch milliseconds. */
+const SEPARATOR = ' ';
+
 export interface BlockStoreOptions {
   log: Log;
   store: Pick<TransactionalStore, 'commit' | 'grantLease'>;
@@ -24,9 +31,26 @@
   Released = 'released',
 }
 
-/** Returns undefined for a value that is not a state. */
-export const decodeBlockState = (value: string): BlockState | undefined =>
-  Object.values(BlockState).find((state) => String(state) === value);
+export interface StoredBlock {
+  state: BlockState;
+  /** Time at which the block of a request began, in epoch milliseconds. */
+  beganAt: number | undefined;
+}
+
+/** Returns undefined for a value that cannot be read. */
+export const decodeStoredBlock = (value: string): StoredBlock | undefined => {
+  const [name, time, ...others] = value.split(SEPARATOR);
+  const state = Object.values(BlockState).find((known) => String(known) === name);
+  const beganAt = time === undefined ? undefined : Number(time);
+  if (state === undefined || others.length > 0 || Number.isNaN(beganAt)) return undefined;
+  return { state, beganAt };
+};
+
+/** When the block of a request began, in epoch milliseconds, and how long it still lasts. */
+export interface BlockStart {
+  at: number;
+  remainingMs: number;
+}
 
 /**
  * Stores blocks for VMs that start later. Each has a lease of its own, so that it disappears some time after
@@ -43,20 +67,21 @@
    * is compared with all of them.
    */
   isDue(
-    { unstoredSince, renewedAt, lastHitAt }: Block,
+    { id, unstoredSince, renewedAt, lastHitAt }: Block,
     readRank: () => number,
     now: number,
   ): boolean {
     const isRenewal = unstoredSince === undefined;
-    if (isRenewal && lastHitAt <= renewedAt) return false;
+    if (isRenewal && (isRequestKey(id) || lastHitAt <= renewedAt)) return false;
+    if (isRequestKey(id) && renewedAt + BLOCK_MS - now < MIN_STORED_MS) return false;
     const overdueMs = isRenewal ? now - renewedAt - RENEWAL_MS : now - unstoredSince;
     return overdueMs >= 0 && overdueMs >= readRank() * TAKEOVER_MS;
   }
 
-  /** Stores the state of a block; returns whether it was stored. */
-  write(blockId: string, state: BlockState): Promise<boolean> {
+  /** Stores the state of a block, which may have begun earlier; returns whether it was stored. */
+  write(blockId: string, state: BlockState, began?: BlockStart): Promise<boolean> {
     const former = this.writes.get(blockId) ?? Promise.resolve(true);
-    const write = former.then(() => this.tryWrite(blockId, state));
+    const write = former.then(() => this.tryWrite(blockId, state, began));
     this.writes.set(blockId, write);
     return write.finally(() => {
       if (this.writes.get(blockId) === write) this.writes.delete(blockId);
@@ -67,17 +92,26 @@
     return this.writes.has(blockId);
   }
 
-  private async tryWrite(blockId: string, state: BlockState): Promise<boolean> {
-    const committed = await this.commit(blockId, state);
+  private async tryWrite(
+    blockId: string,
+    state: BlockState,
+    began: BlockStart | undefined,
+  ): Promise<boolean> {
+    const committed = await this.commit(blockId, state, began);
     if (committed.isOk() && committed.value.status === CommitStatus.Committed) return true;
     const code = committed.isErr() ? committed.error.code : committed.value.status;
     this.options.log.write('block-not-stored', { block: blockId, state, code });
     return false;
   }
 
-  private async commit(blockId: string, value: BlockState): Reply<CommitResult> {
+  private async commit(
+    blockId: string,
+    state: BlockState,
+    began: BlockStart | undefined,
+  ): Reply<CommitResult> {
     const { store, prefix } = this.options;
-    const lease = await store.grantLease(BLOCK_MS);
+    const value = began === undefined ? state : `${state}${SEPARATOR}${Math.round(began.at)}`;
+    const lease = await store.grantLease(began?.remainingMs ?? BLOCK_MS);
     if (lease.isErr()) return err(lease.error);
     const write = { key: `${prefix}${blockId}`, value, leaseId: lease.value.leaseId };
     return store.commit({ conditions: [], writes: [write], removals: [] });
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -5,7 +5,7 @@
 import { rankOf } from '@jujubelanding/random';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { BlockList, parseBlockId, toBlockId } from './block-list.js';
-import { BlockState, BlockStore, decodeBlockState } from './block-store.js';
+import { BlockState, BlockStore, decodeStoredBlock, type BlockStart } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
 import { LossAnnouncer } from './loss-announcer.js';
@@ -104,6 +104,7 @@
    */
   findBlock(parts: readonly string[], request?: string): Fault | undefined {
     const now = this.options.timer.now();
+    this.blocks.prune(now);
     const block = this.blocks.find(listSuspects(parts, request));
     const undecidedMs = request === undefined ? undefined : this.requests.undecidedMs(request, now);
     if (block === undefined && undecidedMs === undefined) return undefined;
@@ -187,12 +188,15 @@
   }
 
   private applyBlock(id: string, value: string, now: number): void {
-    const state = decodeBlockState(value);
-    if (state === undefined) {
+    const stored = decodeStoredBlock(value);
+    if (stored === undefined) {
       this.options.log.write('block-skipped', { block: id, reason: 'unreadable' });
-    } else if (state === BlockState.Released) this.blocks.remove(id);
+    } else if (stored.state === BlockState.Released) this.blocks.remove(id);
     else {
-      if (this.blocks.recordStored(id, now)) this.logBlock(id, BlockReason.Stored);
+      const { beganAt } = stored;
+      const { timer } = this.options;
+      const ageMs = beganAt === undefined ? 0 : Math.max(0, timer.wallClock() - beganAt);
+      if (this.blocks.recordStored(id, now - ageMs)) this.logBlock(id, BlockReason.Stored);
       this.evidence.explain(parseBlockId(id), now);
       this.requests.explain(id, now);
     }
@@ -307,8 +311,21 @@
 
   /** Returns whether the block was stored. */
   private async store(id: string): Promise<boolean> {
-    const isStored = await this.blockStore.write(id, BlockState.Blocked);
-    if (isStored && this.blocks.has(id)) this.blocks.recordStored(id, this.options.timer.now());
+    const { timer } = this.options;
+    const began = this.readStart(id);
+    const isStored = await this.blockStore.write(id, BlockState.Blocked, began);
+    const renewedAt = began === undefined ? timer.now() : -Infinity;
+    if (isStored && this.blocks.has(id)) this.blocks.recordStored(id, renewedAt);
     return isStored;
   }
+
+  /** Returns undefined for a combination, whose block is renewed when it is stored. */
+  private readStart(id: string): BlockStart | undefined {
+    const block = this.blocks.get(id);
+    if (block === undefined || !isRequestKey(id)) return undefined;
+    const { timer } = this.options;
+    const now = timer.now();
+    const at = timer.wallClock() - (now - block.renewedAt);
+    return { at, remainingMs: this.blocks.remainingMs(block, now) };
+  }
 }
--- a/packages/prompt-quarantine/src/request-evidence.ts
+++ b/packages/prompt-quarantine/src/request-evidence.ts
@@ -12,12 +12,18 @@
  */
 const CRASHES_OF_ANSWERED_REQUEST = 5;
 
+/** The same for a request that was blocked before and not answered since. */
+const CRASHES_OF_CONVICTED_REQUEST = 1;
+
 /** Time between the last crash needed and the decision, in which other VMs report answers. */
 const CONFIRMATION_MS = 1000;
 
 /** Callers may send a request again after a long time. */
 const EVIDENCE_LIFETIME_MS = 600_000;
 
+/** A request that was blocked needs one more crash to be blocked again for this long. */
+const CONVICTION_LIFETIME_MS = 86_400_000;
+
 /** Maximum number of requests that are remembered; the least recent ones are forgotten. */
 const MAX_REQUESTS = 2000;
 
@@ -30,6 +36,13 @@
   lastLostAt: number;
 }
 
+/** A request that counted as dangerous. */
+interface Conviction {
+  at: number;
+  /** Crashes known at that time; an answer that clears one of them clears the request. */
+  crashIds: readonly string[];
+}
+
 /** Crashes by request, as reported by all VMs. */
 export class RequestEvidence {
   private readonly suspects = new Map<string, Suspect>();
@@ -37,6 +50,9 @@
   /** Crashes that a dangerous request explains, with the time at which they were explained. */
   private readonly explained = new Map<string, number>();
 
+  /** By request, oldest first. */
+  private readonly convictions = new Map<string, Conviction>();
+
   get isEmpty(): boolean {
     return this.suspects.size === 0;
   }
@@ -54,6 +70,9 @@
     const suspect = this.take(request, now);
     crashIds.forEach((id) => suspect.cleared.add(id));
     this.put(request, { ...suspect, hasAnswer: true });
+    const known = this.convictions.get(request)?.crashIds ?? [];
+    const isCleared = known.length === 0 || known.some((id) => crashIds.includes(id));
+    if (isCleared) this.convictions.delete(request);
   }
 
   /** Ids of the crashes of the request that no answer has cleared. */
@@ -61,9 +80,15 @@
     return this.listCrashes(request).map(([id]) => id);
   }
 
+  /** Ids of the crashes that an answer now clears, with those for which the request was blocked. */
+  listClearedByAnswer(request: string): string[] {
+    const convicting = this.convictions.get(request)?.crashIds ?? [];
+    return [...convicting, ...this.listOpenCrashes(request)];
+  }
+
   /** True if the request was lost at a crash and not answered since. */
   isOpen(request: string): boolean {
-    return this.listCrashes(request).length > 0;
+    return this.convictions.has(request) || this.listCrashes(request).length > 0;
   }
 
   /** True if answers to the request matter to other VMs. */
@@ -77,9 +102,7 @@
 
   /** Time until it is decided whether the request is dangerous; undefined if it has too few crashes. */
   undecidedMs(request: string, now: number): number | undefined {
-    const hasAnswer = this.suspects.get(request)?.hasAnswer === true;
-    const needed = hasAnswer ? CRASHES_OF_ANSWERED_REQUEST : CRASHES_OF_NEW_REQUEST;
-    const last = this.listCrashes(request)[needed - 1];
+    const last = this.listCrashes(request)[this.countNeeded(request) - 1];
     return last === undefined ? undefined : Math.max(0, last[1] + CONFIRMATION_MS - now);
   }
 
@@ -100,7 +123,7 @@
   /** Removes the crashes that dangerous requests explain, so that others are not blamed for them. */
   explain(requests: readonly string[], now: number): void {
     const crashIds = requests.flatMap((request) => this.listOpenCrashes(request));
-    requests.forEach((request) => this.suspects.delete(request));
+    requests.forEach((request) => this.convict(request, now));
     for (const id of crashIds) {
       this.explained.set(id, now);
       this.suspects.forEach(({ crashes }) => crashes.delete(id));
@@ -108,6 +131,9 @@
   }
 
   prune(now: number): void {
+    for (const [request, { at }] of this.convictions) {
+      if (now - at > CONVICTION_LIFETIME_MS) this.convictions.delete(request);
+    }
     for (const [request, { lastLostAt }] of this.suspects) {
       if (now - lastLostAt > EVIDENCE_LIFETIME_MS) this.suspects.delete(request);
     }
@@ -116,6 +142,21 @@
     }
   }
 
+  private convict(request: string, now: number): void {
+    const crashIds = this.listClearedByAnswer(request);
+    this.suspects.delete(request);
+    this.convictions.delete(request);
+    this.convictions.set(request, { at: now, crashIds });
+    const [oldest] = this.convictions.keys();
+    if (this.convictions.size > MAX_REQUESTS) this.convictions.delete(oldest!);
+  }
+
+  private countNeeded(request: string): number {
+    if (this.convictions.has(request)) return CRASHES_OF_CONVICTED_REQUEST;
+    const hasAnswer = this.suspects.get(request)?.hasAnswer === true;
+    return hasAnswer ? CRASHES_OF_ANSWERED_REQUEST : CRASHES_OF_NEW_REQUEST;
+  }
+
   /** Removes the entry of a request, so that it can be entered again as the newest one. */
   private take(request: string, now: number): Suspect {
     const suspect = this.suspects.get(request);
--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -36,8 +36,8 @@
   /** Returns true if the report changes. */
   recordAnswer(request: string, now: number): boolean {
     this.answered.add([request]);
-    const crashIds = this.evidence.listOpenCrashes(request);
-    if (crashIds.length === 0) return false;
+    if (!this.evidence.isOpen(request)) return false;
+    const crashIds = this.evidence.listClearedByAnswer(request);
     this.evidence.addAnswer(request, crashIds, now);
     return this.ownAnswers.add(request, crashIds, now);
   }
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -252,6 +252,84 @@
   vms.forEach((vm) => vm.stop());
 });
 
+const MINUTE_MS = 60_000;
+
+/** Time from the first of three crashes to the end of the block, and a little more. */
+const BLOCK_END_MS = 10 * MINUTE_MS + 2000;
+
+const blockAt = async (vm: PromptQuarantine, timer: VirtualTimer): Promise<void> => {
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+};
+
+// Each refused attempt renewed the block, so that it never ended for a caller that obeyed Retry-After.
+test('the block of a request ends ten minutes after its crashes, however often it is sent', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a', 'b');
+  const [a] = vms as [PromptQuarantine];
+  await blockAt(a, timer);
+  const minutes: number[] = [];
+  for (let minute = 1; minute < 10; minute += 1) {
+    await exchange();
+    await timer.advance(minute * MINUTE_MS - timer.now());
+    vms.forEach((vm) => minutes.push(vm.findBlock([], DEADLY)!.retryAfterMs! / MINUTE_MS));
+  }
+  t.deepEqual(minutes.map(Math.round), [9, 9, 8, 8, 7, 7, 6, 6, 5, 5, 4, 4, 3, 3, 2, 2, 1, 1]);
+  const { entries } = service.state.list('q/blocked/', Infinity);
+  await timer.advance(BLOCK_END_MS - 1500 - timer.now());
+  const changes = entries.map((entry) => ({ kind: ChangeKind.Delete, entry }));
+  vms.forEach((vm) => vm.apply(changes));
+  await timer.advance(1500);
+  t.deepEqual(service.state.list('q/blocked/', Infinity).entries, []);
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  vms.forEach((vm) => vm.stop());
+});
+
+test('a VM that starts later ends the block of a request at the same time', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a');
+  await blockAt(vms[0]!, timer);
+  await timer.advance(8 * MINUTE_MS);
+  vms.push(createVm(service, timer, 'b'));
+  await exchange();
+  t.is(Math.round(vms[1]!.findBlock([], DEADLY)!.retryAfterMs! / MINUTE_MS), 2);
+  await timer.advance(BLOCK_END_MS - timer.now());
+  t.is(vms[1]!.findBlock([], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
+// A request that crashes workers would otherwise crash three of them after each block.
+test('one crash after the end of its block refuses a request again', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  await blockAt(a, timer);
+  await exchange();
+  await timer.advance(BLOCK_END_MS - timer.now());
+  t.is(b.findBlock([], DEADLY), undefined);
+  b.recordLoss('w4', [], DEADLY);
+  t.not(b.findBlock([], DEADLY), undefined);
+  await exchange();
+  await timer.advance(2000);
+  await exchange();
+  vms.forEach((vm) => t.true(vm.findBlock([], DEADLY)!.retryAfterMs! > 9 * MINUTE_MS));
+  vms.forEach((vm) => vm.stop());
+});
+
+test('an answer after the end of its block clears a request at all VMs', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  await blockAt(a, timer);
+  await exchange();
+  await timer.advance(BLOCK_END_MS - timer.now());
+  b.recordAnswer([], DEADLY);
+  await exchange();
+  ['w4', 'w5'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
 test('attempts at a request have the same key, and other requests have others', (t) => {
   const request: RepeatableRequest = {
     method: 'POST',
