Record answers without a body as answers

Callers would see: a sound request whose answers have no body (204) is refused after three crashes of other cause.

Cause: an answer was recorded with its first data only, and these have none.

Fix: an attempt that succeeds without data counts as an answer too. The test fails before: no answer is recorded.

--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -139,6 +139,17 @@
   t.snapshot(seen);
 });
 
+// A request whose answers have no body was never known to be answered, and was refused after three crashes of
+// other cause.
+test('an answer without a body is recorded as an answer', async (t) => {
+  const head = { status: 204, headers: {} };
+  const seen = await forward((handler) => {
+    handler.onStart(head, () => {});
+    return Promise.resolve(ok(head));
+  });
+  t.is(seen.filter((event) => event === 'answer').length, 1);
+});
+
 // A caller gives each attempt an id of its own, so that nothing connected the crashes of one request.
 test('losses of one request are reported under the same key for all attempts', async (t) => {
   const keys: unknown[] = [];
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -67,9 +67,7 @@
     this.requestKey = computeRequestKey(exchange.request);
     this.relay = new ResponseRelay(exchange, route, () => {
       this.firstDataAt ??= options.timer.now();
-      if (!this.hasAttemptData) {
-        options.quarantine.recordAnswer(exchange.request.promptPrefixes, this.requestKey);
-      }
+      if (!this.hasAttemptData) this.recordAnswer();
       this.hasAttemptData = true;
       this.firstTokenWatch?.recordToken();
     });
@@ -149,6 +147,8 @@
       return { worker, fault };
     }
     router.recordSuccess(worker);
+    // Answers without a body come without data.
+    if (!this.hasAttemptData) this.recordAnswer();
     // Responses do not state how many tokens were cached; any number but 0 keeps the indexed prefixes.
     router.recordCompletion(worker.id, request.promptPrefixes, 1);
     return fault === undefined
@@ -156,6 +156,11 @@
       : { worker, response: reply.value, fault };
   }
 
+  private recordAnswer(): void {
+    const { promptPrefixes } = this.exchange.request;
+    this.options.quarantine.recordAnswer(promptPrefixes, this.requestKey);
+  }
+
   private recordFault(worker: Worker, fault: Fault): void {
     const { router, log, metrics, quarantine } = this.options;
     const { requestId, promptPrefixes } = this.exchange.request;
