--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -252,6 +252,21 @@
   vms.forEach((vm) => vm.stop());
 });
 
+// Between the end of the second and the next check, callers were told to come again at once.
+test('a suspended request is never told to come again within less than a second', async (t) => {
+  const { timer, vms } = setUp('a');
+  const [a] = vms as [PromptQuarantine];
+  await timer.advance(100);
+  ['w1', 'w2', 'w3'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  const waits: number[] = [];
+  for (let step = 0; step < 12; step += 1) {
+    waits.push(a.findBlock([], DEADLY)!.retryAfterMs!);
+    await timer.advance(100);
+  }
+  t.true(Math.min(...waits) >= 1000, String(waits));
+  a.stop();
+});
+
 const MINUTE_MS = 60_000;
 
 /** Time from the first of three crashes to the end of the block, and a little more. */
