--- a/packages/prompt-quarantine/src/request-suspects.ts
+++ b/packages/prompt-quarantine/src/request-suspects.ts
@@ -33,14 +33,13 @@
     lost.forEach(([request, crashId]) => this.evidence.addLoss(request, crashId, now));
   }
 
-  /** Returns true if the other VMs should know of the answer. */
+  /** Returns true if the report changes. */
   recordAnswer(request: string, now: number): boolean {
     this.answered.add([request]);
-    const crashIds = this.evidence.listOpenCrashes(request);
-    if (crashIds.length === 0) return false;
-    const isSuspected = this.evidence.isSuspected(request);
+    if (!this.evidence.isOpen(request)) return false;
+    const crashIds = this.evidence.listClearedByAnswer(request);
     this.evidence.addAnswer(request, crashIds, now);
-    return this.ownAnswers.add(request, crashIds, now) && isSuspected;
+    return this.ownAnswers.add(request, crashIds, now);
   }
 
   apply({ lost, answered }: RequestReport, now: number): void {
@@ -94,6 +93,11 @@
     this.evidence.explain([request], now);
   }
 
+  /** Removes what is no longer reported; returns true if the report changes. */
+  pruneReport(now: number): boolean {
+    return [this.ownLosses, this.ownAnswers].map((report) => report.prune(now)).includes(true);
+  }
+
   report(now: number): RequestReport {
     return { lost: this.ownLosses.list(now), answered: this.ownAnswers.list(now) };
   }
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -24,6 +24,9 @@
 
 const DEADLY = 'request-deadly';
 
+/** Leases of VMs are kept alive. */
+const VM_LEASE_MS = 86_400_000;
+
 const loadArbitrary: fc.Arbitrary<TaintedLoad> = fc.record({
   seed: fc.nat(),
   vmCount: fc.integer({ min: 2, max: 12 }),
@@ -92,7 +95,7 @@
 ) => {
   const lease = { current: undefined as string | undefined, replace: () => {} };
   const store = service.createClient(name);
-  void store.grantLease(600_000).then((granted) => {
+  void store.grantLease(VM_LEASE_MS).then((granted) => {
     lease.current = granted.map(({ leaseId }) => leaseId).unwrapOr(undefined);
   });
   const vm = new PromptQuarantine({
@@ -123,7 +126,7 @@
     const changes = entries.map((entry) => ({ kind: ChangeKind.Put, entry }));
     vms.forEach((vm) => vm.apply(changes));
   };
-  return { timer, vms, exchange };
+  return { timer, service, vms, exchange };
 };
 
 // A caller that sends its request again after a crash of other cause must be served.
@@ -185,6 +188,31 @@
   vms.forEach((vm) => vm.stop());
 });
 
+// The VM with the answer did not report it, as one crash alone does not make a request suspected.
+test('an answer between crashes counts at the other VMs too', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  b.recordLoss('w1', [], DEADLY);
+  await exchange();
+  a.recordAnswer([], DEADLY);
+  for (let other = 0; other < 600; other += 1) a.recordAnswer([], `request-${other}`);
+  for (const worker of ['w2', 'w3']) {
+    await exchange();
+    b.recordLoss(worker, [], DEADLY);
+  }
+  await exchange();
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  await timer.advance(2000);
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  vms.forEach((vm) => vm.stop());
+});
+
 // Many callers send the same request, so it is in progress when all workers crash at once.
 test('a request that was answered before needs more crashes', async (t) => {
   const { timer, vms } = setUp('a');
@@ -212,6 +240,111 @@
   b.stop();
 });
 
+// A VM takes the reports that it reads at its start for new ones, and the stored ones kept old losses.
+test('losses of two hours ago do not refuse a request at a VM that starts', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a');
+  ['w1', 'w2', 'w3'].forEach((worker) => vms[0]!.recordLoss(worker, ['part', 'own'], DEADLY));
+  await timer.advance(7_200_000);
+  vms.push(createVm(service, timer, 'b'));
+  await exchange();
+  await timer.advance(2000);
+  t.is(vms[1]!.findBlock(['part', 'own'], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
+// Between the end of the second and the next check, callers were told to come again at once.
+test('a suspended request is never told to come again within less than a second', async (t) => {
+  const { timer, vms } = setUp('a');
+  const [a] = vms as [PromptQuarantine];
+  await timer.advance(100);
+  ['w1', 'w2', 'w3'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  const waits: number[] = [];
+  for (let step = 0; step < 12; step += 1) {
+    waits.push(a.findBlock([], DEADLY)!.retryAfterMs!);
+    await timer.advance(100);
+  }
+  t.true(Math.min(...waits) >= 1000, String(waits));
+  a.stop();
+});
+
+const MINUTE_MS = 60_000;
+
+/** Time from the first of three crashes to the end of the block, and a little more. */
+const BLOCK_END_MS = 10 * MINUTE_MS + 2000;
+
+const blockAt = async (vm: PromptQuarantine, timer: VirtualTimer): Promise<void> => {
+  ['w1', 'w2', 'w3'].forEach((worker) => vm.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+};
+
+// Each refused attempt renewed the block, so that it never ended for a caller that obeyed Retry-After.
+test('the block of a request ends ten minutes after its crashes, however often it is sent', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a', 'b');
+  const [a] = vms as [PromptQuarantine];
+  await blockAt(a, timer);
+  const minutes: number[] = [];
+  for (let minute = 1; minute < 10; minute += 1) {
+    await exchange();
+    await timer.advance(minute * MINUTE_MS - timer.now());
+    vms.forEach((vm) => minutes.push(vm.findBlock([], DEADLY)!.retryAfterMs! / MINUTE_MS));
+  }
+  t.deepEqual(minutes.map(Math.round), [9, 9, 8, 8, 7, 7, 6, 6, 5, 5, 4, 4, 3, 3, 2, 2, 1, 1]);
+  const { entries } = service.state.list('q/blocked/', Infinity);
+  await timer.advance(BLOCK_END_MS - 1500 - timer.now());
+  const changes = entries.map((entry) => ({ kind: ChangeKind.Delete, entry }));
+  vms.forEach((vm) => vm.apply(changes));
+  await timer.advance(1500);
+  t.deepEqual(service.state.list('q/blocked/', Infinity).entries, []);
+  t.deepEqual(
+    vms.map((vm) => vm.findBlock([], DEADLY)),
+    [undefined, undefined],
+  );
+  vms.forEach((vm) => vm.stop());
+});
+
+test('a VM that starts later ends the block of a request at the same time', async (t) => {
+  const { timer, service, vms, exchange } = setUp('a');
+  await blockAt(vms[0]!, timer);
+  await timer.advance(8 * MINUTE_MS);
+  vms.push(createVm(service, timer, 'b'));
+  await exchange();
+  t.is(Math.round(vms[1]!.findBlock([], DEADLY)!.retryAfterMs! / MINUTE_MS), 2);
+  await timer.advance(BLOCK_END_MS - timer.now());
+  t.is(vms[1]!.findBlock([], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
+// A request that crashes workers would otherwise crash three of them after each block.
+test('one crash after the end of its block refuses a request again', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  await blockAt(a, timer);
+  await exchange();
+  await timer.advance(BLOCK_END_MS - timer.now());
+  t.is(b.findBlock([], DEADLY), undefined);
+  b.recordLoss('w4', [], DEADLY);
+  t.not(b.findBlock([], DEADLY), undefined);
+  await exchange();
+  await timer.advance(2000);
+  await exchange();
+  vms.forEach((vm) => t.true(vm.findBlock([], DEADLY)!.retryAfterMs! > 9 * MINUTE_MS));
+  vms.forEach((vm) => vm.stop());
+});
+
+test('an answer after the end of its block clears a request at all VMs', async (t) => {
+  const { timer, vms, exchange } = setUp('a', 'b');
+  const [a, b] = vms as [PromptQuarantine, PromptQuarantine];
+  await blockAt(a, timer);
+  await exchange();
+  await timer.advance(BLOCK_END_MS - timer.now());
+  b.recordAnswer([], DEADLY);
+  await exchange();
+  ['w4', 'w5'].forEach((worker) => a.recordLoss(worker, [], DEADLY));
+  await timer.advance(2000);
+  t.is(a.findBlock([], DEADLY), undefined);
+  vms.forEach((vm) => vm.stop());
+});
+
 test('attempts at a request have the same key, and other requests have others', (t) => {
   const request: RepeatableRequest = {
     method: 'POST',
