Name half of a fleet with an odd number of VMs, rounded up

Callers get the share rounded up again; only the number that lets a stopping VM end early is rounded down, as otherwise the last VMs of an odd fleet wait until their grace ends.

--- a/packages/deployed-vm/src/stop-coordinator.ts
+++ b/packages/deployed-vm/src/stop-coordinator.ts
@@ -2,7 +2,7 @@
 import { PEER_TIMEOUT_MS, type Departure, type FleetLoad } from '@jujubelanding/fleet-load';
 import {
   compareStops,
-  countEnough,
+  countWanted,
   decideStop,
   selectStaying,
   StopStep,
@@ -62,7 +62,7 @@
 
   /** True while too few VMs serve. */
   isFleetShort(servingVms: number): boolean {
-    return servingVms < countEnough(this.countFleet(servingVms));
+    return servingVms < countWanted(this.countFleet(servingVms));
   }
 
   /** Number of other VMs that accept callers, serving or stopping. */
--- a/packages/planned-stop/src/fleet-share.ts
+++ b/packages/planned-stop/src/fleet-share.ts
@@ -1,8 +1,10 @@
-const ENOUGH_SHARE = 0.5;
+/** How many VMs of a fleet its callers need while others are stopped. */
 
-/**
- * Returns how many VMs of a fleet are enough for its callers. With fewer serving, stopping VMs are named to
- * callers, and a stopping VM ends early only if that many others accept callers.
- */
+const NEEDED_SHARE = 0.5;
+
+/** While fewer VMs serve, stopping ones are named to callers, and those that are named do not end yet. */
+export const countWanted = (fleetVms: number): number => Math.ceil(fleetVms * NEEDED_SHARE);
+
+/** A stopping VM ends before its time only if that many others accept callers. */
 export const countEnough = (fleetVms: number): number =>
-  Math.max(1, Math.floor(fleetVms * ENOUGH_SHARE));
+  Math.max(1, Math.floor(fleetVms * NEEDED_SHARE));
--- a/packages/planned-stop/src/index.ts
+++ b/packages/planned-stop/src/index.ts
@@ -3,5 +3,5 @@
 export { RequestDurations } from './request-durations.js';
 export { selectStaying, type StayingOptions } from './staying-vms.js';
 export { decideStop, StopStep, type StopState } from './stop-decision.js';
-export { countEnough } from './fleet-share.js';
+export { countEnough, countWanted } from './fleet-share.js';
 export { compareStops, type StoppingVm } from './stop-order.js';
--- a/packages/planned-stop/src/staying-vms.ts
+++ b/packages/planned-stop/src/staying-vms.ts
@@ -1,4 +1,4 @@
-import { countEnough } from './fleet-share.js';
+import { countWanted } from './fleet-share.js';
 import { compareStops, type StoppingVm } from './stop-order.js';
 
 export interface StayingOptions {
@@ -26,7 +26,7 @@
   graceMs,
   minStayMs,
 }: StayingOptions): string[] => {
-  const missing = countEnough(fleetVms) - servingVms;
+  const missing = countWanted(fleetVms) - servingVms;
   if (missing <= 0) return [];
   const lastFirst = stopping.toSorted((a, b) => compareStops(b, a));
   const staying = lastFirst.filter(({ since }) => since + graceMs - now >= minStayMs);
