Rank no members as no members

Callers would see: a VM of the daemon that ends with an exception, with all its requests.

Cause: the ranking of shards is cached by the ids of the live members, and the key before the first ranking was that of no members. If no VM was live then, no shard had a ranking.

Fix: the cache has no key before the first ranking.

--- a/packages/shards/src/ranking.ts
+++ b/packages/shards/src/ranking.ts
@@ -7,7 +7,8 @@
 
 /** Ranks live members for each shard; the result is cached per set of members. */
 export class Ranking {
-  private key = '';
+  /** Undefined until members were ranked; the key of no members is empty. */
+  private key: string | undefined;
 
   private ranks: string[][] = [];
 
