--- a/packages/fleet-load/src/fleet-load.ts
+++ b/packages/fleet-load/src/fleet-load.ts
@@ -43,7 +43,8 @@
 /**
  * Counts the work of this VM and learns that of the others. In a large fleet a VM reports to the collector
  * of its group and gets the sums over the fleet back; collectors exchange the sums of their groups. The
- * messages of a VM thus grow with the workers and not with the fleet.
+ * load messages of a VM thus grow with the workers and not with the fleet. Only losses of requests go to all
+ * VMs directly.
  */
 export class FleetLoad implements WorkerLoads {
   private readonly local = new LocalWork();
