--- a/review/lib/scenario.mjs
+++ b/review/lib/scenario.mjs
@@ -93,6 +93,7 @@
     process.stderr.write(`${thrown.stack}\n`);
   }
   clearTimeout(limit);
+  record.close();
   await scenario.close();
   record.save(fileURLToPath(new URL('record.txt', caseUrl)));
   process.exit(code);
