--- a/review/lib/scenario.mjs
+++ b/review/lib/scenario.mjs
@@ -78,10 +78,10 @@
   const scenario = new Scenario();
   const { record } = scenario;
   let code = NOT_RUN;
-  const limit = setTimeout(() => {
-    scenario.vms.forEach((vm) => vm.signal('SIGKILL'));
-    process.exit(NOT_RUN);
-  }, LIMIT_MS);
+  const limit = setTimeout(() => process.exit(NOT_RUN), LIMIT_MS);
+  // The entry VMs end with this process, however it ends.
+  process.once('exit', () => scenario.vms.forEach((vm) => vm.signal('SIGKILL')));
+  ['SIGINT', 'SIGTERM'].forEach((name) => process.once(name, () => process.exit(NOT_RUN)));
   try {
     await scenario.store.listen();
     const breaks = await run(scenario);
