Complete a response only if its end is proven

Cause: the end of a connection was taken for the end of a response without a length. undici finishes such a response on ECONNRESET, and Node.js emits `end` instead of an error if a reset arrives in the same poll as the last bytes, as libuv takes a hang-up after a partial read for the end.

Change: all HTTP clients use the connections of the new package http-connections, which alone decides whether a response has ended: by its length or last chunk while the connection is open, otherwise by an `end` without an error.

Why it works: a response with a length or chunks completes before its connection does, so only responses without either depend on the close, and the kernel keeps the error of a reset until a call fetches it.

--- a/packages/cli/src/client/transport.ts
+++ b/packages/cli/src/client/transport.ts
@@ -1,9 +1,10 @@
 /** HTTP transport to the entry VMs. */
 import type { Readable } from 'node:stream';
 import type { Reply } from '@jujubelanding/errors';
+import { createAgent } from '@jujubelanding/http-connections';
 import type { Timer } from '@jujubelanding/timer';
 import { err, ok } from 'neverthrow';
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import { createTimeoutFault, createTransportFault, toFault } from './faults.js';
 
 export interface HttpRequest {
@@ -49,7 +50,7 @@
 
 /** Creates a transport that uses undici. */
 export const createTransport = (timer: Timer): Transport => {
-  const agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+  const agent = createAgent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
   const send: Transport['send'] = async (address, { createBody, ...options }) => {
     const controller = new AbortController();
     const timeout = timer.after(options.headersTimeoutMs, () => controller.abort());
--- a/packages/fault-run/src/order-load.ts
+++ b/packages/fault-run/src/order-load.ts
@@ -1,6 +1,7 @@
 /** Sends non-idempotent orders, and resends unanswered ones through other entry VMs. */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Agent, request } from 'undici';
+import { createAgent } from '@jujubelanding/http-connections';
+import { request } from 'undici';
 import { type EntryPointList, repeatInParallel } from './entry-point-list.js';
 import { ORDER_SERVICE_NAME } from './order-service.js';
 
@@ -31,7 +32,7 @@
 
   private orderCount = 0;
 
-  private readonly agent = new Agent({ headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS });
+  private readonly agent = createAgent({ headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS });
 
   constructor(
     private readonly entryPoints: EntryPointList,
--- /dev/null
+++ b/packages/http-connections/src/response-handler.ts
@@ -0,0 +1,54 @@
+import type { Socket } from 'node:net';
+import type { Dispatcher } from 'undici';
+
+type Handlers = Required<Dispatcher.DispatchHandlers>;
+
+/**
+ * A response without a length ends with its connection, and undici completes it also if the connection
+ * fails. While the connection is open, a response has ended by its length or its last chunk.
+ */
+const isEndProven = (socket: Socket | undefined): boolean => {
+  if (socket === undefined || socket.errored !== null) return false;
+  return !socket.destroyed || socket.readableEnded;
+};
+
+/** Passes the events of a request on, and completes its response only if the end of it is proven. */
+export class ResponseHandler implements Dispatcher.DispatchHandlers {
+  constructor(
+    private readonly handler: Dispatcher.DispatchHandlers,
+    private readonly getSocket: () => Socket | undefined,
+  ) {}
+
+  onConnect(...args: Parameters<Handlers['onConnect']>): void {
+    this.handler.onConnect?.(...args);
+  }
+
+  onError(error: Error): void {
+    this.handler.onError?.(error);
+  }
+
+  onUpgrade(...args: Parameters<Handlers['onUpgrade']>): void {
+    this.handler.onUpgrade?.(...args);
+  }
+
+  onResponseStarted(): void {
+    this.handler.onResponseStarted?.();
+  }
+
+  onHeaders(...args: Parameters<Handlers['onHeaders']>): boolean {
+    return this.handler.onHeaders?.(...args) ?? true;
+  }
+
+  onData(chunk: Buffer): boolean {
+    return this.handler.onData?.(chunk) ?? true;
+  }
+
+  onBodySent(...args: Parameters<Handlers['onBodySent']>): void {
+    this.handler.onBodySent?.(...args);
+  }
+
+  onComplete(trailers: string[] | null): void {
+    if (isEndProven(this.getSocket())) this.handler.onComplete?.(trailers);
+    else this.onError(new Error('the connection failed before the end of the response'));
+  }
+}
--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -1,5 +1,6 @@
 /** Pools of keep-alive connections, one pool per address. */
-import { Pool } from 'undici';
+import { createPool } from '@jujubelanding/http-connections';
+import type { Pool } from 'undici';
 
 export interface ConnectionLimits {
   /** Connections per address; each carries one request at a time. */
@@ -80,7 +81,7 @@
   }
 
   private createPool(address: string): Pool {
-    return new Pool(`http://${address}`, {
+    return createPool(`http://${address}`, {
       connections: this.limits.connections,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
--- a/packages/quickstart/src/main.ts
+++ b/packages/quickstart/src/main.ts
@@ -1,7 +1,9 @@
 /** Entry point of the quickstart: runs it and prints a summary. */
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { createAgent } from '@jujubelanding/http-connections';
 import { runPlatformQuickstart } from '@jujubelanding/platform-adapter/quickstart';
+import { setGlobalDispatcher } from 'undici';
 import { LocalFleet } from './local-fleet.js';
 import { Session } from './session.js';
 
@@ -64,4 +66,5 @@
   }
 };
 
+setGlobalDispatcher(createAgent({}));
 await (process.argv.includes('--platform') ? runOnPlatform() : main());
--- a/packages/quickstart/src/overhead.ts
+++ b/packages/quickstart/src/overhead.ts
@@ -2,10 +2,10 @@
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { fileURLToPath } from 'node:url';
+import { createPool } from '@jujubelanding/http-connections';
 import { createBackendServersClient } from '@jujubelanding/platform-clients';
 import { SystemTimer } from '@jujubelanding/timer';
 import type { Message } from '@jujubelanding/types';
-import { Pool } from 'undici';
 import { LocalFleet, MODEL_NAME } from './local-fleet.js';
 import { TEAM_KEY } from './records.js';
 import { Session } from './session.js';
@@ -59,7 +59,7 @@
 };
 
 const createProxiedProbe = (address: string): LatencyProbe => {
-  const pool = new Pool(`http://${address}`);
+  const pool = createPool(`http://${address}`, {});
   const headers = { 'content-type': 'application/json', authorization: `Bearer ${TEAM_KEY}` };
   return async (requestNumber) => {
     const startedAt = performance.now();
--- a/packages/stand-ins/src/http/emulators.ts
+++ b/packages/stand-ins/src/http/emulators.ts
@@ -1,5 +1,6 @@
 /** Creates the emulator that is named on the command line. */
 import { getErrorMessage, FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
+import { createAgent } from '@jujubelanding/http-connections';
 import type { Random } from '@jujubelanding/random';
 import type { Timer } from '@jujubelanding/timer';
 import { FencingMode, WorkerRole } from '@jujubelanding/types';
@@ -63,10 +64,13 @@
 
 type EmulatorFactory = (flags: EmulatorFlags, timer: Timer, random: Random) => Result<App, string>;
 
+/** No timeout, because the rate limit determines the duration of a transfer. */
+const TRANSFER_TIMEOUTS = { headersTimeout: 0 };
+
 /** Fetches weights from the weight store over HTTP. */
-const createFetchWeight =
-  (address: string): FetchWeight =>
-  async (name) => {
+const createFetchWeight = (address: string): FetchWeight => {
+  const dispatcher = createAgent(TRANSFER_TIMEOUTS);
+  return async (name) => {
     const url = `http://${address}/v1/weights/${encodeURIComponent(name)}/transfers`;
     const createFault = (message: string): Fault => ({
       code: FaultCode.Unavailable,
@@ -76,8 +80,7 @@
       message,
     });
     try {
-      // No timeout, because the rate limit determines the duration of a transfer.
-      const response = await request(url, { method: 'POST', headersTimeout: 0 });
+      const response = await request(url, { method: 'POST', dispatcher });
       await response.body.dump();
       const { statusCode } = response;
       return statusCode === 200
@@ -87,6 +90,7 @@
       return err(createFault(getErrorMessage(thrown)));
     }
   };
+};
 
 const parseSettings = (text: string): Result<z.infer<typeof engineSettingsSchema>, string> => {
   try {
--- a/scripts/build-deployed.mjs
+++ b/scripts/build-deployed.mjs
@@ -5,6 +5,8 @@
 
 /** The modules of undici that the programs use; all of undici would be half of the bundle. */
 const USED_UNDICI_MODULES = `
+  exports.buildConnector = require('undici/lib/core/connect.js');
+  exports.Client = require('undici/lib/dispatcher/client.js');
   exports.Pool = require('undici/lib/dispatcher/pool.js');
   exports.util = require('undici/lib/core/util.js');
 `;
