Let only the next events into a stream that has begun

Cause: the response of an attempt was taken for the answer to the request though the one of another attempt had begun. The relay passed on the chunks of any response once the caller's had begun, and the forwarder ended the caller's response after any response below 500, and after a 500 if no run was left.

Change: once the response has begun with events, only a successful event stream that goes on with the next event is accepted. Anything else is a fault of the attempt: nothing of it is passed on, its connection is closed, another run follows if the route allows one, and otherwise the stream is cut. Faults in the format of a response are logged as attempt-failed.

Why it works: the decision is made at the head of each response, before a byte of its body, and a fault can end a response that has begun only by cutting it.

--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -137,23 +137,22 @@
     if (!isStream && reply.isOk()) router.recordLatency(worker, timer.now() - sentAt);
     if (reply.isErr()) {
       if (reply.error.outcome !== Outcome.NotRun) this.runs += 1;
-      this.recordFault(worker, reply.error);
-      return { worker, fault: reply.error };
+      return this.fail(worker, this.relay.formatFault ?? reply.error);
     }
     this.runs += 1;
     const fault = this.relay.validate();
-    if (fault?.code === FaultCode.Interrupted) {
-      this.recordFault(worker, fault);
-      return { worker, fault };
-    }
+    if (fault !== undefined) return this.fail(worker, fault);
     router.recordSuccess(worker);
     // Answers without a body come without data.
     if (!this.hasAttemptData) this.recordAnswer();
     // Responses do not state how many tokens were cached; any number but 0 keeps the indexed prefixes.
     router.recordCompletion(worker.id, request.promptPrefixes, 1);
-    return fault === undefined
-      ? { worker, response: reply.value }
-      : { worker, response: reply.value, fault };
+    return { worker, response: reply.value };
+  }
+
+  private fail(worker: Worker, fault: Fault): Attempt {
+    this.recordFault(worker, fault);
+    return { worker, fault };
   }
 
   private recordAnswer(): void {
--- a/packages/gateway/src/response-relay.ts
+++ b/packages/gateway/src/response-relay.ts
@@ -1,6 +1,11 @@
 /** Forwards a worker's response to the caller. */
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
-import type { ResponseHandler, HeaderFields, WorkerResponse } from '@jujubelanding/platform';
+import {
+  isEventStream,
+  isSuccess,
+  type ResponseHandler,
+  type WorkerResponse,
+} from '@jujubelanding/platform';
 import { RouteKind, type Route } from '@jujubelanding/route-table';
 import type { CallerExchange } from './caller-exchange.js';
 import { EventFramer, type FramedEvent } from './event-framer.js';
@@ -8,17 +13,10 @@
 /** Responses up to this size are buffered, so the caller gets them complete or not at all. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
-const FIRST_SUCCESS = 200;
-const FIRST_REDIRECT = 300;
-
-const isSuccess = (status: number): boolean => status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
-
-const isEventStream = (headers: HeaderFields): boolean =>
-  String(headers['content-type'] ?? '').startsWith('text/event-stream');
-
 /**
  * Forwards each event of an event stream once it is complete. Buffers any other response until it is
- * complete, so that a truncated one can be retried. One relay serves all attempts of a request.
+ * complete, so that a truncated one can be retried. One relay serves all attempts of a request: once the
+ * response to the caller has begun, it goes on with events only, and no other response gets into it.
  */
 export class ResponseRelay implements ResponseHandler {
   /** Status and headers of the worker's response. */
@@ -28,10 +26,16 @@
 
   private bufferedBytes = 0;
 
+  /** True once the buffer was sent before the end of the response. */
+  private isFlushed = false;
+
   private framer = new EventFramer();
 
   private isStream = false;
 
+  /** True if the worker was asked to continue a stream and answers something else. */
+  private isMismatch = false;
+
   private lastNumericId: number | undefined;
 
   /** True once an event of any attempt has been forwarded. */
@@ -57,7 +61,7 @@
 
   /** True if another worker can continue the response after the last forwarded event. */
   get canResume(): boolean {
-    return this.isStream && this.lastNumericId !== undefined;
+    return this.lastNumericId !== undefined;
   }
 
   readonly onStart = (response: WorkerResponse, resume: () => void): void => {
@@ -67,12 +71,17 @@
       this.route.kind === RouteKind.Streaming &&
       isSuccess(response.status) &&
       isEventStream(response.headers);
+    this.isMismatch = !this.isStream && this.exchange.hasStarted();
+    if (this.isMismatch) {
+      this.formatError = `continues a stream with status ${response.status} and no events`;
+    }
   };
 
   readonly onChunk = (chunk: Buffer): boolean => {
     if (this.isStream) return this.forwardEvents(chunk);
+    if (this.isMismatch) return false;
     this.onData();
-    if (this.exchange.hasStarted()) {
+    if (this.isFlushed) {
       this.send(chunk);
       return true;
     }
@@ -94,6 +103,17 @@
     this.formatError = undefined;
   }
 
+  /** Returns a fault if the format of the response is invalid so far. */
+  get formatFault(): Fault | undefined {
+    if (this.formatError === undefined) return undefined;
+    return {
+      code: FaultCode.InvalidStream,
+      outcome: Outcome.OutcomeUnknown,
+      step: 'relay',
+      message: `the answer ${this.formatError}`,
+    };
+  }
+
   /** Returns a fault if the response that has ended is invalid. */
   validate(): Fault | undefined {
     if (this.isStream && !this.hasEvents && this.exchange.request.resumeAfter === undefined) {
@@ -106,13 +126,7 @@
       };
     }
     if (this.isStream && this.framer.hasPartialEvent) this.formatError ??= 'ended inside an event';
-    if (this.formatError === undefined) return undefined;
-    return {
-      code: FaultCode.InvalidStream,
-      outcome: Outcome.OutcomeUnknown,
-      step: 'relay',
-      message: `the answer ${this.formatError}`,
-    };
+    return this.formatFault;
   }
 
   /** Completes the response to the caller; sends it if it was buffered. */
@@ -152,6 +166,7 @@
   }
 
   private flushBuffer(): void {
+    this.isFlushed = true;
     if (this.head !== undefined) this.startResponse(this.head);
     this.bufferedChunks.forEach((chunk) => this.send(chunk));
     this.bufferedChunks = [];
--- a/packages/platform/src/request-forwarder.ts
+++ b/packages/platform/src/request-forwarder.ts
@@ -38,6 +38,15 @@
   load?: ReportedLoad | undefined;
 }
 
+const FIRST_SUCCESS = 200;
+const FIRST_REDIRECT = 300;
+
+export const isSuccess = (status: number): boolean =>
+  status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+
+export const isEventStream = (headers: HeaderFields): boolean =>
+  String(headers['content-type'] ?? '').startsWith('text/event-stream');
+
 export interface ResponseHandler {
   /** Called once, before the body; `resume` continues reading after a pause. */
   onStart: (response: WorkerResponse, resume: () => void) => void;
