Survive connections that end while their response is paused

What callers would see: the process of an entry VM ends with an uncaught exception, and all its requests with it. No operator has reported it.

Cause: undici finishes a response that is not kept when its connection ends or is reset, and asserts that its parser is not paused. It is paused while a caller reads more slowly than the worker sends.

Change: the connections of http-connections continue a paused response at the end of its connection, when all bytes have been read, and give the error of a reset another code, at which undici fails the response instead of finishing it.

--- a/packages/http-connections/src/connection-client.ts
+++ b/packages/http-connections/src/connection-client.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
-import { ResponseHandler } from './response-handler.js';
+import { ResponseHandler, type Connection } from './response-handler.js';
 
 const getConnector = (connect: Client.Options['connect']): buildConnector.connector =>
   typeof connect === 'function' ? connect : buildConnector(connect);
@@ -13,12 +13,27 @@
   socket.once('end', () => socket.write(''));
 };
 
+const RESET = 'ECONNRESET';
+
+/** Code of the errors of reset connections. */
+const CONNECTION_RESET = 'ERR_CONNECTION_RESET';
+
+/**
+ * Gives the error of a reset another code. On the original one, undici finishes the response in progress,
+ * which throws while its reader is paused.
+ */
+const translateReset = (socket: Socket): void => {
+  socket.prependListener('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === RESET) Object.assign(error, { code: CONNECTION_RESET });
+  });
+};
+
 /** A client of one server with one connection at a time. */
 export class ConnectionClient extends Client {
-  private readonly connection: { socket: Socket | undefined };
+  private readonly connection: Connection;
 
   constructor(origin: URL, options: Client.Options) {
-    const connection: { socket: Socket | undefined } = { socket: undefined };
+    const connection: Connection = { socket: undefined, resume: () => {} };
     const connector = getConnector(options.connect);
     super(origin, {
       ...options,
@@ -28,6 +43,9 @@
           if (error === null) {
             // Before undici listens to the end of the connection, at which it completes a response.
             detectReset(socket);
+            translateReset(socket);
+            // All bytes have been read, and undici throws if it finishes a paused response.
+            socket.once('end', () => connection.resume());
             connection.socket = socket;
           }
           callback(...result);
@@ -40,6 +58,6 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandlers,
   ): boolean {
-    return super.dispatch(options, new ResponseHandler(handler, () => this.connection.socket));
+    return super.dispatch(options, new ResponseHandler(handler, this.connection));
   }
 }
--- a/packages/http-connections/src/response-handler.ts
+++ b/packages/http-connections/src/response-handler.ts
@@ -1,6 +1,13 @@
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 
+/** The connection in use by a client. */
+export interface Connection {
+  socket: Socket | undefined;
+  /** Continues the response in progress if its reader has paused it. */
+  resume: () => void;
+}
+
 type Handlers = Required<Dispatcher.DispatchHandlers>;
 
 /**
@@ -16,7 +23,7 @@
 export class ResponseHandler implements Dispatcher.DispatchHandlers {
   constructor(
     private readonly handler: Dispatcher.DispatchHandlers,
-    private readonly getSocket: () => Socket | undefined,
+    private readonly connection: Connection,
   ) {}
 
   onConnect(...args: Parameters<Handlers['onConnect']>): void {
@@ -36,10 +43,14 @@
   }
 
   onHeaders(...args: Parameters<Handlers['onHeaders']>): boolean {
+    const [, , resume] = args;
+    this.connection.resume = resume;
     return this.handler.onHeaders?.(...args) ?? true;
   }
 
   onData(chunk: Buffer): boolean {
+    // A response that is continued at the end of its connection gets an empty chunk, and must not pause.
+    if (chunk.length === 0) return true;
     return this.handler.onData?.(chunk) ?? true;
   }
 
@@ -48,7 +59,7 @@
   }
 
   onComplete(trailers: string[] | null): void {
-    if (isEndProven(this.getSocket())) this.handler.onComplete?.(trailers);
+    if (isEndProven(this.connection.socket)) this.handler.onComplete?.(trailers);
     else this.onError(new Error('the connection failed before the end of the response'));
   }
 }
