Bound what all responses of a client buffer together

What callers would see: the process of an entry VM runs out of memory, and all its requests end.

Cause: each buffered response could have 128 MiB, so a few workers that send without end fill the memory of a VM. In the deployed form only responses of the store and of peers are buffered.

Change: a buffered response may have 32 MiB, and all of one client 48 MiB together; beyond that the largest one is rejected, so that small ones are read. More than eight informational responses end a request at once instead of at its time limit.

--- a/packages/platform-clients/src/connection-pools.ts
+++ b/packages/platform-clients/src/connection-pools.ts
@@ -1,6 +1,7 @@
 /** Pools of keep-alive connections, one pool per address. */
 import { createPool } from '@jujubelanding/http-connections';
 import type { Pool } from 'undici';
+import { BodyBudget } from './body-budget.js';
 
 export interface ConnectionLimits {
   /** Connections per address; each carries one request at a time. */
@@ -8,6 +9,9 @@
   connectTimeoutMs: number;
 }
 
+/** Maximum size of all responses that the requests of one client buffer at the same time. */
+const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
+
 /** Maximum number of pools; beyond it the least recently used one that is idle is closed. */
 const MAX_POOLS = 1024;
 
@@ -20,6 +24,9 @@
 }
 
 export class ConnectionPools {
+  /** Bodies of the responses in progress on all connections. */
+  readonly bodies = new BodyBudget(MAX_BUFFERED_BYTES);
+
   /** Pools by address, least recently used first. */
   private readonly entries = new Map<string, PoolEntry>();
 
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -3,10 +3,14 @@
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { err, ok, Result } from 'neverthrow';
 import { util, type Dispatcher } from 'undici';
+import type { BodyBudget, BufferedBody } from './body-budget.js';
 import type { ConnectionPools } from './connection-pools.js';
 
 /** Maximum size of a response that is buffered. */
-const MAX_BODY_BYTES = 128 * 1024 * 1024;
+const MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+/** Maximum number of informational responses before the final one. */
+const MAX_INFORMATIONAL_RESPONSES = 8;
 
 const HTTP_OK = 200;
 
@@ -62,7 +66,7 @@
 type ResponseCallback = (result: Result<HttpResponse, Fault>) => void;
 
 /** Handles the events of one request; its outcome depends on whether a byte can have been sent. */
-class RequestHandler implements Dispatcher.DispatchHandlers {
+class RequestHandler implements Dispatcher.DispatchHandlers, BufferedBody {
   private isSent = false;
 
   private isSettled = false;
@@ -78,6 +82,8 @@
 
   private size = 0;
 
+  private informationalResponses = 0;
+
   private lastActivity: number;
 
   private timeout: Subscription | undefined;
@@ -90,6 +96,7 @@
   constructor(
     private readonly request: HttpRequest,
     private readonly timer: Timer,
+    private readonly budget: BodyBudget,
     private readonly resolve: ResponseCallback,
   ) {
     this.lastActivity = timer.now();
@@ -97,6 +104,10 @@
     request.signal?.addEventListener('abort', this.cancel, { once: true });
   }
 
+  get bytes(): number {
+    return this.size;
+  }
+
   /** True if no further request may use the connection. */
   private get isLast(): boolean {
     return this.head !== undefined && this.request.isLastOnConnection?.(this.head) === true;
@@ -111,8 +122,8 @@
 
   onHeaders(status: number, headers: Buffer[], resume: () => void): boolean {
     this.lastActivity = this.timer.now();
-    // Skips informational responses, which precede the final one.
-    if (status >= HTTP_OK) {
+    if (status < HTTP_OK) this.skipInformational();
+    else {
       const parsed = util.parseHeaders(headers);
       this.head = { status, headers: parsed, body: Buffer.alloc(0) };
       const { onStart } = this.request;
@@ -132,12 +143,24 @@
       return this.request.isPaused?.() !== true;
     }
     this.size += chunk.length;
-    if (this.size > MAX_BODY_BYTES) this.abortWith(FaultCode.TooLarge, 'the response is too large');
-    else this.chunks.push(chunk);
+    this.chunks.push(chunk);
+    this.budget.add(this, chunk.length);
+    if (this.size > MAX_BODY_BYTES) this.reject();
     this.closeAfterLastBody();
     return true;
   }
 
+  reject(): void {
+    this.abortWith(FaultCode.TooLarge, 'the response is too large');
+  }
+
+  /** Informational responses precede the final one. */
+  private skipInformational(): void {
+    this.informationalResponses += 1;
+    if (this.informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
+    this.abortWith(FaultCode.InvalidStream, 'too many informational responses');
+  }
+
   onComplete(): void {
     if (this.head === undefined) {
       this.fail(FaultCode.Interrupted, 'the response has no status');
@@ -186,6 +209,8 @@
     if (this.isSettled) return;
     this.isSettled = true;
     this.timeout?.cancel();
+    this.budget.release(this);
+    this.chunks = [];
     this.request.signal?.removeEventListener('abort', this.cancel);
     this.resolve(result);
   }
@@ -234,7 +259,7 @@
   }
   const { method, path, headers, body } = request;
   const response = await new Promise<Result<HttpResponse, Fault>>((resolve) => {
-    const handler = new RequestHandler(request, timer, resolve);
+    const handler = new RequestHandler(request, timer, pools.bodies, resolve);
     connection.pool.dispatch({ method, path, headers, body, blocking: false }, handler);
   });
   connection.release();
