End the run of an item whose output is too long to be stored

What callers would see: a worker that sends events without end fills the memory of a VM until the lifetime of the item ends.

Cause: the bytes of an event were limited, the number of events was not.

Change: a run ends once its output exceeds the size of a value of the store. Events after an invalid one in the same chunk no longer count.

--- a/packages/ledger-execution/src/item-run.test.ts
+++ b/packages/ledger-execution/src/item-run.test.ts
@@ -119,3 +119,30 @@
   }
   t.snapshot(outcomes);
 });
+
+const KIB = 1024;
+
+const MAX_OUTPUT = 1024 * KIB;
+
+// A worker that sends events without end filled the memory of the VM until the lifetime of the item ended.
+test('an output that is too long to be stored ends its run', async (t) => {
+  const { play, progress } = setUp(async (handler) => {
+    let isWanted = true;
+    for (let event = 1; event <= 4 * KIB && isWanted; event += 1) {
+      isWanted = handler.onChunk(Buffer.from(`id: ${event}\ndata: ${'x'.repeat(KIB)}\n\n`));
+    }
+  });
+  const result = await play(100);
+  t.is(result.outcome, RunOutcome.Interrupted);
+  t.true(progress.events.reduce((sum, { length }) => sum + length, 0) <= MAX_OUTPUT);
+});
+
+test('events in one chunk with an invalid one do not count', async (t) => {
+  const { play, progress } = setUp(async (handler) => {
+    const numbers = [1, 3, 2];
+    handler.onChunk(Buffer.from(numbers.map((id) => `id: ${id}\ndata: ${id}\n\n`).join('')));
+  });
+  const result = await play(100);
+  t.is(result.outcome, RunOutcome.Interrupted);
+  t.deepEqual(progress.events, ['1']);
+});
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -2,7 +2,12 @@
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { ItemProgress, ItemRequest, Job, JobItem } from '@jujubelanding/batch-ledger';
-import type { ResponseHandler, RequestForwarder, WorkerResponse } from '@jujubelanding/platform';
+import {
+  MAX_VALUE_BYTES,
+  type ResponseHandler,
+  type RequestForwarder,
+  type WorkerResponse,
+} from '@jujubelanding/platform';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import type { Worker } from '@jujubelanding/types';
 
@@ -93,11 +98,15 @@
   /** Last characters of the stream. */
   private tail = '';
 
+  /** Characters of all events; a longer output could not be stored. */
+  private outputLength: number;
+
   /** Bytes received since the last complete event. */
   private pendingBytes = 0;
 
   constructor(private readonly options: ItemRunOptions) {
     this.startedAt = options.timer.now();
+    this.outputLength = options.progress.events.reduce((sum, { length }) => sum + length, 0);
     this.parser = createParser({ onEvent: ({ id, data }) => this.addEvent(id, data) });
   }
 
@@ -161,12 +170,19 @@
   };
 
   private addEvent(id: string | undefined, data: string): void {
+    // The same chunk may hold more events after an invalid one.
+    if (this.streamError !== undefined) return;
     const { progress, timer } = this.options;
     const last = progress.lastEventId;
     if (id !== undefined && last !== undefined && Number(id) !== Number(last) + 1) {
       this.streamError = `event ${id} follows event ${last}`;
       return;
     }
+    this.outputLength += data.length;
+    if (this.outputLength > MAX_VALUE_BYTES) {
+      this.streamError = `the output is longer than ${MAX_VALUE_BYTES} characters`;
+      return;
+    }
     this.pendingBytes = 0;
     if (this.firstEventAt === undefined) this.options.onFirstEvent();
     this.firstEventAt ??= timer.now();
