Refuse what another VM can complete before the end of a stop

Cause: a stopping VM accepted what would end in time if it took at most twice as long as the longest request of its kind in the last half minute.

Change: while at least half of the fleet serves, a request is accepted only if its time limit ends 100 ms before the process does. For one that may run only once, one other VM that serves is enough. A refused caller is told to return at once, and another VM serves it in any case. The estimate stays for the time in which too few VMs serve.

--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -161,7 +161,7 @@
   ): Reply<T> {
     const { admission, timer, log } = this.options;
     const startedAt = timer.now();
-    const refusal = admission.refuse(step, maxMs);
+    const refusal = admission.refuse({ kind: step, maxMs, mayRepeat: true });
     const reply = refusal === undefined ? await run() : err(refusal);
     if (reply.isOk()) admission.recordDuration(step, timer.now() - startedAt);
     if (reply.isErr()) {
--- a/packages/gateway/src/attempt-policy.ts
+++ b/packages/gateway/src/attempt-policy.ts
@@ -1,6 +1,6 @@
 /** Decides whether an attempt of an online request is followed by another one. */
 import { Outcome, type Fault } from '@jujubelanding/errors';
-import { RouteKind } from '@jujubelanding/route-table';
+import { mayRepeat, RouteKind } from '@jujubelanding/route-table';
 
 /** Maximum sends per request, including rejected ones; if more are needed, the service is full. */
 const MAX_SENDS = 5;
@@ -37,9 +37,8 @@
 
 const mayRunAgain = (state: AttemptState): boolean => {
   if (state.runs >= state.maxRuns) return false;
-  if (state.kind === RouteKind.Idempotent) return !state.hasStarted;
-  if (state.kind !== RouteKind.Streaming || !state.isResumable) return false;
-  return !state.hasStarted || state.canResume;
+  if (!mayRepeat(state)) return false;
+  return !state.hasStarted || (state.kind === RouteKind.Streaming && state.canResume);
 };
 
 export const decideNext = (state: AttemptState): NextStep => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Admission } from '@jujubelanding/planned-stop';
-import { RouteKind, type Route, type RouteTable } from '@jujubelanding/route-table';
+import { mayRepeat, RouteKind, type Route, type RouteTable } from '@jujubelanding/route-table';
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerExchange } from './caller-exchange.js';
 import { OnlineForwarder, type OnlineForwarderOptions } from './online-forwarder.js';
@@ -76,10 +76,12 @@
 /** Refuses an online request that this VM cannot complete before it stops. */
 const requireTime: Filter = (context, { admission }) => {
   const { waitMs = Infinity } = context.exchange.request;
-  const { name, kind, timeoutMs } = context.route!;
+  const { route } = context;
+  const { name, kind, timeoutMs } = route!;
   // Submissions have a time limit of their own.
   if (kind === RouteKind.Batch) return ok(context);
-  const refusal = admission.refuse(name, Math.min(waitMs, timeoutMs));
+  const maxMs = Math.min(waitMs, timeoutMs);
+  const refusal = admission.refuse({ kind: name, maxMs, mayRepeat: mayRepeat(route!) });
   return refusal === undefined ? ok(context) : err(refusal);
 };
 
--- a/packages/planned-stop/src/admission.ts
+++ b/packages/planned-stop/src/admission.ts
@@ -1,6 +1,7 @@
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { Log } from '@jujubelanding/log';
 import type { Timer } from '@jujubelanding/timer';
+import { countEnough } from './fleet-share.js';
 import { RequestDurations } from './request-durations.js';
 
 /** Time from the end of a process until its VM serves again. */
@@ -14,6 +15,9 @@
 /** The same while no other VM serves, when a refused caller has nowhere to go. */
 const MARGIN_OF_LAST_RESORT = 1.25;
 
+/** Time from the end of a request until its response has been sent. */
+const COMPLETION_MS = 100;
+
 /** Step of the faults with which a stopping VM refuses requests. */
 export const STOP_STEP = 'planned-stop';
 
@@ -34,6 +38,15 @@
   readFleet: () => FleetState;
 }
 
+export interface RequestTime {
+  /** Kind of request whose durations are alike. */
+  kind: string;
+  /** Time after which the request ends in any case, in milliseconds. */
+  maxMs: number;
+  /** False if the request may run only once, so that nobody repeats it once it was cut. */
+  mayRepeat: boolean;
+}
+
 /** Refuses requests that a stopping VM could not complete. */
 export class Admission {
   private readonly durations = new RequestDurations();
@@ -55,14 +68,14 @@
     this.durations.record(kind, durationMs, this.options.timer.now());
   }
 
-  /** Returns a fault if a request that takes up to `maxMs` would be cut by the end of this process. */
-  refuse(kind: string, maxMs: number): Fault | undefined {
+  /** Returns a fault if the end of this process would cut the request. */
+  refuse(request: RequestTime): Fault | undefined {
     if (this.stoppedAt === undefined) return undefined;
-    const { timer, stopMs, log, readFleet } = this.options;
+    const { timer, stopMs, log } = this.options;
+    const { kind } = request;
     const now = timer.now();
     const remainingMs = this.stoppedAt + stopMs - now;
-    const margin = readFleet().servingVms > 0 ? MARGIN : MARGIN_OF_LAST_RESORT;
-    const neededMs = this.durations.estimate(kind, maxMs, margin, now);
+    const neededMs = this.estimate(request, now);
     if (neededMs <= remainingMs) return undefined;
     const retryAfterMs = this.computeRetryAfter(now);
     log.write('refused-by-stop', {
@@ -80,6 +93,18 @@
     };
   }
 
+  /**
+   * Returns the time that the request needs. Other VMs complete it in any case, so this one relies on an
+   * estimate only while too few of them serve, or none for a request that may run only once.
+   */
+  private estimate({ kind, maxMs, mayRepeat }: RequestTime, now: number): number {
+    const { servingVms, stoppingSince } = this.options.readFleet();
+    const neededVms = mayRepeat ? countEnough(servingVms + stoppingSince.length + 1) : 1;
+    if (servingVms >= neededVms) return maxMs + COMPLETION_MS;
+    const margin = servingVms > 0 ? MARGIN : MARGIN_OF_LAST_RESORT;
+    return this.durations.estimate(kind, maxMs, margin, now);
+  }
+
   /** Another VM that serves can take the request at once; otherwise the first one to return can. */
   private computeRetryAfter(now: number): number {
     const { readFleet, callerDrainMs, stopMs } = this.options;
--- a/packages/planned-stop/src/index.ts
+++ b/packages/planned-stop/src/index.ts
@@ -1,5 +1,11 @@
 /** Decides how long a stopping VM serves callers, and which requests it still accepts. */
-export { Admission, STOP_STEP, type AdmissionOptions, type FleetState } from './admission.js';
+export {
+  Admission,
+  STOP_STEP,
+  type AdmissionOptions,
+  type FleetState,
+  type RequestTime,
+} from './admission.js';
 export { RequestDurations } from './request-durations.js';
 export { selectStaying, type StayingOptions } from './staying-vms.js';
 export { decideStop, StopStep, type StopState } from './stop-decision.js';
