Complete batch items only from event streams

What callers would see: a batch item is listed as completed with a part of its text.

Cause: a run of an item took any 200 for a stream. A continuation that is answered with 200 and an empty body, or one of another type that ends with an empty line, ended the item as complete with the events before it.

Change: a 200 of another content type than an event stream interrupts the run, and nothing of its body counts.

--- a/packages/ledger-execution/src/item-run.test.ts
+++ b/packages/ledger-execution/src/item-run.test.ts
@@ -9,11 +9,14 @@
 const EVENTS = 20;
 
 /** Starts a run on a worker that sends what the given function writes. */
-const setUp = (send: (handler: ResponseHandler, timer: VirtualTimer) => Promise<void>) => {
+const setUp = (
+  send: (handler: ResponseHandler, timer: VirtualTimer) => Promise<void>,
+  contentType = 'text/event-stream',
+) => {
   const timer = new VirtualTimer();
   const backends: RequestForwarder = {
     forward: async (_worker, _request, handler, signal): Reply<WorkerResponse> => {
-      const head = { status: 200, headers: {} };
+      const head = { status: 200, headers: { 'content-type': contentType } };
       handler.onStart(head, () => {});
       const aborted = new Promise<'aborted'>((resolve) => {
         signal.addEventListener('abort', () => resolve('aborted'));
@@ -146,3 +149,15 @@
   t.is(result.outcome, RunOutcome.Interrupted);
   t.deepEqual(progress.events, ['1']);
 });
+
+// The continuation of an item that was answered with a body that is no stream completed it with a part.
+test('a success that is no event stream does not complete an item', async (t) => {
+  for (const body of ['', '\n\n', '{"error":"busy"}\n\n', 'data: text\n\n']) {
+    const { play, progress } = setUp(async (handler) => {
+      handler.onChunk(Buffer.from(body));
+    }, 'application/json');
+    Object.assign(progress, { events: ['first'], lastEventId: '1' });
+    t.is((await play(100)).outcome, RunOutcome.Interrupted, body);
+    t.deepEqual(progress.events, ['first']);
+  }
+});
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -3,6 +3,7 @@
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { ItemProgress, ItemRequest, Job, JobItem } from '@jujubelanding/batch-ledger';
 import {
+  isEventStream,
   MAX_VALUE_BYTES,
   type ResponseHandler,
   type RequestForwarder,
@@ -152,11 +153,15 @@
     this.abort.abort();
   }
 
-  readonly onStart = ({ status }: WorkerResponse): void => {
+  readonly onStart = ({ status, headers }: WorkerResponse): void => {
     this.status = status;
+    if (status === SUCCESS && !isEventStream(headers)) {
+      this.streamError = 'the answer is no event stream';
+    }
   };
 
   readonly onChunk = (chunk: Buffer): boolean => {
+    if (this.streamError !== undefined) return false;
     this.pendingBytes += chunk.length;
     if (this.pendingBytes > MAX_EVENT_BYTES) {
       this.streamError = `${this.pendingBytes} bytes without a complete event`;
