--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -11,6 +11,9 @@
 
 const PAGE_ITEMS = 500;
 
+/** Largest value, as in the settings of the VMs. */
+const VALUE_BYTES = 1_048_576;
+
 const toItem = ({ key, value, revision, created, lease }) => ({
   key,
   value: value.toString('base64'),
@@ -169,6 +172,7 @@
       bytes: Buffer.from(value, 'base64'),
       lease,
     }));
+    if (decoded.some(({ bytes }) => bytes.length > VALUE_BYTES)) return { status: 400 };
     this.#commit({ writes: decoded, remove });
     return { status: 200, body: { revision: this.revision } };
   }
--- a/review/lib-2/vm.mjs
+++ b/review/lib-2/vm.mjs
@@ -42,6 +42,10 @@
     });
   }
 
+  get pid() {
+    return this.#child?.pid;
+  }
+
   signal(name) {
     this.#child?.kill(name);
   }
