Show that a VM with an older configuration gives up accepted jobs

Cause: an item is given up as soon as the configuration of its owner has no route for the job, also if that configuration is older than the job. Seen: a batch route is added, its jobs are accepted, and after a planned stop another VM whose watch of the configuration is silent lists all items of the jobs that it takes as dead_lettered.

--- a/review/lib-2/batch.mjs
+++ b/review/lib-2/batch.mjs
@@ -33,9 +33,9 @@
   },
 });
 
-const createItems = (count) =>
+const createItems = (count, job) =>
   Array.from({ length: count }, (_, index) => ({
-    id: `e5b2907c14da6f${30 + index}`,
+    id: `${job}-${index}`,
     path: `/pule252/3/${index}`,
     headers: { 'Jujubelanding-Model': 'm', 'Jujubelanding-Token-Usage': '540,400' },
     body: 'q83vEjRWeJA=',
@@ -44,7 +44,7 @@
 
 /** Submits a job of some items at a VM, which has to accept it. */
 export const submit = async (deployment, vm, count, job = JOB) => {
-  const body = JSON.stringify({ items: createItems(count) });
+  const body = JSON.stringify({ items: createItems(count, job) });
   const headers = { 'Content-Type': 'application/json', 'Jujubelanding-Attempt-Id': job };
   const { status } = await call(vm.address, 'POST', '/pule252/7c41e0', headers, body);
   deployment.record('submitted', { job, vm: vm.name, status });
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -48,7 +48,7 @@
 
   leases = new Map();
 
-  /** Decides on the fate of a call by the name of the VM that sends it, its step and its body. */
+  /** Decides on the fate of a call by its VM, its step, its body, and its query and connection. */
   decideFate = () => Fate.Answer;
 
   #nextLease = 1;
@@ -74,6 +74,11 @@
     return `127.0.0.1:${server.address().port}`;
   }
 
+  /** Makes an open connection silent for good; `decideFate` gets the connections. */
+  silence(socket) {
+    this.#mute.add(socket);
+  }
+
   close() {
     clearInterval(this.#expiry);
     this.#servers.forEach((server) => {
@@ -100,13 +105,14 @@
     const url = new URL(request.url, 'http://store');
     const [, step, id = ''] = url.pathname.split('/');
     const body = await readJson(request);
-    if (this.#mute.has(request.socket)) return;
-    const fate = this.decideFate(vmName, step, body);
-    if (fate !== Fate.Answer) this.#mute.add(request.socket);
+    const { socket } = request;
+    if (this.#mute.has(socket)) return;
+    const fate = this.decideFate(vmName, step, body, { query: url.searchParams, socket });
+    if (fate !== Fate.Answer) this.#mute.add(socket);
     if (fate === Fate.Silent) return;
     await sleep(ANSWER_MS);
-    const answer = await this.#handle(step, id, url.searchParams, body, request.socket);
-    if (fate === Fate.LoseAnswer) return;
+    const answer = await this.#handle(step, id, url.searchParams, body, socket);
+    if (fate === Fate.LoseAnswer || this.#mute.has(socket)) return;
     response.writeHead(answer.status, { 'content-type': 'application/json' });
     response.end(JSON.stringify(answer.body ?? {}));
   }
--- a/review/6/online.mjs
+++ b/review/trials-2/online-resumption/run.mjs
@@ -4,10 +4,10 @@
 import path from 'node:path';
 import { setTimeout } from 'node:timers';
 import { fileURLToPath } from 'node:url';
-import { createConfiguration, SERVICE } from '../lib-2/batch.mjs';
-import { HOST } from '../lib-2/client.mjs';
-import { Deployment, runCase, Verdict } from '../lib-2/deployment.mjs';
-import { Store } from '../lib-2/store.mjs';
+import { createConfiguration, SERVICE } from '../../lib-2/batch.mjs';
+import { HOST } from '../../lib-2/client.mjs';
+import { Deployment, runCase, Verdict } from '../../lib-2/deployment.mjs';
+import { Store } from '../../lib-2/store.mjs';
 
 const EVENTS = 31;
 /** Events that the client has already. */
@@ -18,7 +18,7 @@
 const ANSWER = { events: EVENTS, firstEventMs: 200, gapMs: 60, isFramed: false };
 
 const store = new Store();
-const folder = path.join(path.dirname(fileURLToPath(import.meta.url)), 'online');
+const folder = path.dirname(fileURLToPath(import.meta.url));
 const deployment = new Deployment(store, folder);
 
 const workers = new Map();
