--- a/review/trials-2/planned-stop/run.mjs
+++ b/review/trials-2/planned-stop/run.mjs
@@ -61,7 +61,9 @@
     const { status, error } = await send(agent, vm, id);
     const durationMs = performance.now() - sentAt;
     counts[status ?? error] = (counts[status ?? error] ?? 0) + 1;
-    if (error !== undefined && ran.has(id) && durationMs < ROUTE_MS) cut.push({ id, error, durationMs });
+    if (error !== undefined && ran.has(id) && durationMs < ROUTE_MS) {
+      cut.push({ id, error, durationMs });
+    }
     if (status === 503) await sleep(100);
     if (error === 'ECONNREFUSED') return;
   }
