Read stored progress under each new ownership entry of a job

Cause: a VM read the stored progress only if the transaction that took the job was answered. After a lost answer it learned of its ownership by the watch, opened the job as a new one at sequence number 0, and took the delta of the former owner under that number for its own, whose answer could have been lost. Later deltas were merged where their counts of events fitted. The same cause on a related path: a VM that still executed a job and regained it after its lease had ended went on with its own numbers, although another VM might have stored progress and released the job meanwhile.

Change: whether stored progress has to be read follows from the revisions of the record and of the ownership entry, which are equal for the first owner alone. A job that is executed under a new ownership entry is compared with the store, and items that another owner ran start again from the stored progress. A delta counts as saved only if the stored value is the one that was sent. The log has a line for each job that is opened or renewed.

Ruled out: a delta that is written late, since it depends on the revision of the ownership entry.

--- a/packages/batch-ledger/src/index.ts
+++ b/packages/batch-ledger/src/index.ts
@@ -2,6 +2,7 @@
 export * from './job.js';
 export {
   ProgressDeltaBuilder,
+  continuesProgress,
   mergeDeltas,
   type ItemProgress,
   type JobProgress,
@@ -9,7 +10,7 @@
 } from './progress.js';
 export { ItemRequests } from './item-requests.js';
 export { KeySpace } from './key-space.js';
-export { JobTable, type JobSnapshot } from './job-table.js';
+export { JobTable, hasFirstOwner, type JobSnapshot } from './job-table.js';
 export {
   JobStore,
   type AppendOutcome,
--- a/packages/batch-ledger/src/job-table.ts
+++ b/packages/batch-ledger/src/job-table.ts
@@ -16,6 +16,8 @@
 /** A job with its ledger and owner, as last seen by this VM. */
 export interface JobSnapshot {
   job: Job;
+  /** Store revision of the record of the job. */
+  jobRevision: number;
   ledger: Ledger;
   /** Store revision of the ledger. */
   ledgerRevision: number;
@@ -26,6 +28,7 @@
 
 interface JobRow {
   job?: Job;
+  jobRevision: number;
   ledger?: Ledger;
   ledgerRevision: number;
   owner?: Ownership | undefined;
@@ -35,10 +38,12 @@
 
 /** Applies a put of each kind of key to a row; returns false if the value cannot be decoded. */
 const PUT_HANDLERS: Record<KeyKind, (row: JobRow, entry: KeyValueEntry) => boolean> = {
-  [KeyKind.Job]: (row, { value }) => {
+  [KeyKind.Job]: (row, { value, modRevision }) => {
     const job = decodeJob(value);
-    if (job !== undefined) row.job = job;
-    return job !== undefined;
+    if (job === undefined) return false;
+    row.job = job;
+    row.jobRevision = modRevision;
+    return true;
   },
   [KeyKind.Ledger]: (row, { value, modRevision }) => {
     const ledger = decodeLedger(value);
@@ -54,6 +59,12 @@
   },
 };
 
+const EMPTY_ROW = { jobRevision: 0, ledgerRevision: 0, ownerRevision: 0, isFinished: false };
+
+/** True if the job still has the owner that stored it, so that no other can have stored progress. */
+export const hasFirstOwner = ({ jobRevision, ownerRevision }: JobSnapshot): boolean =>
+  ownerRevision === jobRevision;
+
 /** Local copy of the jobs, ledgers and owners in the store, by job id. */
 export class JobTable {
   private readonly rows = new Map<string, JobRow>();
@@ -68,8 +79,8 @@
   find(jobId: string): JobSnapshot | undefined {
     const row = this.rows.get(jobId);
     if (row?.job === undefined || row.ledger === undefined) return undefined;
-    const { job, ledger, ledgerRevision, owner, ownerRevision } = row;
-    return { job, ledger, ledgerRevision, owner, ownerRevision };
+    const { job, jobRevision, ledger, ledgerRevision, owner, ownerRevision } = row;
+    return { job, jobRevision, ledger, ledgerRevision, owner, ownerRevision };
   }
 
   /** True if any entry of the job is known, readable or not. */
@@ -107,7 +118,7 @@
   }
 
   private put(jobId: string, kind: KeyKind, entry: KeyValueEntry): void {
-    const row = this.rows.get(jobId) ?? { ledgerRevision: 0, ownerRevision: 0, isFinished: false };
+    const row = this.rows.get(jobId) ?? { ...EMPTY_ROW };
     this.rows.set(jobId, row);
     const decoded = PUT_HANDLERS[kind](row, entry);
     const { job, ledger } = row;
--- a/packages/batch-ledger/src/progress-store.ts
+++ b/packages/batch-ledger/src/progress-store.ts
@@ -15,7 +15,7 @@
 export enum SaveStatus {
   /** The delta is stored, by this call or by an earlier one whose reply was lost. */
   Saved = 'saved',
-  /** Another VM owns the job, or this VM owns it through a later ownership entry. */
+  /** Another VM owns or owned the job, or this VM owns it through a later ownership entry. */
   OwnerChanged = 'owner-changed',
 }
 
@@ -51,10 +51,13 @@
 ): SaveStatus | undefined => {
   if (result.status === CommitStatus.Committed) return SaveStatus.Saved;
   if (result.status !== CommitStatus.Conflict) return SaveStatus.OwnerChanged;
-  const revisionOf = (key: string): number =>
-    result.current.find((entry) => entry.key === key)?.modRevision ?? 0;
-  if (writes.some(({ key }) => revisionOf(key) > 0)) return SaveStatus.Saved;
-  const isChanged = conditions.some(({ key, revision }) => revisionOf(key) !== revision);
+  const find = (key: string): KeyValueEntry | undefined =>
+    result.current.find((entry) => entry.key === key);
+  // Another owner may have stored a delta under the same number.
+  if (writes.some(({ key, value }) => find(key)?.value === value)) return SaveStatus.Saved;
+  const isChanged = conditions.some(
+    ({ key, revision }) => (find(key)?.modRevision ?? 0) !== revision,
+  );
   return isChanged ? SaveStatus.OwnerChanged : undefined;
 };
 
--- a/packages/batch-ledger/src/progress.ts
+++ b/packages/batch-ledger/src/progress.ts
@@ -52,6 +52,10 @@
   return mergedItems;
 };
 
+/** True if the progress is the stored one, or goes on after it. */
+export const continuesProgress = (progress: ItemProgress, stored: ItemProgress): boolean =>
+  stored.events.every((data, index) => progress.events[index] === data);
+
 interface StoredCounts {
   events: number;
   failures: number;
--- a/packages/ledger-execution/src/owned-job.ts
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -1,4 +1,5 @@
 import {
+  continuesProgress,
   ProgressDeltaBuilder,
   type ItemProgress,
   type ItemRequest,
@@ -26,7 +27,8 @@
 export class OwnedJob {
   readonly items = new Map<number, OwnedItem>();
 
-  readonly deltaBuilder: ProgressDeltaBuilder;
+  /** Builds the deltas of the progress that is not stored. */
+  deltaBuilder: ProgressDeltaBuilder;
 
   constructor(
     readonly jobId: string,
@@ -54,6 +56,28 @@
     }
   }
 
+  /**
+   * Compares the items with progress that was read from the store. Those that another owner ran meanwhile
+   * start again from the stored progress; returns their number.
+   */
+  adopt({ progress, sequence }: StoredProgress): number {
+    this.deltaBuilder = new ProgressDeltaBuilder(progress, sequence);
+    let replaced = 0;
+    this.items.forEach((item, index) => {
+      const stored = progress[index];
+      if (stored === undefined) return;
+      const failures = Math.max(item.progress.failures, stored.failures);
+      if (continuesProgress(item.progress, stored)) {
+        item.progress.failures = failures;
+        return;
+      }
+      item.run?.cancel();
+      this.items.set(index, { index, progress: { ...stored, failures }, notBefore: 0 });
+      replaced += 1;
+    });
+    return replaced;
+  }
+
   /** Lists items that can be started. */
   listWaiting(now: number): OwnedItem[] {
     return [...this.items.values()].filter(
--- a/packages/ledger-execution/src/owned-jobs.ts
+++ b/packages/ledger-execution/src/owned-jobs.ts
@@ -1,5 +1,6 @@
 /** Acquires and releases the ownership of jobs. */
 import {
+  hasFirstOwner,
   isFinished,
   type ItemRequests,
   type JobStore,
@@ -8,7 +9,9 @@
   type Ownership,
   type ProgressStore,
   type ResultReader,
+  type StoredProgress,
 } from '@jujubelanding/batch-ledger';
+import type { Fault, Reply } from '@jujubelanding/errors';
 import type { FleetLoad } from '@jujubelanding/fleet-load';
 import type { Log } from '@jujubelanding/log';
 import type { Timer } from '@jujubelanding/timer';
@@ -39,7 +42,7 @@
   saver: ProgressSaver;
 }
 
-/** Delay before reading the progress of a taken job again after a failure. */
+/** Delay before reading the progress of a job again after a failure. */
 const READ_RETRY_DELAY_MS = 400;
 
 /** Maximum wait for the results of a job that is released; the store may be down. */
@@ -51,15 +54,9 @@
 export class OwnedJobs {
   private readonly entries = new Map<string, Entry>();
 
-  /** Jobs whose ownership is being taken or whose progress is being read. */
+  /** Jobs whose ownership is being taken or whose stored progress is being read. */
   private readonly openingJobIds = new Set<string>();
 
-  /**
-   * Taken jobs whose stored progress has not been read. Without it, new deltas would get the sequence
-   * numbers of stored ones and could overwrite them.
-   */
-  private readonly unreadProgressJobIds = new Set<string>();
-
   /** Owner of each job as last seen, in case its entry disappears. */
   private readonly formerOwners = new Map<string, Ownership>();
 
@@ -109,15 +106,15 @@
       this.drop(jobId, 'finished');
       return;
     }
-    const isExecutedHere = this.entries.has(jobId);
-    this.entries.get(jobId)?.ownedJob.update(snapshot);
+    const entry = this.entries.get(jobId);
+    entry?.ownedJob.update(snapshot);
     const { owner } = snapshot;
     if (owner !== undefined) this.formerOwners.set(jobId, owner);
     if (owner === undefined) {
-      this.takeOwnershipIfDue(snapshot, isExecutedHere);
+      this.takeOwnershipIfDue(snapshot, entry !== undefined);
     } else if (owner.bootId === this.options.self.bootId) {
       this.orphanedSince.delete(jobId);
-      if (!isExecutedHere && !this.openingJobIds.has(jobId)) void this.open(snapshot);
+      if (!this.openingJobIds.has(jobId)) this.openOrRenew(snapshot, entry);
     } else if (owner.entryVmId === this.options.self.entryVmId) {
       // The owner is an earlier process of this VM, which no longer executes the job.
       if (!this.openingJobIds.has(jobId)) void this.takeOwnership(snapshot);
@@ -164,40 +161,86 @@
       return;
     }
     log.write('job-taken', { job: jobId, held: this.entries.has(jobId) });
-    if (this.entries.has(jobId)) return;
-    this.unreadProgressJobIds.add(jobId);
-    await this.open(snapshot);
+    this.reconcile(jobId);
+  }
+
+  /**
+   * Opens a job that this VM owns. One that it executes already is compared with the stored progress if its
+   * ownership entry is a new one.
+   */
+  private openOrRenew(snapshot: JobSnapshot, entry: Entry | undefined): void {
+    if (entry === undefined) void this.open(snapshot);
+    else if (entry.saver.ownerRevision !== snapshot.ownerRevision) {
+      void this.renew(snapshot, entry.ownedJob);
+    }
   }
 
-  /** Starts executing a job; a job that was taken over may have progress stored by its former owner. */
-  private async open({ job }: JobSnapshot): Promise<void> {
-    const { jobs, table, reader, timer, log, progress, requests, onOpened } = this.options;
+  /** Starts executing a job from the progress that former owners have stored. */
+  private async open(snapshot: JobSnapshot): Promise<void> {
+    const { jobs, table, reader, timer, log, requests, onOpened } = this.options;
+    const { job } = snapshot;
     this.openingJobIds.add(job.id);
-    const read = this.unreadProgressJobIds.has(job.id)
-      ? await progress.read(job.id)
-      : ok(EMPTY_PROGRESS);
+    const read = await this.readProgress(snapshot);
     const requestsOfJob = await requests.read(job);
     const loaded = Result.combine([read, requestsOfJob]);
     if (loaded.isErr()) {
-      log.write('job-not-opened', { job: job.id, code: loaded.error.code });
-      timer.after(READ_RETRY_DELAY_MS, () => this.openingJobIds.delete(job.id));
+      this.retryOpening(job.id, loaded.error);
       return;
     }
     this.openingJobIds.delete(job.id);
-    this.unreadProgressJobIds.delete(job.id);
     const current = table.find(job.id);
     if (current === undefined || this.isStopping || this.entries.has(job.id)) return;
     // The job may have ended while its progress was read; nothing would stop its items then.
     if (isFinished(current.job, current.ledger)) return;
+    // Another VM may have owned the job since, and have stored progress.
+    if (current.ownerRevision !== snapshot.ownerRevision) return;
     const results = new ResultQueue({ jobs, table, reader, timer, log, jobId: job.id });
     const dueAt = job.submittedAt + job.dueMs;
     const ownedJob = new OwnedJob(job.id, dueAt, results, current, ...loaded.value);
-    const saver = new ProgressSaver({ timer, log, progress, table, ownedJob });
-    results.attach(saver);
-    this.entries.set(job.id, { ownedJob, saver });
+    this.attachSaver(ownedJob);
+    const isFirstOwner = hasFirstOwner(current);
+    log.write('job-opened', { job: job.id, isFirstOwner, deltas: ownedJob.deltaBuilder.sequence });
     onOpened();
   }
 
+  /** Continues to execute a job that this VM owns again; another VM may have executed it meanwhile. */
+  private async renew(snapshot: JobSnapshot, ownedJob: OwnedJob): Promise<void> {
+    const { table, log } = this.options;
+    const { jobId } = ownedJob;
+    this.openingJobIds.add(jobId);
+    const read = await this.readProgress(snapshot);
+    if (read.isErr()) {
+      this.retryOpening(jobId, read.error);
+      return;
+    }
+    this.openingJobIds.delete(jobId);
+    if (this.entries.get(jobId)?.ownedJob !== ownedJob) return;
+    if (table.find(jobId)?.ownerRevision !== snapshot.ownerRevision) return;
+    const replaced = ownedJob.adopt(read.value);
+    log.write('job-renewed', { job: jobId, items: ownedJob.items.size, replaced });
+    this.attachSaver(ownedJob);
+  }
+
+  /** Reads the progress that former owners may have stored; new deltas get the next sequence numbers. */
+  private readProgress(snapshot: JobSnapshot): Reply<StoredProgress> {
+    if (hasFirstOwner(snapshot)) return Promise.resolve(ok(EMPTY_PROGRESS));
+    return this.options.progress.read(snapshot.job.id);
+  }
+
+  private retryOpening(jobId: string, { code }: Fault): void {
+    const { timer, log } = this.options;
+    log.write('job-not-opened', { job: jobId, code });
+    timer.after(READ_RETRY_DELAY_MS, () => this.openingJobIds.delete(jobId));
+  }
+
+  /** Stores the progress of a job from now on. */
+  private attachSaver(ownedJob: OwnedJob): void {
+    const { timer, log, progress, table } = this.options;
+    const saver = new ProgressSaver({ timer, log, progress, table, ownedJob });
+    ownedJob.results.attach(saver);
+    this.entries.set(ownedJob.jobId, { ownedJob, saver });
+  }
+
   private drop(jobId: string, reason: string): void {
     const entry = this.entries.get(jobId);
     this.orphanedSince.delete(jobId);
--- a/packages/ledger-execution/src/progress-saver.test.ts
+++ b/packages/ledger-execution/src/progress-saver.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { SaveStatus } from '@jujubelanding/batch-ledger';
 import { createJob, createJobTestSetup } from '@jujubelanding/batch-ledger/fixtures';
 import { silentLog } from '@jujubelanding/log';
 import { OwnedJob } from './owned-job.js';
@@ -77,6 +78,22 @@
   t.deepEqual((await run(two.progress.read('job-1'))).unwrapOr(undefined)?.progress, {});
 });
 
+// A delta of another owner under the same number was taken for the own one, whose reply had been lost.
+test('a delta of another owner does not count as saved', async (t) => {
+  const { run, one, two } = await setUp();
+  const createDelta = (text: string) => ({
+    schemaVersion: 1 as const,
+    items: { 0: { from: 0, events: [text], failures: 0 } },
+  });
+  await run(two.jobs.read('job-1'));
+  await run(one.progress.release(one.table.find('job-1')!, 0, createDelta('of one')));
+  await run(two.jobs.takeOwnership({ ...two.table.find('job-1')!, ownerRevision: 0 }));
+  const save = two.progress.save(two.table.find('job-1')!, 0, createDelta('of two'));
+  t.is((await run(save)).unwrapOr(undefined), SaveStatus.OwnerChanged);
+  const again = two.progress.save(two.table.find('job-1')!, 0, createDelta('of one'));
+  t.is((await run(again)).unwrapOr(undefined), SaveStatus.Saved);
+});
+
 test('a planned stop stores the remaining progress with the release', async (t) => {
   const { run, two, ownedJob, saver } = await setUp();
   addEvents(ownedJob, ['1', '2']);
--- a/packages/ledger-execution/src/progress-saver.ts
+++ b/packages/ledger-execution/src/progress-saver.ts
@@ -5,6 +5,7 @@
   type JobSnapshot,
   type JobTable,
   type ProgressDelta,
+  type ProgressDeltaBuilder,
 } from '@jujubelanding/batch-ledger';
 import type { Log } from '@jujubelanding/log';
 import type { Timer } from '@jujubelanding/timer';
@@ -31,7 +32,10 @@
   ownedJob: OwnedJob;
 }
 
-/** Periodically stores the progress of a job's items, so that its next owner can resume them. */
+/**
+ * Periodically stores the progress of a job's items, so that its next owner can resume them. It serves one
+ * ownership entry only, as another VM may have stored progress before a later one.
+ */
 export class ProgressSaver implements ResultCompanion {
   private savedAt: number;
 
@@ -43,13 +47,16 @@
   /** A delta whose save is unconfirmed; it is sent again unchanged until its outcome is known. */
   private pending: ProgressDelta | undefined;
 
-  /** Process that owned the job when this VM began to execute it. */
-  private readonly ownerBootId: string | undefined;
+  /** Store revision of the ownership entry under which progress is stored. */
+  readonly ownerRevision: number | undefined;
+
+  private readonly deltas: ProgressDeltaBuilder;
 
   constructor(private readonly options: ProgressSaverOptions) {
     const { timer, table, ownedJob } = options;
     this.savedAt = timer.now();
-    this.ownerBootId = table.find(ownedJob.jobId)?.owner?.bootId;
+    this.ownerRevision = table.find(ownedJob.jobId)?.ownerRevision;
+    this.deltas = ownedJob.deltaBuilder;
   }
 
   /** Saves if the interval has elapsed since the last save, together with results that wait. */
@@ -68,17 +75,17 @@
 
   /** Returns progress to be stored with results, if enough time has passed since the last save. */
   take(maxCharacters: number): NumberedDelta | undefined {
-    const { timer, ownedJob } = this.options;
+    const { timer } = this.options;
     const now = timer.now();
     if (this.isSaving || now - this.savedAt < MIN_SAVE_INTERVAL_MS) return undefined;
-    const delta = this.pending ?? ownedJob.deltaBuilder.create(ownedJob.collectProgress());
+    const delta = this.pending ?? this.createDelta();
     if (delta === undefined || this.findOwned() === undefined) return undefined;
     if (JSON.stringify(delta).length > maxCharacters) return undefined;
     this.isSaving = true;
     this.formerSavedAt = this.savedAt;
     this.savedAt = now;
     this.pending = delta;
-    return { sequence: ownedJob.deltaBuilder.sequence, delta };
+    return { sequence: this.deltas.sequence, delta };
   }
 
   /** Ends the save that began with {@link take}; progress that is not stored stays due. */
@@ -95,7 +102,7 @@
   /** The revision of another owner's entry, which a conflict reveals, must not become a condition. */
   private findOwned(): JobSnapshot | undefined {
     const snapshot = this.options.table.find(this.options.ownedJob.jobId);
-    return snapshot?.owner !== undefined && snapshot.owner.bootId === this.ownerBootId
+    return snapshot?.owner !== undefined && snapshot.ownerRevision === this.ownerRevision
       ? snapshot
       : undefined;
   }
@@ -104,8 +111,12 @@
     return this.isSaving;
   }
 
+  private createDelta(): ProgressDelta | undefined {
+    return this.deltas.create(this.options.ownedJob.collectProgress());
+  }
+
   private markStored(delta: ProgressDelta): void {
-    this.options.ownedJob.deltaBuilder.markStored(delta);
+    this.deltas.markStored(delta);
     this.pending = undefined;
   }
 
@@ -114,12 +125,12 @@
   }
 
   private async save(): Promise<void> {
-    const { progress, ownedJob } = this.options;
+    const { progress } = this.options;
     const snapshot = this.findOwned();
-    const delta = this.pending ?? ownedJob.deltaBuilder.create(ownedJob.collectProgress());
+    const delta = this.pending ?? this.createDelta();
     if (delta === undefined || snapshot === undefined) return;
     this.pending = delta;
-    const saved = await progress.save(snapshot, ownedJob.deltaBuilder.sequence, delta);
+    const saved = await progress.save(snapshot, this.deltas.sequence, delta);
     if (saved.isOk() && saved.value === SaveStatus.Saved) {
       this.markStored(delta);
       return;
@@ -129,11 +140,11 @@
 
   /** Releases the job, together with progress that is not stored yet. */
   async release(): Promise<boolean> {
-    const { progress, ownedJob } = this.options;
+    const { progress } = this.options;
     const snapshot = this.findOwned();
     if (snapshot === undefined) return false;
-    const delta = ownedJob.deltaBuilder.create(ownedJob.collectProgress());
-    const released = await progress.release(snapshot, ownedJob.deltaBuilder.sequence, delta);
+    const delta = this.createDelta();
+    const released = await progress.release(snapshot, this.deltas.sequence, delta);
     return released.isOk() && released.value;
   }
 }
--- a/packages/ledger-execution/src/result-queue.ts
+++ b/packages/ledger-execution/src/result-queue.ts
@@ -165,13 +165,15 @@
     progress: NumberedDelta | undefined,
   ): Reply<AppendOutcome> {
     const { jobs } = this.options;
+    // Another companion may be attached before the store replies.
+    const { companion } = this;
     if (progress === undefined) {
       const reply = await jobs.appendResults(snapshot, results);
       return reply.map((status) => ({ status, saved: undefined }));
     }
     const reply = await jobs.appendWithProgress(snapshot, results, progress);
-    if (reply.isOk()) this.companion?.settle(reply.value.saved, reply.value.status);
-    else this.companion?.settle(undefined, reply.error.code);
+    if (reply.isOk()) companion?.settle(reply.value.saved, reply.value.status);
+    else companion?.settle(undefined, reply.error.code);
     return reply;
   }
 
