Run timers of more than 24.8 days on time

Workers got each item again and again, for a few milliseconds.

Cause: the rest of the lifetime is the time limit of a run, and setTimeout runs a delay of more than 2^31 - 1 ms after 1 ms. The same cause on related paths: a request on a route with a timeoutMs of 30 days was answered 504 at once, and idleTimeoutMs went to the server unbounded.

The command line no longer needs its own bound.

--- a/packages/cli/src/client/transport.ts
+++ b/packages/cli/src/client/transport.ts
@@ -37,11 +37,7 @@
 // limit of the command.
 const CONNECT_TIMEOUT_MS = 3000;
 
-// Node runs a timer with a longer delay immediately.
-const MAX_TIMER_DELAY_MS = 2 ** 31 - 1;
-
 const destroyBodyAfter = (timer: Timer, body: Readable, timeoutMs: number): void => {
-  if (timeoutMs > MAX_TIMER_DELAY_MS) return;
   const timeout = timer.after(timeoutMs, () =>
     body.destroy(new Error('the response did not end in time')),
   );
