Keep the configuration version of a job, and wait for it before running items

Cause: a VM gave an item up as soon as its own configuration had no route for the job. Jobs and the configuration are followed by separate watches, so that a job may be known before the configuration under which it was accepted.

Change: the record of a job has the version of that configuration. A VM with an older one neither gives its items up nor runs them; one that is not older and has no route for the job gives up as before, and an item whose lifetime ends meanwhile too. The same cause on a related path: an older version may have the route with another service, to which items went.

Before: the new test of item-scheduler.test.ts for older configurations failed. Records without a version, of earlier releases, are treated as before.

--- a/packages/batch-ledger/src/job.ts
+++ b/packages/batch-ledger/src/job.ts
@@ -42,6 +42,8 @@
   /** Number of failed runs after which an item is given up. */
   maxAttempts: z.number(),
   items: z.array(itemSchema),
+  /** Version of the configuration under which the job was accepted; absent in earlier records. */
+  configurationVersion: z.number().optional(),
   /** Name of the team whose callers may read and end the job; absent without teams. */
   team: z.string().optional(),
   /** Identifies the route, and the team if there is one, for the limit on waiting tokens. */
--- a/packages/deployed-vm/src/batch-job-api.test.ts
+++ b/packages/deployed-vm/src/batch-job-api.test.ts
@@ -1,4 +1,4 @@
-import { SubmitStatus, type JobStore } from '@jujubelanding/batch-ledger';
+import { SubmitStatus, type JobStore, type SubmittedJob } from '@jujubelanding/batch-ledger';
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
 import { Admission } from '@jujubelanding/planned-stop';
@@ -8,6 +8,8 @@
 import { ok } from 'neverthrow';
 import { BatchJobApi } from './batch-job-api.js';
 
+const CONFIGURATION_VERSION = 7;
+
 const route: Route = {
   name: 'jobs',
   host: 'host',
@@ -33,8 +35,12 @@
     readFleet: () => ({ servingVms: 1, stoppingSince: [] }),
   });
   const stored = new Map<string, object>();
+  const accepted: SubmittedJob[] = [];
   const jobs: Pick<JobStore, 'submit'> = {
-    submit: () => Promise.resolve(ok(SubmitStatus.Accepted)),
+    submit: (job) => {
+      accepted.push(job);
+      return Promise.resolve(ok(SubmitStatus.Accepted));
+    },
   };
   const api = new BatchJobApi({
     timer,
@@ -53,11 +59,13 @@
       target: '/jobs/1',
       items: [],
       caller: { isTeamRequired: false },
+      configurationVersion: CONFIGURATION_VERSION,
     };
     return (await api.submit(submission, route, timer.now())).isOk();
   };
   admission.beginStop();
   t.true(await submit('early'));
+  t.is(accepted[0]?.configurationVersion, CONFIGURATION_VERSION);
   await timer.advance(7600);
   t.false(await submit('late'));
   stored.set('known', { job: {} });
--- a/packages/deployed-vm/src/batch-job-api.ts
+++ b/packages/deployed-vm/src/batch-job-api.ts
@@ -25,6 +25,8 @@
   target: string;
   items: SubmittedJob['items'];
   caller: CallerIdentity;
+  /** Version of the configuration that contains the route. */
+  configurationVersion: number;
 }
 
 /** Due time and item lifetime of routes that do not configure them, in milliseconds. */
@@ -158,7 +160,7 @@
   }
 
   private store(
-    { jobId, host, target, items, caller: { team } }: JobSubmission,
+    { jobId, host, target, items, caller: { team }, configurationVersion }: JobSubmission,
     route: Route,
     arrivedAt: number,
   ): Reply<SubmitStatus> {
@@ -172,6 +174,7 @@
       dueMs: route.dueMs ?? DEFAULT_DUE_MS,
       itemLifetimeMs: route.itemLifetimeMs ?? DEFAULT_DUE_MS,
       maxAttempts: route.maxAttempts,
+      configurationVersion,
       items,
       ...(team === undefined ? {} : { team }),
       quotaId: createQuotaId(route.host, route.prefix, team),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,8 +13,8 @@
 const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
 
 export interface BatchRequests {
-  /** Processes a submission and answers it. */
-  submit(exchange: CallerExchange, route: Route): Promise<void>;
+  /** Processes a submission on a route of a version of the configuration, and answers it. */
+  submit(exchange: CallerExchange, route: Route, version: number): Promise<void>;
 }
 
 export interface GatewayOptions extends OnlineForwarderOptions {
@@ -139,7 +139,8 @@
   [RouteKind.Idempotent]: forwardOnline,
   [RouteKind.NonIdempotent]: forwardOnline,
   [RouteKind.Streaming]: forwardOnline,
-  [RouteKind.Batch]: (exchange, route, _table, { batch }) => batch.submit(exchange, route),
+  [RouteKind.Batch]: (exchange, route, { version }, { batch }) =>
+    batch.submit(exchange, route, version),
 };
 
 export class Gateway {
--- a/packages/ledger-execution/src/item-scheduler.test.ts
+++ b/packages/ledger-execution/src/item-scheduler.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { ItemState } from '@jujubelanding/batch-ledger';
 import type { Plan } from '@jujubelanding/fleet-load';
 import { silentLog } from '@jujubelanding/log';
 import { silentMetrics } from '@jujubelanding/metrics';
@@ -12,6 +13,7 @@
   const timer = new VirtualTimer();
   const worker = { id: 'w', service: 's', address: '', availabilityZone: 'z' };
   const state = { worker: VmState.Leaving, leaving: ['w'] };
+  const added: ItemState[] = [];
   const item = { index: 0, progress: { events: [] as string[], failures: 0 }, notBefore: 0 };
   const ownedJob = {
     jobId: 'job',
@@ -19,8 +21,11 @@
     requests: [{ target: '/', headers: {}, body: '' }],
     listWaiting: () => [item],
     listRunning: () => [],
+    results: { add: ({ state: itemState }: { state: ItemState }) => added.push(itemState) },
   };
+  const configuration: { version: number; hasRoute: boolean } = { version: 1, hasRoute: true };
   const job = {
+    configurationVersion: 1,
     host: 'h',
     target: '/',
     submittedAt: timer.wallClock(),
@@ -62,12 +67,15 @@
         return new Promise(() => {});
       },
     },
-    readTable: () => new RouteTable({ version: 1, routes: [route], services: [] } as never),
+    readTable: () => {
+      const { version, hasRoute } = configuration;
+      return new RouteTable({ version, routes: hasRoute ? [route] : [], services: [] } as never);
+    },
     isTableLoaded: () => true,
     listOwnedJobs: () => [ownedJob],
   } as unknown as ItemSchedulerOptions);
   const grant = { starts: [['run', 'w', 's']], cuts: [] as string[] } as Plan;
-  return { scheduler, state, item, waiting, sent, grant };
+  return { timer, scheduler, state, item, waiting, sent, added, grant, configuration, job };
 };
 
 // The planner on another VM may not know that a worker is leaving, and grants its slots.
@@ -85,3 +93,37 @@
   scheduler.carryOut(grant);
   t.deepEqual(sent, ['w']);
 });
+
+// A VM whose configuration was older than an accepted job found no route for it and gave up all of its items.
+test('items wait while the configuration is older than the one under which their job was accepted', (t) => {
+  const { scheduler, state, sent, added, waiting, grant, configuration, job } = setUp();
+  Object.assign(state, { worker: VmState.Live, leaving: [] });
+  job.configurationVersion = 7;
+  Object.assign(configuration, { version: 3, hasRoute: false });
+  scheduler.publishWaiting();
+  // An older version may have the route with another service.
+  configuration.hasRoute = true;
+  scheduler.publishWaiting();
+  scheduler.carryOut(grant);
+  t.deepEqual([added, sent, waiting.map(({ services }) => services)], [[], [], [[], []]]);
+  configuration.version = 7;
+  scheduler.publishWaiting();
+  scheduler.carryOut(grant);
+  t.deepEqual([added, sent, waiting.at(-1)?.services], [[], ['w'], ['s']]);
+});
+
+test('items are given up once a configuration that is not older has no route for their job', (t) => {
+  const { scheduler, added, configuration, job } = setUp();
+  job.configurationVersion = 7;
+  Object.assign(configuration, { version: 7, hasRoute: false });
+  scheduler.publishWaiting();
+  t.deepEqual(added, [ItemState.GivenUp]);
+});
+
+test('an item whose lifetime ends while it waits for a configuration is given up', async (t) => {
+  const { timer, scheduler, added, job } = setUp();
+  job.configurationVersion = 7;
+  await timer.advance(job.itemLifetimeMs);
+  scheduler.publishWaiting();
+  t.deepEqual(added, [ItemState.GivenUp]);
+});
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -8,11 +8,12 @@
 import type { HeaderFields, RequestForwarder } from '@jujubelanding/platform';
 import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import { hashText } from '@jujubelanding/random';
-import { RouteTable, type Route } from '@jujubelanding/route-table';
+import { RouteTable } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
 import { VmState, type Worker } from '@jujubelanding/types';
 import { computeEffectiveDueAt, RunTimeEstimator } from './item-order.js';
 import { ItemRun, RunOutcome, type RunResult } from './item-run.js';
+import { JobRoutes, MissingRoute } from './job-routes.js';
 import type { OwnedItem, OwnedJob } from './owned-job.js';
 import { WorkerBackoff } from './worker-backoff.js';
 
@@ -84,10 +85,13 @@
 
   private readonly runTimeEstimator = new RunTimeEstimator();
 
+  private readonly routes: JobRoutes;
+
   private isStopping = false;
 
   constructor(private readonly options: ItemSchedulerOptions) {
     this.workerBackoff = new WorkerBackoff(options.results?.listOnProbation);
+    this.routes = new JobRoutes(options);
   }
 
   /** Stops starting items, and no longer asks the planner for slots. */
@@ -169,21 +173,18 @@
     snapshot: JobSnapshot,
     item: OwnedItem,
   ): string | undefined {
-    const route = this.findRoute(ownedJob, snapshot, item);
-    if (route === undefined || this.isExpired(ownedJob, snapshot, item)) return undefined;
+    if (this.isExpired(ownedJob, snapshot, item)) return undefined;
+    const route = this.routes.find(snapshot.job);
+    if (route.isErr()) {
+      if (route.error === MissingRoute.Removed) {
+        this.giveUp(ownedJob, item, 'no route matches its job');
+      }
+      return undefined;
+    }
     // The draw depends on the item alone, so that a waiting item is not counted for another service
     // each time.
     const draw = hashText(snapshot.job.items[item.index]!.id) / UINT32_RANGE;
-    return RouteTable.chooseService(route, draw);
-  }
-
-  private findRoute(ownedJob: OwnedJob, { job }: JobSnapshot, item: OwnedItem): Route | undefined {
-    const routes = this.options.readTable();
-    const route = routes?.match(job.host, job.target);
-    if (routes !== undefined && route === undefined) {
-      this.giveUp(ownedJob, item, 'no route matches its job');
-    }
-    return route;
+    return RouteTable.chooseService(route.value, draw);
   }
 
   private isExpired(ownedJob: OwnedJob, { job }: JobSnapshot, item: OwnedItem): boolean {
@@ -203,7 +204,12 @@
   }
 
   private giveUp(ownedJob: OwnedJob, item: OwnedItem, reason: string): void {
-    this.options.log.write('item-given-up', { job: ownedJob.jobId, item: item.index, reason });
+    this.options.log.write('item-given-up', {
+      job: ownedJob.jobId,
+      item: item.index,
+      reason,
+      configuration: this.options.readTable()?.version,
+    });
     ownedJob.results.add({ itemIndex: item.index, state: ItemState.GivenUp, output: '' });
   }
 
