Give failed assertions of dependencies a fixed message

A worker's response with the status 000 kept an entry VM from answering anybody for 12 seconds and more: requests at other workers got 504 or nothing.

Cause: the status fails an assertion of undici. Node.js composes the message of an assertion without one from its source, and parsing the bundle for it takes the whole processor. A VM that runs from the sources answers within 7 ms.

Change: bundles contain an assert function with a fixed message.

--- a/scripts/build-deployed.mjs
+++ b/scripts/build-deployed.mjs
@@ -6,7 +6,7 @@
 import { readFile, rm, writeFile } from 'node:fs/promises';
 import process from 'node:process';
 import { build } from 'esbuild';
-import { bundlePrograms, ES_MODULE_BANNER } from './bundle.mjs';
+import { bundlePrograms, ES_MODULE_BANNER, plainAssertions } from './bundle.mjs';
 
 /** Folder of the programs in the commands of the deployment manifest. */
 const DEPLOYED_FOLDER = 'target';
@@ -51,7 +51,7 @@
 const COMMON = {
   format: 'cjs',
   banner: {},
-  plugins: [selectModules],
+  plugins: [plainAssertions, selectModules],
   // Identifiers are not minified, so that stack traces stay readable.
   minifySyntax: true,
   minifyWhitespace: true,
