Fail responses with an invalid status

A worker's response with a status from 600 to 999 reached callers as an answer. One with a status below 100 became a 502 whose text quoted the source of a failed assertion.

Cause: undici checks the status of a response only by an assertion at its end, and nothing else did.

Change: a status outside of 100 to 599 fails the request and closes its connection, for all clients.

Before: the test of response-status.test.ts failed for the statuses 000, 20, 099, 600 and 999, each with a length, chunks or neither. After: it passes; the next request on a new connection is answered.

--- a/packages/http-connections/src/response-handler.ts
+++ b/packages/http-connections/src/response-handler.ts
@@ -19,14 +19,21 @@
   return !socket.destroyed || socket.readableEnded;
 };
 
+/** Statuses outside of this range are invalid (RFC 9110, section 15). */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Passes the events of a request on, and completes its response only if the end of it is proven. */
 export class ResponseHandler implements Dispatcher.DispatchHandlers {
+  private abort: (error: Error) => void = () => {};
+
   constructor(
     private readonly handler: Dispatcher.DispatchHandlers,
     private readonly connection: Connection,
   ) {}
 
   onConnect(...args: Parameters<Handlers['onConnect']>): void {
+    [this.abort] = args;
     this.handler.onConnect?.(...args);
   }
 
@@ -43,7 +50,11 @@
   }
 
   onHeaders(...args: Parameters<Handlers['onHeaders']>): boolean {
-    const [, , resume] = args;
+    const [status, , resume] = args;
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      this.abort(new Error(`the response has the invalid status ${status}`));
+      return true;
+    }
     this.connection.resume = resume;
     return this.handler.onHeaders?.(...args) ?? true;
   }
