Fail responses without a length whose connection ends during the upload

A worker that answered a long upload at once with a 200 without a length, and reset the connection after a part of the body, made callers get that part as a complete answer.

Cause: Node.js reports a reset that arrives together with the last bytes as the end of the connection. An empty write at the end shows it, but while a request is still being sent that write waits behind the rest of it. By then undici has completed the response.

Change: a response that ends with its connection is complete only if the whole request had been sent. One that states its length or uses chunks may still end before its request has been read.

--- a/packages/http-connections/src/connection-client.ts
+++ b/packages/http-connections/src/connection-client.ts
@@ -33,7 +33,11 @@
   private readonly connection: Connection;
 
   constructor(origin: URL, options: Client.Options) {
-    const connection: Connection = { socket: undefined, resume: () => {} };
+    const connection: Connection = {
+      socket: undefined,
+      hasEndedEarly: false,
+      resume: () => {},
+    };
     const connector = getConnector(options.connect);
     super(origin, {
       ...options,
@@ -44,9 +48,14 @@
             // Before undici listens to the end of the connection, at which it completes a response.
             detectReset(socket);
             translateReset(socket);
-            // All bytes have been read, and undici throws if it finishes a paused response.
-            socket.once('end', () => connection.resume());
+            socket.once('end', () => {
+              // The empty write of detectReset waits for the rest of the request, and shows nothing yet.
+              connection.hasEndedEarly = socket.writableLength > 0;
+              // All bytes have been read, and undici throws if it finishes a paused response.
+              connection.resume();
+            });
             connection.socket = socket;
+            connection.hasEndedEarly = false;
           }
           callback(...result);
         }),
--- a/packages/http-connections/src/response-handler.ts
+++ b/packages/http-connections/src/response-handler.ts
@@ -4,6 +4,8 @@
 /** The connection in use by a client. */
 export interface Connection {
   socket: Socket | undefined;
+  /** True if the connection has ended before its request was sent. */
+  hasEndedEarly: boolean;
   /** Continues the response in progress if its reader has paused it. */
   resume: () => void;
 }
@@ -12,10 +14,11 @@
 
 /**
  * A response without a length ends with its connection, and undici completes it also if the connection
- * fails. While the connection is open, a response has ended by its length or its last chunk.
+ * fails. While the connection is open, a response has ended by its length or its last chunk. A reset before
+ * the whole request was sent cannot be told from an orderly end.
  */
-const isEndProven = (socket: Socket | undefined): boolean => {
-  if (socket === undefined || socket.errored !== null) return false;
+const isEndProven = ({ socket, hasEndedEarly }: Connection): boolean => {
+  if (socket === undefined || socket.errored !== null || hasEndedEarly) return false;
   return !socket.destroyed || socket.readableEnded;
 };
 
@@ -70,7 +73,7 @@
   }
 
   onComplete(trailers: string[] | null): void {
-    if (isEndProven(this.connection.socket)) this.handler.onComplete?.(trailers);
+    if (isEndProven(this.connection)) this.handler.onComplete?.(trailers);
     else this.onError(new Error('the connection failed before the end of the response'));
   }
 }
