--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -52,6 +52,14 @@
   Cancelled = 'cancelled',
 }
 
+/** Outcomes that tell whether a worker serves; the others depend on its load or on this VM. */
+export const FAILURE_BY_OUTCOME: Partial<Record<RunOutcome, boolean>> = {
+  [RunOutcome.Completed]: false,
+  [RunOutcome.Impossible]: false,
+  [RunOutcome.Failed]: true,
+  [RunOutcome.Interrupted]: true,
+};
+
 export interface RunResult {
   outcome: RunOutcome;
   fault?: Fault | undefined;
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -12,7 +12,7 @@
 import type { Timer } from '@jujubelanding/timer';
 import { VmState, type Worker } from '@jujubelanding/types';
 import { computeEffectiveDueAt, RunTimeEstimator } from './item-order.js';
-import { ItemRun, RunOutcome, type RunResult } from './item-run.js';
+import { FAILURE_BY_OUTCOME, ItemRun, RunOutcome, type RunResult } from './item-run.js';
 import { JobRoutes, MissingRoute } from './job-routes.js';
 import type { OwnedItem, OwnedJob } from './owned-job.js';
 import { WorkerBackoff } from './worker-backoff.js';
@@ -51,14 +51,6 @@
   listOnProbation: () => readonly string[];
 }
 
-/** Outcomes that tell whether a worker serves; the others depend on its load or on this VM. */
-const FAILURE_BY_OUTCOME: Partial<Record<RunOutcome, boolean>> = {
-  [RunOutcome.Completed]: false,
-  [RunOutcome.Impossible]: false,
-  [RunOutcome.Failed]: true,
-  [RunOutcome.Interrupted]: true,
-};
-
 interface Candidate {
   ownedJob: OwnedJob;
   snapshot: JobSnapshot;
