Show that a continued item counts as complete without a new event

Cause: an answer without a length that ends before its first event counts as broken off only if the item has no events of earlier runs.

Seen: after two crashes, items were listed as completed with 19 to 22 of 100 events.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." && exec node review/14/run.mjs
