--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -170,13 +170,13 @@
     }
   }
 
-  /** Starts a worker and registers it. */
-  async startWorker(service, settings) {
+  /** Starts the program of a worker and registers it. */
+  async startWorker(service, settings, program = WORKER_PROGRAM) {
     const id = `w-${this.#nextWorker}`;
     const zone = ZONES[this.#nextWorker % ZONES.length];
     this.#nextWorker += 1;
     const host = hostOf(BYTE - 20);
-    const child = fork(WORKER_PROGRAM, [JSON.stringify({ id, host, queue: 24, ...settings })], {
+    const child = fork(program, [JSON.stringify({ id, host, queue: 24, ...settings })], {
       cwd: this.#folder,
     });
     this.#track(child);
