--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -43,6 +43,20 @@
       dueMs: 18_000,
       itemTtlS: 60,
     },
+    {
+      name: 'fit-query',
+      host: CALLER_HOST,
+      prefix: '/fit/',
+      kind: 'streaming',
+      timeoutMs: 5000,
+      sloMs: 300,
+      priority: 0,
+      service: 'glass-advisor',
+      maxAttempts: 2,
+      sticky: true,
+      resumable: true,
+      gapTargetMs: 400,
+    },
   ],
   services: [
     { name: 'glass-advisor', healthPath: '/healthz', maxConns: 300, runtime: { slots: SLOTS } },
@@ -108,6 +122,22 @@
   return JSON.parse(text).results;
 };
 
+/** Sends an online request with the part that the items share; for the record only. */
+const askOnline = async (vm) => {
+  const { status, headers } = await call(vm.front, {
+    target: '/fit/1',
+    headers: {
+      'jujubelanding-attempt-id': '9c41d07be2a35f68',
+      'jujubelanding-deadline-ms': '5000',
+      'jujubelanding-model': 'm',
+      'jujubelanding-token-usage': '350,320',
+      'jujubelanding-prompt-prefix': '9c2e41:100,c0ffee:250',
+    },
+  });
+  const retryAfter = headers['retry-after'] ?? 'none';
+  record.write(`an online request with the same part: ${status}, Retry-After ${retryAfter}`);
+};
+
 const crashAll = async () => {
   await sleep(CRASH_AFTER_MS);
   const workers = [...fleet.workers.values()];
@@ -142,6 +172,7 @@
   record.write(
     `${results.length} of ${ITEMS} items are listed; last run ${Math.round(now - last.run)} ms ago`,
   );
+  await askOnline(other);
   const listed = new Set(results.map(({ id }) => id));
   const isExcused = now - last.run < CALM_MS || now - last.end < QUIET_MS;
   if (isExcused) return [];
