--- a/review/11/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# TROUBLE=0 leaves the disruption out.
-export TROUBLE="${TROUBLE:-1}"
-cd "$(dirname "$0")/../.." && exec node review/11/run.mjs
--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -1,6 +1,6 @@
 /** Starts entry VMs with the command of the deploy file, and stand-ins of the platform, on loopback. */
 import { performance } from 'node:perf_hooks';
-import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { fork, spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
@@ -11,7 +11,7 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { BOUNDS, CALLER_HOST, createSettings, HEARTBEAT_MS, ZONES } from './settings.mjs';
+import { CALLER_HOST, createSettings, HEARTBEAT_MS, ZONES } from './settings.mjs';
 import { Store } from './store.mjs';
 
 export { BOUNDS, CALLER_HOST, LIMITS } from './settings.mjs';
@@ -22,9 +22,6 @@
 const BYTE = 256;
 const READY_TIMEOUT_MS = 15_000;
 
-/** Time from the end of a process until the platform starts it again. */
-const RESTART_MS = 1000;
-
 const hostOf = (index) =>
   `127.${1 + (Math.floor(process.pid / BYTE) % (BYTE - 2))}.${process.pid % BYTE}.${index + 1}`;
 
@@ -96,8 +93,6 @@
 
   #nextWorker = 1;
 
-  #isClosed = false;
-
   /** `onWorker` is called with what the workers report. */
   constructor(onWorker) {
     this.#onWorker = onWorker;
@@ -109,7 +104,7 @@
   }
 
   /** Starts an entry VM; `onLine` is called with each line of its log. */
-  async startVm(index, { storeAddress = this.storeAddress, onLine } = {}) {
+  async startVm(index, { onLine } = {}) {
     const name = `front-${index + 1}`;
     const ip = hostOf(index);
     const ports = [];
@@ -117,7 +112,13 @@
       const port = await findFreePort(ip);
       if (!ports.includes(port) && !ports.includes(port - 1)) ports.push(port);
     }
-    const settings = createSettings(name, ip, ZONES[index % ZONES.length], ports, storeAddress);
+    const settings = createSettings(
+      name,
+      ip,
+      ZONES[index % ZONES.length],
+      ports,
+      this.storeAddress,
+    );
     const file = path.join(this.#folder, `${name}.json`);
     writeFileSync(file, JSON.stringify(settings));
     const vm = { name, file, onLine, child: undefined, ...settings.listen };
@@ -126,20 +127,6 @@
     return vm;
   }
 
-  /** Stops a VM as the platform does: SIGTERM, and SIGKILL after the grace; it starts again afterwards. */
-  stopVm(vm, onExit) {
-    const { child } = vm;
-    child.kill('SIGTERM');
-    const kill = setTimeout(() => child.kill('SIGKILL'), BOUNDS.graceS * 1000);
-    child.on('exit', (code, signal) => {
-      clearTimeout(kill);
-      onExit(signal ?? `code ${code}`);
-      setTimeout(() => {
-        if (!this.#isClosed) this.#spawn(vm);
-      }, RESTART_MS);
-    });
-  }
-
   #spawn(vm) {
     const { file, onLine } = vm;
     const [program, ...words] = readCommand('entry-vm');
@@ -195,13 +182,6 @@
     return worker;
   }
 
-  /** Takes a live worker out of the store without a report that it leaves; it goes on serving. */
-  unregister(worker) {
-    clearInterval(this.#beats.get(worker.id));
-    this.#beats.delete(worker.id);
-    this.store.remove(`servers/${worker.id}`);
-  }
-
   #register(worker) {
     const write = () => {
       worker.seq += 1;
@@ -231,7 +211,6 @@
 
   /** Ends all processes. */
   async close() {
-    this.#isClosed = true;
     this.#beats.forEach((beat) => clearInterval(beat));
     const ended = [...this.#processes].map((child) => {
       const exit = once(child, 'exit');
