Show again that a crash of all workers leaves an accepted job undone

All workers crash once, 150 ms after the first item of a job has begun, and are back after 3 s.

Cause: CrashEvidence counts the crashes of six workers at one moment as six pieces of evidence against the prompt part that the items share. The part is blocked for ten minutes, and ItemScheduler keeps its items waiting.

Seen: 0 of 12 items are listed when deadlineS is over, beside idle workers.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# TROUBLE=0 leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
+cd "$(dirname "$0")/../.." && exec node review/15/run.mjs
