Probe blocked prompt parts, so that a common crash does not block sound ones

The part that its items share is blocked for ten minutes, no item runs again beside idle workers, and online requests with the part get 503 with Retry-After 600.

Cause: six workers that crash together are as much evidence as six crashes by a dangerous part, and only an answer to a request with the part lifts a block, which no request can get. loss-decided lines (verdict=crash, connection=refused at each worker) rule out that the losses were decided wrongly.

A VM reserves a probe in the store under a condition. Its answer lifts the block; a crash leaves it. A set of parts that a block covers already is not blocked once more, so that crashes of probes add no blocks.

--- a/packages/deployed-vm/src/fleet-components.ts
+++ b/packages/deployed-vm/src/fleet-components.ts
@@ -179,6 +179,7 @@
     lease: () => lease,
     evidencePrefix: `${keys.followedPrefix}crash/`,
     blockPrefix: `${keys.followedPrefix}blocked/`,
+    probePrefix: `${keys.followedPrefix}probe/`,
     self: settings.entryVmId,
     listServing: () => loads.listServing(),
     announce: (lost, suspected) => loads.announceLosses(lost, suspected),
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -33,7 +33,11 @@
     configurationAgeMs: () => 0,
     waitUntilReady: async () => {},
     router: { route: () => err(FAULT) },
-    quarantine: { findBlock: () => undefined, isSuspected: () => false },
+    quarantine: {
+      findBlock: () => undefined,
+      isSuspected: () => false,
+      takeProbe: () => undefined,
+    },
     admission: { refuse: () => undefined, recordDuration: () => {} },
     batch: { submit: async () => {} },
     limits: {
--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -54,6 +54,7 @@
   workers?: number;
   queue?: RequestQueue;
   onSuccess?: (status?: number) => void;
+  onProbe?: (event: string) => void;
 }
 
 /** Forwards one request; an attempt after the given number of workers finds none. */
@@ -116,6 +117,10 @@
       } as never,
       quarantine: {
         findBlock: () => undefined,
+        takeProbe: (parts) => {
+          options.onProbe?.(`take ${String(parts)}`);
+          return { giveBack: () => options.onProbe?.('give back') };
+        },
         isSuspected: () => isSuspected,
         recordAnswer: () => seen.push('answer'),
         recordCompletion: (key) => options.onCompletion?.(key),
@@ -375,3 +380,12 @@
   await forward(refuse, { onRoute, route: { ...ROUTE, isResumable: false } });
   t.deepEqual(isFinal, [true, true]);
 });
+
+// A blocked part would wait for the next probe after one that no worker has run.
+test('the probe of a block is taken for each send, and given back if the request was not run', async (t) => {
+  const events: string[] = [];
+  const faults = [FULL, createFault(FaultCode.Interrupted, Outcome.OutcomeUnknown)];
+  const fail = () => Promise.resolve(err(faults.shift()!));
+  await forward(fail, { workers: 2, onProbe: (event) => events.push(event) });
+  t.deepEqual(events, ['take a,own', 'give back', 'take a,own']);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -34,6 +34,7 @@
     | 'recordCut'
     | 'recordData'
     | 'recordLoss'
+    | 'takeProbe'
   >;
   backends: RequestForwarder;
   metrics: Metrics;
@@ -186,6 +187,7 @@
     this.attemptDataAt = undefined;
     this.sentTo = { worker, at: sentAt };
     loads.beginRequest(worker.id);
+    const probe = this.options.quarantine.takeProbe(request.promptPrefixes);
     // Plain services stream no tokens, and their requests may take longer.
     const isStream = this.route.kind === RouteKind.Streaming;
     this.firstTokenWatch = isStream ? router.watchFirstToken(worker) : undefined;
@@ -200,7 +202,8 @@
     this.firstTokenWatch?.end();
     if (!isStream && reply.isOk()) router.recordLatency(worker, timer.now() - sentAt);
     if (reply.isErr()) {
-      if (reply.error.outcome !== Outcome.NotRun) this.runs += 1;
+      if (reply.error.outcome === Outcome.NotRun) probe?.giveBack();
+      else this.runs += 1;
       return this.fail(worker, this.relay.formatFault ?? reply.error);
     }
     this.runs += 1;
--- a/packages/interfaces/src/online.ts
+++ b/packages/interfaces/src/online.ts
@@ -110,6 +110,8 @@
 export interface Quarantine {
   /** Returns the fault with which the request is refused, if it is. */
   findBlock(parts: readonly string[], request: string): Fault | undefined;
+  /** Has to be called when a request is sent. Returns a probe if the request is sent in spite of a block. */
+  takeProbe(parts: readonly string[]): { giveBack(): void } | undefined;
   /** Records that a request with these parts has begun to receive its answer. */
   recordAnswer(parts: readonly string[]): void;
   /** Records that the answer to the request is complete. */
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -28,7 +28,13 @@
   loads: FleetLoad;
   quarantine: Pick<
     PromptQuarantine,
-    'hasBlocks' | 'isBlocked' | 'recordAnswer' | 'recordData' | 'recordLoss'
+    | 'hasBlocks'
+    | 'isBlocked'
+    | 'listProbed'
+    | 'recordAnswer'
+    | 'recordData'
+    | 'recordLoss'
+    | 'takeProbe'
   >;
   /** Reads the parts of an item's prompt from the headers of its request. */
   readPromptParts: (headers: HeaderFields) => string[];
@@ -145,12 +151,13 @@
     const { table, listOwnedJobs, timer } = this.options;
     const wallClock = timer.wallClock();
     const all: Candidate[] = [];
+    const probedBlocks = new Set<string>();
     for (const ownedJob of listOwnedJobs()) {
       const snapshot = table.find(ownedJob.jobId);
       if (snapshot === undefined) continue;
       ownedJob.listWaiting(now).forEach((item) => {
         const service = this.chooseService(ownedJob, snapshot, item);
-        if (service === undefined || this.isBlocked(ownedJob, item)) return;
+        if (service === undefined || this.isBlocked(ownedJob, item, probedBlocks)) return;
         const remainingMs = this.runTimeEstimator.remainingMs(item.progress.events.length);
         const effectiveDueAt = computeEffectiveDueAt(ownedJob.dueAt, wallClock, remainingMs);
         all.push({ ownedJob, snapshot, item, service, effectiveDueAt });
@@ -185,10 +192,19 @@
     return true;
   }
 
-  /** A blocked item waits until the block or its lifetime ends, because it might run then. */
-  private isBlocked(ownedJob: OwnedJob, item: OwnedItem): boolean {
+  /**
+   * A blocked item waits until the block or its lifetime ends, because it might run then. One item is the
+   * probe of a block when that is due.
+   */
+  private isBlocked(ownedJob: OwnedJob, item: OwnedItem, probedBlocks: Set<string>): boolean {
     const { quarantine } = this.options;
-    return quarantine.hasBlocks && quarantine.isBlocked(this.listParts(ownedJob, item));
+    if (!quarantine.hasBlocks) return false;
+    const parts = this.listParts(ownedJob, item);
+    if (quarantine.isBlocked(parts)) return true;
+    const blocks = quarantine.listProbed(parts);
+    if (blocks.some((id) => probedBlocks.has(id))) return true;
+    blocks.forEach((id) => probedBlocks.add(id));
+    return false;
   }
 
   private listParts({ requests }: OwnedJob, { index }: OwnedItem): string[] {
@@ -224,9 +240,14 @@
     // OwnedJob.listRunning finds runs through their items.
     Object.assign(item, { run });
     loads.beginBatch(runId, worker.id, effectiveDueAt);
+    const probe = quarantine.hasBlocks
+      ? quarantine.takeProbe(this.listParts(candidate.ownedJob, item))
+      : undefined;
     const result = await run.run();
     loads.endBatch(runId);
     Object.assign(item, { run: undefined });
+    // Any other result leaves open whether workers crash on the parts.
+    if (result.outcome !== RunOutcome.Interrupted) probe?.giveBack();
     this.handleResult(candidate, run, result);
   }
 
--- a/packages/online/src/crash-watch.ts
+++ b/packages/online/src/crash-watch.ts
@@ -11,6 +11,8 @@
 
   private firstDataAt: number | undefined;
 
+  private probe: ReturnType<Quarantine['takeProbe']>;
+
   private readonly parts: readonly string[];
 
   constructor(
@@ -29,6 +31,7 @@
   beginAttempt(): void {
     this.sentAt = this.timer.now();
     this.firstDataAt = undefined;
+    this.probe = this.quarantine.takeProbe(this.parts);
   }
 
   /** Records that the attempt has begun to receive its answer; may be called for each part of it. */
@@ -44,6 +47,7 @@
   }
 
   recordFault(workerId: string, { code, outcome }: Fault): void {
+    if (outcome === Outcome.NotRun) this.probe?.giveBack();
     if (code !== FaultCode.Interrupted || outcome === Outcome.NotRun) return;
     const { sentAt, firstDataAt } = this;
     if (firstDataAt !== undefined) {
--- a/packages/peer-quarantine/src/peer-quarantine.ts
+++ b/packages/peer-quarantine/src/peer-quarantine.ts
@@ -8,7 +8,7 @@
   type LeaseGrant,
   type Transaction,
 } from '@jujubelanding/platform';
-import { PromptQuarantine, type CutAnswer } from '@jujubelanding/prompt-quarantine';
+import { PromptQuarantine, type CutAnswer, type Probe } from '@jujubelanding/prompt-quarantine';
 import { ValueExchanger } from '@jujubelanding/shared-values';
 import type { Member } from '@jujubelanding/types';
 import { ok } from 'neverthrow';
@@ -19,6 +19,8 @@
 
 const BLOCK_PREFIX = 'quarantine/blocked/';
 
+const PROBE_PREFIX = 'quarantine/probe/';
+
 /** Callers may send a request again after a long time, so the reports outlast their last change. */
 const REPORT_LIFETIME_MS = 600_000;
 
@@ -60,6 +62,7 @@
       lease: () => lease,
       evidencePrefix: EVIDENCE_PREFIX,
       blockPrefix: BLOCK_PREFIX,
+      probePrefix: PROBE_PREFIX,
       self: toRunId(membership.self()),
       listServing: () => membership.members().map(toRunId),
       runIdOf: (workerId) => this.identifyCrash(workerId),
@@ -86,6 +89,10 @@
     return this.quarantine.findBlock(parts, request);
   }
 
+  takeProbe(parts: readonly string[]): Probe | undefined {
+    return this.quarantine.takeProbe(parts);
+  }
+
   recordAnswer(parts: readonly string[]): void {
     this.quarantine.recordAnswer(parts);
   }
@@ -112,7 +119,12 @@
     return ok({ leaseId: String(ttlMs), ttlMs });
   }
 
-  private async commit({ writes }: Transaction): Reply<CommitResult> {
+  /** The conditions hold for what this VM knows; two VMs that write at the same moment both succeed. */
+  private async commit({ conditions, writes }: Transaction): Reply<CommitResult> {
+    const isOutdated = conditions.some(
+      ({ key, revision }) => this.exchanger.readVersion(key) !== revision,
+    );
+    if (isOutdated) return ok({ status: CommitStatus.Conflict, current: [] });
     const revisions = writes.map(({ key, value, leaseId }) =>
       this.exchanger.set(key, value, Number(leaseId)),
     );
--- a/packages/prompt-quarantine/src/block-list.ts
+++ b/packages/prompt-quarantine/src/block-list.ts
@@ -70,9 +70,9 @@
     this.blocks.delete(id);
   }
 
-  /** Finds a block that applies to a request with these parts. */
-  find(parts: readonly string[]): Block | undefined {
-    return this.list().find((block) => block.parts.every((part) => parts.includes(part)));
+  /** Lists the blocks that apply to a request with these parts. */
+  findAll(parts: readonly string[]): Block[] {
+    return this.list().filter((block) => block.parts.every((part) => parts.includes(part)));
   }
 
   list(): Block[] {
--- a/packages/prompt-quarantine/src/index.ts
+++ b/packages/prompt-quarantine/src/index.ts
@@ -9,4 +9,5 @@
 export type { RunCheck } from './loss-checks.js';
 export type { RequestLoss } from './request-suspects.js';
 export { RequestEvidence } from './request-evidence.js';
+export type { Probe } from './block-probes.js';
 export { computeRequestKey, type RepeatableRequest } from './request-key.js';
--- a/packages/prompt-quarantine/src/lost-answers.test.ts
+++ b/packages/prompt-quarantine/src/lost-answers.test.ts
@@ -80,6 +80,7 @@
     lease: () => ({ current: undefined, replace: () => {} }),
     evidencePrefix: 'q/crash/',
     blockPrefix: 'q/blocked/',
+    probePrefix: 'q/probe/',
     self: 'a',
     listServing: () => [],
     announce: (confirmed, pending) => {
--- a/packages/prompt-quarantine/src/prompt-quarantine.test.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.test.ts
@@ -121,6 +121,7 @@
     lease: () => ({ current: undefined, replace: () => {} }),
     evidencePrefix: 'q/crash/',
     blockPrefix: BLOCK_PREFIX,
+    probePrefix: 'q/probe/',
     self: name,
     listServing: () => others,
     announce: () => {},
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -4,7 +4,8 @@
 import { ChangeKind, type KeyValueChange, type TransactionalStore } from '@jujubelanding/platform';
 import { rankOf } from '@jujubelanding/random';
 import type { Subscription, Timer } from '@jujubelanding/timer';
-import { BlockList, parseBlockId, toBlockId } from './block-list.js';
+import { BlockList, parseBlockId, toBlockId, type Block } from './block-list.js';
+import { BlockProbes, type Probe } from './block-probes.js';
 import { BlockState, BlockStore, decodeStoredBlock, type BlockStart } from './block-store.js';
 import { CrashEvidence, selectShared } from './crash-evidence.js';
 import { EvidencePublisher, decodeEvidence, type VmLease } from './evidence-publisher.js';
@@ -20,6 +21,9 @@
 /** Interval at which the evidence is evaluated and blocks are stored. */
 const CHECK_INTERVAL_MS = 250;
 
+/** Shortest time after which callers of a blocked part may come again; an answer takes as long. */
+const MIN_RETRY_AFTER_MS = 1000;
+
 export interface PromptQuarantineOptions {
   timer: Timer;
   log: Log;
@@ -30,6 +34,8 @@
   evidencePrefix: string;
   /** Key prefix of blocks; the id of the block follows. */
   blockPrefix: string;
+  /** Key prefix of the numbers of probes of blocks; the id of the block follows. */
+  probePrefix: string;
   self: string;
   /** Ids of the other VMs that are alive. */
   listServing: () => readonly string[];
@@ -83,6 +89,8 @@
 
   private readonly blockStore: BlockStore;
 
+  private readonly probes: BlockProbes;
+
   /** Losses of which it is not known yet whether they are crashes. */
   private readonly checks: LossChecks | undefined;
 
@@ -100,6 +108,7 @@
     });
     this.announcer = new LossAnnouncer(options);
     this.blockStore = new BlockStore({ ...options, prefix: options.blockPrefix });
+    this.probes = new BlockProbes(options);
     const { checkRun } = options;
     this.checks =
       checkRun &&
@@ -123,19 +132,28 @@
   }
 
   /**
-   * Returns the fault with which a request is refused if it, or a combination of its parts, is blocked.
-   * Batch items have no request key: an item under which workers crashed is still owed.
+   * Returns the fault with which a request is refused if it, or a combination of its parts, is blocked and
+   * it is no probe. Batch items have no request key: an item under which workers crashed is still owed.
    */
   findBlock(parts: readonly string[], request?: string): Fault | undefined {
     const now = this.options.timer.now();
     this.blocks.prune(now);
-    const block = this.blocks.find(listSuspects(parts, request));
+    const block = this.findClosedBlock(listSuspects(parts, request), now);
     const undecidedMs = request === undefined ? undefined : this.requests.undecidedMs(request, now);
     if (block === undefined && undecidedMs === undefined) return undefined;
     this.options.metrics.increment('quarantine.refused');
     if (block === undefined) return createSuspensionFault(undecidedMs!);
     block.lastHitAt = now;
-    return createBlockFault(block, this.blocks.remainingMs(block, now));
+    return createBlockFault(block, this.retryAfterMs(block, now));
+  }
+
+  /**
+   * Has to be called when a request is sent. Returns a probe if a block applies to the request, which is then
+   * the only one with these parts that is sent until it is answered or the next probe is due.
+   */
+  takeProbe(parts: readonly string[]): Probe | undefined {
+    if (!this.hasBlocks) return undefined;
+    return this.probes.take(this.listProbed(parts), this.options.timer.now());
   }
 
   /** True if a worker crashed under the request, or may have, and no answer to it is known since. */
@@ -148,9 +166,14 @@
     return !this.blocks.isEmpty;
   }
 
-  /** True if a combination of the parts is blocked. */
+  /** True if a combination of the parts is blocked, and no probe is reserved for it. */
   isBlocked(parts: readonly string[]): boolean {
-    return this.blocks.find(selectShared(parts)) !== undefined;
+    return this.findClosedBlock(selectShared(parts), this.options.timer.now()) !== undefined;
+  }
+
+  /** Returns the blocks for which a request with these parts would be the probe. */
+  listProbed(parts: readonly string[]): string[] {
+    return this.blocks.findAll(selectShared(parts)).map(({ id }) => id);
   }
 
   /**
@@ -233,20 +256,40 @@
 
   /** Applies changes of the keys under both prefixes; other keys are ignored. */
   apply(changes: readonly KeyValueChange[]): void {
-    const { evidencePrefix, blockPrefix, self, timer } = this.options;
+    const { evidencePrefix, blockPrefix, probePrefix, self, timer } = this.options;
     const now = timer.now();
-    for (const { kind, entry } of changes) {
+    for (const change of changes) {
+      const { kind, entry } = change;
       const { key, value } = entry;
       const isReport = key.startsWith(evidencePrefix) && key !== `${evidencePrefix}${self}`;
       if (key.startsWith(blockPrefix)) {
         const id = key.slice(blockPrefix.length);
         if (kind === ChangeKind.Delete) this.blocks.recordMissing(id, now);
         else this.applyBlock(id, value, now);
-      } else if (isReport && kind === ChangeKind.Put) this.applyReport(key, value, now);
+      } else if (key.startsWith(probePrefix)) this.probes.apply(change, now);
+      else if (isReport && kind === ChangeKind.Put) this.applyReport(key, value, now);
     }
     this.reportAnswered(now);
   }
 
+  /**
+   * Finds a block that applies to a request and is not to be probed with it. The block of a single request is
+   * not probed, because it refuses nothing else and ends by itself.
+   */
+  private findClosedBlock(suspects: readonly string[], now: number): Block | undefined {
+    const closed = this.blocks
+      .findAll(suspects)
+      .filter(({ id }) => isRequestKey(id) || !this.probes.want(id, now));
+    return closed[0];
+  }
+
+  /** Time after which a request may be served if the next probe of the block is answered. */
+  private retryAfterMs(block: Block, now: number): number {
+    const remainingMs = this.blocks.remainingMs(block, now);
+    if (isRequestKey(block.id)) return remainingMs;
+    return Math.min(remainingMs, this.probes.delayMs(block.id, now) + MIN_RETRY_AFTER_MS);
+  }
+
   private applyDecision({ run, losses, answered }: LossGroup, verdict: LossVerdict): void {
     losses.forEach(({ request }) => {
       if (request !== undefined) this.requests.resolve([request, run.runId]);
@@ -325,7 +368,11 @@
    * in the store, so that no VM is without either.
    */
   private async replaceStored(id: string, rest: readonly string[], now: number): Promise<void> {
-    if (rest.length > 0) this.block(rest, BlockReason.Narrowed, now);
+    if (rest.length > 0) {
+      void this.probes.narrow(id, toBlockId(rest), now);
+      this.block(rest, BlockReason.Narrowed, now);
+    }
+    void this.probes.reset(id);
     const isRestStored = rest.length === 0 || (await this.store(toBlockId(rest)));
     if (isRestStored) await this.blockStore.write(id, BlockState.Released);
   }
@@ -366,13 +413,19 @@
     let parts = this.evidence.findDangerous(now);
     while (parts.length > 0) {
       this.evidence.explain(parts, now);
-      this.block(parts, BlockReason.Crashes, now);
+      // Crashes of probes are explained by the block that was probed.
+      if (this.blocks.findAll(parts).length === 0) this.block(parts, BlockReason.Crashes, now);
       parts = this.evidence.findDangerous(now);
     }
     this.requests
       .findDangerous(now)
       .forEach((request) => this.block([request], BlockReason.Crashes, now));
     this.storeBlocks();
+    const ids = this.blocks.list().map(({ id }) => id);
+    this.probes.update(
+      ids.filter((id) => !isRequestKey(id)),
+      now,
+    );
   }
 
   /** A VM that starts takes what is stored for new, so the stored report must not hold what has expired. */
--- a/packages/prompt-quarantine/src/single-request.test.ts
+++ b/packages/prompt-quarantine/src/single-request.test.ts
@@ -106,6 +106,7 @@
     lease: () => lease,
     evidencePrefix: 'q/crash/',
     blockPrefix: 'q/blocked/',
+    probePrefix: 'q/probe/',
     self: name,
     listServing: () => [],
     announce,
--- a/packages/shared-values/src/shared-values.ts
+++ b/packages/shared-values/src/shared-values.ts
@@ -24,9 +24,14 @@
     return this.entries.size === 0;
   }
 
+  /** Returns the version of a value; 0 if there is none. */
+  readVersion(key: string): number {
+    return this.entries.get(key)?.version ?? 0;
+  }
+
   /** Writes a value; returns its version. */
   set(key: string, value: string, lifetimeMs: number, now: number): number {
-    const version = (this.entries.get(key)?.version ?? 0) + 1;
+    const version = this.readVersion(key) + 1;
     const { writer } = this;
     const times = { writtenAt: now, since: now, expiresAt: now + lifetimeMs };
     this.entries.set(key, { key, value, version, writer, ...times });
--- a/packages/shared-values/src/value-exchanger.ts
+++ b/packages/shared-values/src/value-exchanger.ts
@@ -69,6 +69,11 @@
     return version;
   }
 
+  /** Returns the version of a value; 0 if there is none. */
+  readVersion(key: string): number {
+    return this.values.readVersion(key);
+  }
+
   private compare(): void {
     const expired = this.values.expire(this.options.io.timer.now());
     if (expired.length > 0) this.options.onExpired(expired);
