Keep items that no worker accepts from stopping other batch work

Sound items of other jobs wait beside idle workers and are given up at the end of their lifetime.

Cause: a refused item was sent again at once, and each refusal took its worker out for 400 ms at all VMs. The load in the refusals (no running request, eight slots) rules out full workers.

Change: an item that a second worker refuses is at fault itself (package item-backoff, used by both forms). It waits up to 5 s, comes after all others, and its refusals count against no worker; neither do its invalid streams, which took workers out for up to 12 s. An item goes to another worker than those that refused it. A refusal in spite of free slots counts against its worker only if three come in a row. In the own form, items that wait no longer count as work that fills slots. item-run lines have the load of a refusal, atFault and waitMs.

--- a/packages/batch-execution/src/active-chunk.ts
+++ b/packages/batch-execution/src/active-chunk.ts
@@ -1,4 +1,5 @@
 /** A granted chunk and the state of its items. */
+import { ItemBackoff } from '@jujubelanding/item-backoff';
 import type { ChunkGrant, SegmentItem } from '@jujubelanding/peer-protocol';
 import { ItemStatus, type ItemResult } from '@jujubelanding/types';
 
@@ -14,6 +15,10 @@
   tokens: string[];
   /** Worker that may still have the received tokens in its KV cache. */
   lastWorker?: string;
+  /** Refusals in a row. */
+  refusals: ItemBackoff;
+  /** Earliest start of the next attempt, on the monotonic clock. */
+  notBefore: number;
 }
 
 export enum ChunkPhase {
@@ -44,6 +49,8 @@
       attempts: 0,
       failedOn: new Set<string>(),
       tokens: [],
+      refusals: new ItemBackoff(),
+      notBefore: 0,
     }));
   }
 
@@ -64,6 +71,11 @@
     this.lastContactAt = Math.max(this.lastContactAt, at);
   }
 
+  /** Counts the pending items that do not wait after refusals. */
+  countStartable(now: number): number {
+    return this.pending.filter(({ notBefore }) => notBefore <= now).length;
+  }
+
   removePending(state: ItemExecutionState): void {
     const position = this.pending.indexOf(state);
     if (position >= 0) this.pending.splice(position, 1);
--- a/packages/batch-execution/src/batch-executor.test.ts
+++ b/packages/batch-execution/src/batch-executor.test.ts
@@ -142,6 +142,17 @@
   t.true(results.every(({ status }) => status === ItemStatus.Succeeded));
 });
 
+// Each refusal of such an item paused its worker, so that all workers were paused all the time.
+test('items that all workers refuse do not keep other items from the workers', async (t) => {
+  const fleet = createExecutionFleet({ maxOutputTokens: 300 });
+  const large = createItems(48).map((item) => ({ ...item, maxTokens: 400 }));
+  await submit(fleet, large);
+  await fleet.timer.advance(1000);
+  const jobId = await submit(fleet, createItems(200), { idempotencyKey: 'key-2' });
+  await fleet.timer.advance(18_000);
+  t.is(await readStatus(fleet, jobId), JobStatus.Completed);
+});
+
 test('streams of a worker that stops responding are cancelled after the request timeout', async (t) => {
   const fleet = createExecutionFleet();
   const jobId = await submit(fleet, createLongItems(40));
--- a/packages/batch-execution/src/batch-executor.ts
+++ b/packages/batch-execution/src/batch-executor.ts
@@ -1,7 +1,7 @@
 /** Runs batch items on the workers whose shards this VM owns. */
 import { createBatchRequestId, type CapacityPolicy } from '@jujubelanding/batch-capacity';
 import type { JobOwner } from '@jujubelanding/batch-jobs';
-import type { Fault } from '@jujubelanding/errors';
+import { FaultCode, type Fault } from '@jujubelanding/errors';
 import type {
   Configuration,
   Directory,
@@ -254,9 +254,7 @@
       const { code, outcome, message } = fault;
       const item = state.item.index;
       this.log.write('item-fault', { worker: workerId, item, code, outcome, decision, message });
-      if (decision === AttemptDecision.Repeat) {
-        slots.pausedUntil = this.options.io.timer.now() + REFUSAL_PAUSE_MS;
-      }
+      if (decision === AttemptDecision.Repeat) this.handleRefusal(slots, running, fault);
     }
     if (decision !== AttemptDecision.Repeat) {
       state.attempts += 1;
@@ -270,6 +268,18 @@
     }
   }
 
+  /** Pauses the worker, unless another one has refused the item as well: then the item waits instead. */
+  private handleRefusal(
+    slots: WorkerSlots,
+    { state, workerId }: RunningItem,
+    { code }: Fault,
+  ): void {
+    const now = this.options.io.timer.now();
+    const isItemAtFault = code === FaultCode.Overloaded && state.refusals.record(workerId);
+    state.notBefore = now + state.refusals.delayMs;
+    if (!isItemAtFault) slots.pausedUntil = now + REFUSAL_PAUSE_MS;
+  }
+
   private reportRunningCount(slots: WorkerSlots): void {
     this.options.workers.setBatchCount(slots.workerId, slots.running.size);
   }
--- a/packages/batch-execution/src/chunk-set.ts
+++ b/packages/batch-execution/src/chunk-set.ts
@@ -51,7 +51,7 @@
       pending.set(target, (pending.get(target) ?? 0) + count);
     };
     this.chunks.forEach((chunk) => {
-      if (mayDispatch(chunk, now)) add(chunk.grant, chunk.pending.length);
+      if (mayDispatch(chunk, now)) add(chunk.grant, chunk.countStartable(now));
     });
     this.loading.forEach((grant) => add(grant, grant.itemCount));
     return pending;
--- a/packages/batch-execution/src/item-choice.ts
+++ b/packages/batch-execution/src/item-choice.ts
@@ -27,10 +27,11 @@
   pending: readonly ItemExecutionState[],
   workerId: string,
   eligibleWorkers: readonly string[],
+  now: number,
 ): ItemExecutionState | undefined => {
   let first: ItemExecutionState | undefined;
   for (const state of pending) {
-    if (!canRunOn(state, workerId, eligibleWorkers)) continue;
+    if (state.notBefore > now || !canRunOn(state, workerId, eligibleWorkers)) continue;
     if (state.lastWorker === workerId) return state;
     first ??= state;
     if (state.lastWorker === undefined) break;
@@ -52,7 +53,7 @@
     if (chunk.pending.length === 0 || !mayDispatch(chunk, now)) continue;
     const eligibleWorkers = workersFor(chunk);
     if (!eligibleWorkers.includes(workerId)) continue;
-    const state = findItem(chunk.pending, workerId, eligibleWorkers);
+    const state = findItem(chunk.pending, workerId, eligibleWorkers, now);
     if (state !== undefined) return { chunk, state };
   }
   return undefined;
--- a/packages/batch-execution/src/item-runner.ts
+++ b/packages/batch-execution/src/item-runner.ts
@@ -37,6 +37,7 @@
         if (violation !== undefined || running.cause !== undefined) return;
         const accepted = validator.accept(token);
         running.lastTokenAt = io.timer.now();
+        state.refusals.reset();
         if (accepted.isOk()) return;
         violation = accepted.error;
         abort.abort();
--- a/packages/ledger-execution/src/item-order.ts
+++ b/packages/ledger-execution/src/item-order.ts
@@ -38,6 +38,9 @@
   }
 }
 
+/** Returns the due time used for ordering an item that workers did not serve: it sorts after all others. */
+export const postpone = (dueAt: number): number => dueAt + 2 * LATE_ITEM_OFFSET_MS;
+
 /** Returns the due time used for ordering: items that will be late sort after all others. */
 export const computeEffectiveDueAt = (dueAt: number, now: number, remainingMs: number): number =>
   now + remainingMs > dueAt ? dueAt + LATE_ITEM_OFFSET_MS : dueAt;
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -7,6 +7,7 @@
   MAX_VALUE_BYTES,
   type ResponseHandler,
   type RequestForwarder,
+  type WorkerFault,
   type WorkerResponse,
 } from '@jujubelanding/platform';
 import type { Subscription, Timer } from '@jujubelanding/timer';
@@ -62,7 +63,7 @@
 
 export interface RunResult {
   outcome: RunOutcome;
-  fault?: Fault | undefined;
+  fault?: WorkerFault | undefined;
   firstEventMs?: number | undefined;
   /** Number of events received in this run. */
   events: number;
--- a/packages/ledger-execution/src/item-scheduler.test.ts
+++ b/packages/ledger-execution/src/item-scheduler.test.ts
@@ -6,6 +6,7 @@
 import { RouteKind, RouteTable } from '@jujubelanding/route-table';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { VmState } from '@jujubelanding/types';
+import { createOwnedItem } from './owned-job.js';
 import { ItemScheduler, type ItemSchedulerOptions } from './item-scheduler.js';
 
 /** Creates a scheduler with one waiting item and one worker, which is leaving at first. */
@@ -14,7 +15,7 @@
   const worker = { id: 'w', service: 's', address: '', availabilityZone: 'z' };
   const state = { worker: VmState.Leaving, leaving: ['w'] };
   const added: ItemState[] = [];
-  const item = { index: 0, progress: { events: [] as string[], failures: 0 }, notBefore: 0 };
+  const item = createOwnedItem(0, { events: [], failures: 0 });
   const ownedJob = {
     jobId: 'job',
     dueAt: 1000,
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -5,13 +5,18 @@
 import type { Directory } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type { HeaderFields, RequestForwarder } from '@jujubelanding/platform';
+import type {
+  HeaderFields,
+  ReportedLoad,
+  RequestForwarder,
+  WorkerFault,
+} from '@jujubelanding/platform';
 import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import { hashText } from '@jujubelanding/random';
 import { RouteTable } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
 import { VmState, type Worker } from '@jujubelanding/types';
-import { computeEffectiveDueAt, RunTimeEstimator } from './item-order.js';
+import { computeEffectiveDueAt, postpone, RunTimeEstimator } from './item-order.js';
 import { FAILURE_BY_OUTCOME, ItemRun, RunOutcome, type RunResult } from './item-run.js';
 import { JobRoutes, MissingRoute } from './job-routes.js';
 import type { OwnedItem, OwnedJob } from './owned-job.js';
@@ -38,7 +43,7 @@
   >;
   /** Reads the parts of an item's prompt from the headers of its request. */
   readPromptParts: (headers: HeaderFields) => string[];
-  directory: Pick<Directory, 'find'> & {
+  directory: Pick<Directory, 'all' | 'find'> & {
     /** Returns the workers of which this VM knows from an answer that they are leaving. */
     listLeaving(): string[];
   };
@@ -68,6 +73,16 @@
 
 const UINT32_RANGE = 2 ** 32;
 
+const hasRoom = ({ running, waiting, slots }: ReportedLoad): boolean =>
+  waiting === 0 && running < slots;
+
+/** True if the worker refused an item although it reports free slots. */
+const isRoomReported = ({ load }: WorkerFault): boolean => load !== undefined && hasRoom(load);
+
+/** True if the refusal may be due to the item, for example to its size, and not to a full worker. */
+const isItemSuspected = (fault: WorkerFault): boolean =>
+  fault.isRefusal === true && (fault.load === undefined || isRoomReported(fault));
+
 const countWaitingItem = (
   waiting: Map<string, WaitingCount>,
   service: string,
@@ -136,7 +151,9 @@
     const candidates = this.listCandidates(now);
     for (const [runId, workerId, service] of starts) {
       const worker = this.options.directory.find(workerId);
-      const index = candidates.findIndex((candidate) => candidate.service === service);
+      const index = candidates.findIndex(
+        (candidate) => candidate.service === service && !this.isForOtherWorker(candidate, workerId),
+      );
       const isUsable =
         worker?.state === VmState.Live && !this.workerBackoff.isBackedOff(workerId, now);
       if (index >= 0 && isUsable) {
@@ -146,6 +163,15 @@
     }
   }
 
+  /** True if the worker did not serve the item, and another one of the service may. */
+  private isForOtherWorker({ item, service }: Candidate, workerId: string): boolean {
+    const isTried = (id: string): boolean =>
+      item.refusals.includes(id) || item.invalidStreams.includes(id);
+    if (!isTried(workerId)) return false;
+    const live = this.options.directory.all().filter(({ state }) => state === VmState.Live);
+    return live.some((worker) => worker.service === service && !isTried(worker.id));
+  }
+
   /** Lists the items that can be started, those due first at the front. */
   private listCandidates(now: number): Candidate[] {
     const { table, listOwnedJobs, timer } = this.options;
@@ -159,7 +185,10 @@
         const service = this.chooseService(ownedJob, snapshot, item);
         if (service === undefined || this.isBlocked(ownedJob, item, probedBlocks)) return;
         const remainingMs = this.runTimeEstimator.remainingMs(item.progress.events.length);
-        const effectiveDueAt = computeEffectiveDueAt(ownedJob.dueAt, wallClock, remainingMs);
+        const isUnservable = item.refusals.isRepeated || item.invalidStreams.isRepeated;
+        const effectiveDueAt = isUnservable
+          ? postpone(ownedJob.dueAt)
+          : computeEffectiveDueAt(ownedJob.dueAt, wallClock, remainingMs);
         all.push({ ownedJob, snapshot, item, service, effectiveDueAt });
       });
     }
@@ -234,7 +263,11 @@
       item: { ...job.items[item.index]!, ...candidate.ownedJob.requests[item.index]! },
       progress: item.progress,
       remainingMs: job.submittedAt + job.itemLifetimeMs - timer.wallClock(),
-      onFirstEvent: () => quarantine.recordAnswer(this.listParts(candidate.ownedJob, item)),
+      onFirstEvent: () => {
+        item.refusals.reset();
+        this.workerBackoff.recordStart(worker.id);
+        quarantine.recordAnswer(this.listParts(candidate.ownedJob, item));
+      },
       onEvent: () => quarantine.recordData(worker.id, worker.startedAt),
     });
     // OwnedJob.listRunning finds runs through their items.
@@ -256,8 +289,9 @@
     const { worker } = run;
     const { outcome } = result;
     const now = this.options.timer.now();
-    this.logRun(candidate, worker, result);
-    this.recordRun(worker, result, now);
+    const isItemAtFault = this.isItemAtFault(worker, item, result, now);
+    this.logRun(candidate, worker, result, isItemAtFault);
+    this.recordRun(worker, result, isItemAtFault, now);
     if (result.fault?.code === FaultCode.Interrupted && result.events === 0) {
       const parts = this.listParts(ownedJob, item);
       const { quarantine } = this.options;
@@ -279,6 +313,7 @@
     { ownedJob, snapshot, item }: Candidate,
     worker: Worker,
     { outcome, fault, firstEventMs }: RunResult,
+    isItemAtFault: boolean,
   ): void {
     const { log, metrics } = this.options;
     log.write('item-run', {
@@ -291,18 +326,26 @@
       failures: item.progress.failures,
       code: fault?.code,
       message: fault?.message,
+      load: fault?.load && Object.values(fault.load).join(),
+      atFault: isItemAtFault ? 'item' : undefined,
+      waitMs: Math.round(Math.max(0, item.notBefore - this.options.timer.now())) || undefined,
     });
     metrics.increment('batch.runs', { outcome });
   }
 
+  /** Records what a run says about its worker, unless the item is at fault. */
   private recordRun(
     { id, service }: Worker,
     { outcome, events, durationMs, fault }: RunResult,
+    isItemAtFault: boolean,
     now: number,
   ): void {
     this.runTimeEstimator.recordRun(events, durationMs);
+    if (isItemAtFault) return;
     if (outcome === RunOutcome.Completed) this.workerBackoff.recordSuccess(id);
-    else if (outcome === RunOutcome.Refused) this.workerBackoff.recordRefusal(id, now);
+    else if (outcome === RunOutcome.Refused) {
+      this.workerBackoff.recordRefusal(id, now, fault !== undefined && isRoomReported(fault));
+    } else if (fault?.code === FaultCode.InvalidStream) this.workerBackoff.recordRefusal(id, now);
     else if (outcome === RunOutcome.Interrupted) this.workerBackoff.recordLoss(id, now);
     const isFailure = FAILURE_BY_OUTCOME[outcome];
     // A run that ends with the lifetime of its item says nothing about the worker.
@@ -310,6 +353,27 @@
     this.options.results?.record(service, id, isFailure);
   }
 
+  /**
+   * Delays the next run of an item that workers refuse or answer with invalid streams. Returns true if
+   * another worker did so before: the item would otherwise make one worker after the other unavailable to all
+   * items.
+   */
+  private isItemAtFault(
+    { id }: Worker,
+    item: OwnedItem,
+    { outcome, fault }: RunResult,
+    now: number,
+  ): boolean {
+    if (fault === undefined) return false;
+    const isRefused = outcome === RunOutcome.Refused && isItemSuspected(fault);
+    const isInvalid = outcome === RunOutcome.Interrupted && fault.code === FaultCode.InvalidStream;
+    if (!isRefused && !isInvalid) return false;
+    const backoff = isRefused ? item.refusals : item.invalidStreams;
+    const isAtFault = backoff.record(id);
+    Object.assign(item, { notBefore: now + backoff.delayMs });
+    return isAtFault;
+  }
+
   private countFailure({ ownedJob, snapshot, item }: Candidate, now: number): void {
     const { progress } = item;
     progress.failures += 1;
--- a/packages/ledger-execution/src/owned-job.ts
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -7,6 +7,7 @@
   type JobSnapshot,
   type StoredProgress,
 } from '@jujubelanding/batch-ledger';
+import { ItemBackoff } from '@jujubelanding/item-backoff';
 import type { ItemRun } from './item-run.js';
 import type { ResultQueue } from './result-queue.js';
 
@@ -17,8 +18,20 @@
   run?: ItemRun | undefined;
   /** Earliest start of the next run, on the monotonic clock. */
   notBefore: number;
+  /** Refusals since an event of the item was received. */
+  refusals: ItemBackoff;
+  /** Runs with responses that are no valid continuation of the item. */
+  invalidStreams: ItemBackoff;
 }
 
+export const createOwnedItem = (index: number, progress: ItemProgress): OwnedItem => ({
+  index,
+  progress,
+  notBefore: 0,
+  refusals: new ItemBackoff(),
+  invalidStreams: new ItemBackoff(),
+});
+
 export type RunningItem = OwnedItem & { run: ItemRun };
 
 const createEmptyProgress = (): ItemProgress => ({ events: [], failures: 0 });
@@ -43,7 +56,7 @@
     this.deltaBuilder = new ProgressDeltaBuilder(progress, sequence);
     snapshot.job.items.forEach((_item, index) => {
       const stored = progress[index];
-      this.items.set(index, { index, progress: stored ?? createEmptyProgress(), notBefore: 0 });
+      this.items.set(index, createOwnedItem(index, stored ?? createEmptyProgress()));
     });
     this.update(snapshot);
   }
@@ -72,7 +85,7 @@
         return;
       }
       item.run?.cancel();
-      this.items.set(index, { index, progress: { ...stored, failures }, notBefore: 0 });
+      this.items.set(index, createOwnedItem(index, { ...stored, failures }));
       replaced += 1;
     });
     return replaced;
--- a/packages/platform/src/request-forwarder.ts
+++ b/packages/platform/src/request-forwarder.ts
@@ -45,6 +45,8 @@
 
 /** Fault of a request that was sent to a worker. */
 export interface WorkerFault extends Fault {
+  /** True if the worker itself refused the request. */
+  isRefusal?: true;
   /** Load with which the worker refused the request; absent for all other faults. */
   load?: ReportedLoad | undefined;
 }
