Leave services without workers out of the split of a route

Cause: the service of an item was drawn from a hash of its id, whatever became of the service. That a backoff of workers held the items back is ruled out: the idle workers were not avoided, and the lost ones were no longer listed.

Change: targets without workers are left out of the draw unless all are without; targets with weight zero still get nothing. An item whose run was refused or lost draws anew, so that it also leaves a service whose workers are listed and hang.

--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -52,6 +52,8 @@
   onRoute?: (request: RouteRequest) => void;
   route?: Route;
   workers?: number;
+  /** Services that have workers. */
+  services?: string[];
   queue?: RequestQueue;
   onSuccess?: (status?: number) => void;
   onProbe?: (event: string) => void;
@@ -63,11 +65,12 @@
   options: ForwardOptions = {},
 ) => {
   const { requestId = 'r', isSuspected = false, onLoss, onRoute, onSuccess, onData } = options;
-  const { route = ROUTE, workers = 1, queue } = options;
+  const { route = ROUTE, workers = 1, queue, services = ['s'] } = options;
   const timer = new VirtualTimer();
   const seen: unknown[] = [];
   let attempts = 0;
   const router = {
+    hasWorkers: (service: string) => services.includes(service),
     route: (request: RouteRequest) => {
       onRoute?.(request);
       attempts += 1;
@@ -389,3 +392,20 @@
   await forward(fail, { workers: 2, onProbe: (event) => events.push(event) });
   t.deepEqual(events, ['take a,own', 'give back', 'take a,own']);
 });
+
+// Each tenth request was refused while the other service was idle.
+test('requests of a split route go to the services that have workers', async (t) => {
+  const chosen = new Set<string>();
+  const targets = [
+    { service: 'lost', weight: 90 },
+    { service: 'other', weight: 10 },
+  ];
+  const refuse = () =>
+    Promise.resolve(err(createFault(FaultCode.Unavailable, Outcome.OutcomeUnknown)));
+  await forward(refuse, {
+    route: { ...ROUTE, targets },
+    services: ['other'],
+    onRoute: ({ service }) => chosen.add(service),
+  });
+  t.deepEqual([...chosen], ['other']);
+});
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -123,8 +123,9 @@
   }
 
   private async runAttempts(): Promise<Attempt | Fault> {
-    const { random } = this.options;
-    const service = RouteTable.chooseService(this.route, random.next()) ?? '';
+    const { random, router } = this.options;
+    const service =
+      RouteTable.chooseService(this.route, random.next(), (name) => router.hasWorkers(name)) ?? '';
     const passage = this.createPassage(service);
     this.passage = passage;
     for (;;) {
--- a/packages/ledger-execution/src/item-scheduler.test.ts
+++ b/packages/ledger-execution/src/item-scheduler.test.ts
@@ -59,6 +59,7 @@
     },
     quarantine: { hasBlocks: false },
     directory: {
+      all: () => [{ ...worker, state: state.worker }],
       find: () => ({ ...worker, state: state.worker }),
       listLeaving: () => state.leaving,
     },
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -73,6 +73,12 @@
 
 const UINT32_RANGE = 2 ** 32;
 
+/** Outcomes after which an item of a split route may go to another service. */
+const LOST_OUTCOMES: ReadonlySet<RunOutcome> = new Set([
+  RunOutcome.Refused,
+  RunOutcome.Interrupted,
+]);
+
 const hasRoom = ({ running, waiting, slots }: ReportedLoad): boolean =>
   waiting === 0 && running < slots;
 
@@ -177,12 +183,13 @@
     const { table, listOwnedJobs, timer } = this.options;
     const wallClock = timer.wallClock();
     const all: Candidate[] = [];
+    const services = this.listServicesWithWorkers();
     const probedBlocks = new Set<string>();
     for (const ownedJob of listOwnedJobs()) {
       const snapshot = table.find(ownedJob.jobId);
       if (snapshot === undefined) continue;
       ownedJob.listWaiting(now).forEach((item) => {
-        const service = this.chooseService(ownedJob, snapshot, item);
+        const service = this.chooseService(ownedJob, snapshot, item, services);
         if (service === undefined || this.isBlocked(ownedJob, item, probedBlocks)) return;
         const remainingMs = this.runTimeEstimator.remainingMs(item.progress.events.length);
         const isUnservable = item.refusals.isRepeated || item.invalidStreams.isRepeated;
@@ -200,6 +207,7 @@
     ownedJob: OwnedJob,
     snapshot: JobSnapshot,
     item: OwnedItem,
+    services: ReadonlySet<string>,
   ): string | undefined {
     if (this.isExpired(ownedJob, snapshot, item)) return undefined;
     const route = this.routes.find(snapshot.job);
@@ -209,10 +217,16 @@
       }
       return undefined;
     }
-    // The draw depends on the item alone, so that a waiting item is not counted for another service
-    // each time.
-    const draw = hashText(snapshot.job.items[item.index]!.id) / UINT32_RANGE;
-    return RouteTable.chooseService(route.value, draw);
+    // The draw is the same until a run fails, so that a waiting item is not counted for another service each
+    // time.
+    const { id } = snapshot.job.items[item.index]!;
+    const draw = hashText(`${id}|${item.lostRuns}`) / UINT32_RANGE;
+    return RouteTable.chooseService(route.value, draw, (service) => services.has(service));
+  }
+
+  private listServicesWithWorkers(): ReadonlySet<string> {
+    const live = this.options.directory.all().filter(({ state }) => state === VmState.Live);
+    return new Set(live.map(({ service }) => service));
   }
 
   private isExpired(ownedJob: OwnedJob, { job }: JobSnapshot, item: OwnedItem): boolean {
@@ -279,6 +293,7 @@
     const result = await run.run();
     loads.endBatch(runId);
     Object.assign(item, { run: undefined });
+    if (LOST_OUTCOMES.has(result.outcome)) item.lostRuns += 1;
     // Any other result leaves open whether workers crash on the parts.
     if (result.outcome !== RunOutcome.Interrupted) probe?.giveBack();
     this.handleResult(candidate, run, result);
--- a/packages/ledger-execution/src/owned-job.ts
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -18,6 +18,8 @@
   run?: ItemRun | undefined;
   /** Earliest start of the next run, on the monotonic clock. */
   notBefore: number;
+  /** Runs that were refused or lost. */
+  lostRuns: number;
   /** Refusals since an event of the item was received. */
   refusals: ItemBackoff;
   /** Runs with responses that are no valid continuation of the item. */
@@ -28,6 +30,7 @@
   index,
   progress,
   notBefore: 0,
+  lostRuns: 0,
   refusals: new ItemBackoff(),
   invalidStreams: new ItemBackoff(),
 });
--- a/packages/route-table/src/route-table.test.ts
+++ b/packages/route-table/src/route-table.test.ts
@@ -54,7 +54,28 @@
     ],
   };
   const draws = Array.from({ length: 100 }, (_, index) => index / 100);
-  const chosen = draws.map((draw) => RouteTable.chooseService(route, draw));
+  const chosen = draws.map((draw) => RouteTable.chooseService(route, draw, () => true));
   t.is(chosen.filter((service) => service === 'most').length, 90);
   t.is(chosen.filter((service) => service === 'few').length, 10);
 });
+
+// A request whose draw fell on a service that had lost all its workers was refused, and an item waited,
+// beside idle workers of the other services.
+test('the share of a service without workers goes to the others, except to those with weight zero', (t) => {
+  const targets = [
+    { service: 'none', weight: 0 },
+    { service: 'lost', weight: 50 },
+    { service: 'most', weight: 40 },
+    { service: 'few', weight: 10 },
+  ];
+  const route = { ...createRoute('split', 'a.example', '/'), targets };
+  const draws = Array.from({ length: 100 }, (_, index) => index / 100);
+  const choose = (available: readonly string[]): (string | undefined)[] =>
+    draws.map((draw) =>
+      RouteTable.chooseService(route, draw, (service) => available.includes(service)),
+    );
+  const chosen = choose(['none', 'most', 'few']);
+  t.is(chosen.filter((service) => service === 'most').length, 80);
+  t.is(chosen.filter((service) => service === 'few').length, 20);
+  t.deepEqual(choose(['none']), choose(['lost', 'most', 'few']), 'all draws stay as they are');
+});
--- a/packages/route-table/src/route-table.ts
+++ b/packages/route-table/src/route-table.ts
@@ -64,14 +64,24 @@
     return this.services.get(name);
   }
 
-  /** Chooses a target by weight; the draw is a number in [0, 1). */
-  static chooseService(route: Route, draw: number): string | undefined {
-    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+  /**
+   * Chooses a target by weight; the draw is a number in [0, 1). Targets without workers are left out unless
+   * all are, so that their share goes to the others.
+   */
+  static chooseService(
+    { targets }: Route,
+    draw: number,
+    hasWorkers: (service: string) => boolean,
+  ): string | undefined {
+    const weighted = targets.filter(({ weight }) => weight > 0);
+    const available = weighted.filter(({ service }) => hasWorkers(service));
+    const candidates = available.length > 0 ? available : weighted;
+    const total = candidates.reduce((sum, { weight }) => sum + weight, 0);
     let rest = draw * total;
-    for (const { service, weight } of route.targets) {
+    for (const { service, weight } of candidates) {
       rest -= weight;
       if (rest < 0) return service;
     }
-    return route.targets.at(-1)?.service;
+    return (candidates.at(-1) ?? targets.at(-1))?.service;
   }
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -119,6 +119,11 @@
     this.subscriptions.splice(0).forEach((subscription) => subscription.cancel());
   }
 
+  /** True if any worker of the service may get new work. */
+  hasWorkers(service: string): boolean {
+    return this.options.directory.workersOf(service).length > 0;
+  }
+
   /** Returns a worker that accepts new work, or a fault with outcome `not-run`. */
   route(request: RouteRequest): Result<Worker, Fault> {
     const now = this.options.io.timer.now();
