Close the connection of a failure, so that no late copy of it counts again

The item is listed as dead_lettered after one of two attempts.

Cause: an item has the same id in all its runs. Its next run went to the same worker on the connection that stayed open, and the copy counted as its answer. That failures are counted twice is ruled out by the two item-run lines of each such item.

--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -50,6 +50,11 @@
   ),
 });
 
+const FIRST_ERROR = 400;
+
+/** Unsuccessful responses name no request, so a copy of one could be taken for the next response. */
+const isUnsuccessful = ({ status }: Pick<HttpResponse, 'status'>): boolean => status >= FIRST_ERROR;
+
 const isRefusal = ({ headers }: Pick<HttpResponse, 'headers'>): boolean =>
   headers[OUTCOME_HEADER] === Outcome.NotRun;
 
@@ -154,13 +159,13 @@
     timer,
     { connections: requestConnections, connectTimeoutMs },
     idleTimeoutMs,
-    isRefusal,
+    isUnsuccessful,
   );
   const controls = new HttpClient(
     timer,
     { connections: CONTROL_CONNECTIONS, connectTimeoutMs },
     callTimeoutMs,
-    isRefusal,
+    isUnsuccessful,
   );
   return {
     ...createRequestCalls(requests),
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -80,8 +80,12 @@
   /** Size of a body after which the connection is closed; undefined if it stays open. */
   private lastBodySize: number | undefined;
 
+  /** Bytes of the body that are buffered. */
   private size = 0;
 
+  /** Bytes of the body, with those passed to `onChunk`. */
+  private received = 0;
+
   private informationalResponses = 0;
 
   private lastActivity: number;
@@ -137,9 +141,11 @@
   onData(chunk: Buffer): boolean {
     if (this.isSettled) return true;
     this.lastActivity = this.timer.now();
+    this.received += chunk.length;
     if (this.request.onChunk !== undefined && this.isForwarded) {
       const wantsMore = this.request.onChunk(chunk);
       if (!wantsMore) this.abortWith(FaultCode.InvalidStream, 'the stream cannot be read');
+      this.closeAfterLastBody();
       return this.request.isPaused?.() !== true;
     }
     this.size += chunk.length;
@@ -176,7 +182,7 @@
 
   /** Closes the connection before it can be used again, if the last body on it is complete. */
   private closeAfterLastBody(): void {
-    if (this.size !== this.lastBodySize) return;
+    if (this.received !== this.lastBodySize) return;
     this.settle(ok({ ...this.head!, body: Buffer.concat(this.chunks) }));
     this.abort?.();
   }
--- a/packages/platform-clients/src/repeated-refusal.test.ts
+++ b/packages/platform-clients/src/repeated-refusal.test.ts
@@ -93,3 +93,16 @@
   const reply = (await CALLS.call!(client, worker)) as Awaited<ReturnType<Client['call']>>;
   t.is(reply.isOk() && reply.value.requestId, 'r0', 'the caller checks the id');
 });
+
+// A failed batch item is sent again; a late copy of its failure ended the next run, whichever item it was of.
+for (const [name, send] of Object.entries(CALLS)) {
+  test(`after a failure, no ${name} is sent on its connection`, async (t) => {
+    const failure = 'HTTP/1.1 500 Internal Server Error\r\ncontent-length: 6\r\n\r\nfailed';
+    const { client, worker, counts, timer } = await setUp(t, failure);
+    for (let sends = 0; sends < 3; sends += 1) {
+      await send(client, worker);
+      await timer.sleep(IDLE_MS);
+    }
+    t.is(counts.ran, 0);
+  });
+}
