--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -5,21 +5,17 @@
 import type { Directory } from '@jujubelanding/interfaces';
 import type { Log } from '@jujubelanding/log';
 import type { Metrics } from '@jujubelanding/metrics';
-import type {
-  HeaderFields,
-  ReportedLoad,
-  RequestForwarder,
-  WorkerFault,
-} from '@jujubelanding/platform';
+import type { HeaderFields, RequestForwarder } from '@jujubelanding/platform';
 import type { PromptQuarantine } from '@jujubelanding/prompt-quarantine';
 import { hashText } from '@jujubelanding/random';
 import { RouteTable } from '@jujubelanding/route-table';
 import type { Timer } from '@jujubelanding/timer';
 import { VmState, type Worker } from '@jujubelanding/types';
 import { computeEffectiveDueAt, postpone, RunTimeEstimator } from './item-order.js';
-import { FAILURE_BY_OUTCOME, ItemRun, RunOutcome, type RunResult } from './item-run.js';
+import { ItemRun, RunOutcome, type RunResult } from './item-run.js';
 import { JobRoutes, MissingRoute } from './job-routes.js';
 import type { OwnedItem, OwnedJob } from './owned-job.js';
+import { RunRecorder, type WorkerResults } from './run-recorder.js';
 import { WorkerBackoff } from './worker-backoff.js';
 
 /** Delay before an item is run again after a failed run. */
@@ -56,12 +52,6 @@
   results?: WorkerResults | undefined;
 }
 
-export interface WorkerResults {
-  record: (service: string, workerId: string, isFailure: boolean) => void;
-  /** Lists the workers that are ejected or have to prove themselves. */
-  listOnProbation: () => readonly string[];
-}
-
 interface Candidate {
   ownedJob: OwnedJob;
   snapshot: JobSnapshot;
@@ -73,22 +63,6 @@
 
 const UINT32_RANGE = 2 ** 32;
 
-/** Outcomes after which an item of a split route may go to another service. */
-const LOST_OUTCOMES: ReadonlySet<RunOutcome> = new Set([
-  RunOutcome.Refused,
-  RunOutcome.Interrupted,
-]);
-
-const hasRoom = ({ running, waiting, slots }: ReportedLoad): boolean =>
-  waiting === 0 && running < slots;
-
-/** True if the worker refused an item although it reports free slots. */
-const isRoomReported = ({ load }: WorkerFault): boolean => load !== undefined && hasRoom(load);
-
-/** True if the refusal may be due to the item, for example to its size, and not to a full worker. */
-const isItemSuspected = (fault: WorkerFault): boolean =>
-  fault.isRefusal === true && (fault.load === undefined || isRoomReported(fault));
-
 const countWaitingItem = (
   waiting: Map<string, WaitingCount>,
   service: string,
@@ -104,12 +78,16 @@
 
   private readonly runTimeEstimator = new RunTimeEstimator();
 
+  private readonly runRecorder: RunRecorder;
+
   private readonly routes: JobRoutes;
 
   private isStopping = false;
 
   constructor(private readonly options: ItemSchedulerOptions) {
     this.workerBackoff = new WorkerBackoff(options.results?.listOnProbation);
+    const { workerBackoff, runTimeEstimator } = this;
+    this.runRecorder = new RunRecorder({ ...options, workerBackoff, runTimeEstimator });
     this.routes = new JobRoutes(options);
   }
 
@@ -174,8 +152,13 @@
     const isTried = (id: string): boolean =>
       item.refusals.includes(id) || item.invalidStreams.includes(id);
     if (!isTried(workerId)) return false;
-    const live = this.options.directory.all().filter(({ state }) => state === VmState.Live);
-    return live.some((worker) => worker.service === service && !isTried(worker.id));
+    return this.listLiveWorkers().some(
+      (worker) => worker.service === service && !isTried(worker.id),
+    );
+  }
+
+  private listLiveWorkers(): Worker[] {
+    return this.options.directory.all().filter(({ state }) => state === VmState.Live);
   }
 
   /** Lists the items that can be started, those due first at the front. */
@@ -183,7 +166,7 @@
     const { table, listOwnedJobs, timer } = this.options;
     const wallClock = timer.wallClock();
     const all: Candidate[] = [];
-    const services = this.listServicesWithWorkers();
+    const services = new Set(this.listLiveWorkers().map(({ service }) => service));
     const probedBlocks = new Set<string>();
     for (const ownedJob of listOwnedJobs()) {
       const snapshot = table.find(ownedJob.jobId);
@@ -224,11 +207,6 @@
     return RouteTable.chooseService(route.value, draw, (service) => services.has(service));
   }
 
-  private listServicesWithWorkers(): ReadonlySet<string> {
-    const live = this.options.directory.all().filter(({ state }) => state === VmState.Live);
-    return new Set(live.map(({ service }) => service));
-  }
-
   private isExpired(ownedJob: OwnedJob, { job }: JobSnapshot, item: OwnedItem): boolean {
     if (this.options.timer.wallClock() < job.submittedAt + job.itemLifetimeMs) return false;
     this.giveUp(ownedJob, item, 'its lifetime has expired');
@@ -293,20 +271,18 @@
     const result = await run.run();
     loads.endBatch(runId);
     Object.assign(item, { run: undefined });
-    if (LOST_OUTCOMES.has(result.outcome)) item.lostRuns += 1;
     // Any other result leaves open whether workers crash on the parts.
     if (result.outcome !== RunOutcome.Interrupted) probe?.giveBack();
     this.handleResult(candidate, run, result);
   }
 
   private handleResult(candidate: Candidate, run: ItemRun, result: RunResult): void {
-    const { ownedJob, item } = candidate;
+    const { ownedJob, snapshot, item } = candidate;
     const { worker } = run;
     const { outcome } = result;
     const now = this.options.timer.now();
-    const isItemAtFault = this.isItemAtFault(worker, item, result, now);
-    this.logRun(candidate, worker, result, isItemAtFault);
-    this.recordRun(worker, result, isItemAtFault, now);
+    const itemId = snapshot.job.items[item.index]?.id;
+    this.runRecorder.record({ jobId: ownedJob.jobId, itemId, item, worker, result });
     if (result.fault?.code === FaultCode.Interrupted && result.events === 0) {
       const parts = this.listParts(ownedJob, item);
       const { quarantine } = this.options;
@@ -324,71 +300,6 @@
     this.publishWaiting();
   }
 
-  private logRun(
-    { ownedJob, snapshot, item }: Candidate,
-    worker: Worker,
-    { outcome, fault, firstEventMs }: RunResult,
-    isItemAtFault: boolean,
-  ): void {
-    const { log, metrics } = this.options;
-    log.write('item-run', {
-      job: ownedJob.jobId,
-      item: snapshot.job.items[item.index]?.id,
-      worker: worker.id,
-      outcome,
-      events: item.progress.events.length,
-      firstMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
-      failures: item.progress.failures,
-      code: fault?.code,
-      message: fault?.message,
-      load: fault?.load && Object.values(fault.load).join(),
-      atFault: isItemAtFault ? 'item' : undefined,
-      waitMs: Math.round(Math.max(0, item.notBefore - this.options.timer.now())) || undefined,
-    });
-    metrics.increment('batch.runs', { outcome });
-  }
-
-  /** Records what a run says about its worker, unless the item is at fault. */
-  private recordRun(
-    { id, service }: Worker,
-    { outcome, events, durationMs, fault }: RunResult,
-    isItemAtFault: boolean,
-    now: number,
-  ): void {
-    this.runTimeEstimator.recordRun(events, durationMs);
-    if (isItemAtFault) return;
-    if (outcome === RunOutcome.Completed) this.workerBackoff.recordSuccess(id);
-    else if (outcome === RunOutcome.Refused) {
-      this.workerBackoff.recordRefusal(id, now, fault !== undefined && isRoomReported(fault));
-    } else if (fault?.code === FaultCode.InvalidStream) this.workerBackoff.recordRefusal(id, now);
-    else if (outcome === RunOutcome.Interrupted) this.workerBackoff.recordLoss(id, now);
-    const isFailure = FAILURE_BY_OUTCOME[outcome];
-    // A run that ends with the lifetime of its item says nothing about the worker.
-    if (isFailure === undefined || fault?.code === FaultCode.Timeout) return;
-    this.options.results?.record(service, id, isFailure);
-  }
-
-  /**
-   * Delays the next run of an item that workers refuse or answer with invalid streams. Returns true if
-   * another worker did so before: the item would otherwise make one worker after the other unavailable to all
-   * items.
-   */
-  private isItemAtFault(
-    { id }: Worker,
-    item: OwnedItem,
-    { outcome, fault }: RunResult,
-    now: number,
-  ): boolean {
-    if (fault === undefined) return false;
-    const isRefused = outcome === RunOutcome.Refused && isItemSuspected(fault);
-    const isInvalid = outcome === RunOutcome.Interrupted && fault.code === FaultCode.InvalidStream;
-    if (!isRefused && !isInvalid) return false;
-    const backoff = isRefused ? item.refusals : item.invalidStreams;
-    const isAtFault = backoff.record(id);
-    Object.assign(item, { notBefore: now + backoff.delayMs });
-    return isAtFault;
-  }
-
   private countFailure({ ownedJob, snapshot, item }: Candidate, now: number): void {
     const { progress } = item;
     progress.failures += 1;
