Bound the wait of refused items, and keep idle connections after failures without chunks

Found by reading: an item that was refused twice came after all others, so that a large item that workers refuse for a while could starve; it now comes after late items that are due up to a minute later. An item's invalid streams are forgotten when it makes progress. A failure without a length that ended with its connection does not replace the idle connections any more.

--- a/packages/ledger-execution/src/item-order.ts
+++ b/packages/ledger-execution/src/item-order.ts
@@ -38,8 +38,12 @@
   }
 }
 
-/** Returns the due time used for ordering an item that workers did not serve: it sorts after all others. */
-export const postpone = (dueAt: number): number => dueAt + 2 * LATE_ITEM_OFFSET_MS;
+/** Items that workers did not serve come after late ones that are due up to this long after them. */
+const NOT_SERVED_OFFSET_MS = 60_000;
+
+/** Returns the due time used for ordering an item that workers did not serve. */
+export const postpone = (dueAt: number): number =>
+  dueAt + LATE_ITEM_OFFSET_MS + NOT_SERVED_OFFSET_MS;
 
 /** Returns the due time used for ordering: items that will be late sort after all others. */
 export const computeEffectiveDueAt = (dueAt: number, now: number, remainingMs: number): number =>
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -175,8 +175,8 @@
         const service = this.chooseService(ownedJob, snapshot, item, services);
         if (service === undefined || this.isBlocked(ownedJob, item, probedBlocks)) return;
         const remainingMs = this.runTimeEstimator.remainingMs(item.progress.events.length);
-        const isUnservable = item.refusals.isRepeated || item.invalidStreams.isRepeated;
-        const effectiveDueAt = isUnservable
+        const wasNotServed = item.refusals.isRepeated || item.invalidStreams.isRepeated;
+        const effectiveDueAt = wasNotServed
           ? postpone(ownedJob.dueAt)
           : computeEffectiveDueAt(ownedJob.dueAt, wallClock, remainingMs);
         all.push({ ownedJob, snapshot, item, service, effectiveDueAt });
--- a/packages/ledger-execution/src/owned-job.ts
+++ b/packages/ledger-execution/src/owned-job.ts
@@ -22,7 +22,7 @@
   lostRuns: number;
   /** Refusals since an event of the item was received. */
   refusals: ItemBackoff;
-  /** Runs with responses that are no valid continuation of the item. */
+  /** Runs since the last progress whose responses were no valid continuation of the item. */
   invalidStreams: ItemBackoff;
 }
 
--- a/packages/ledger-execution/src/run-recorder.ts
+++ b/packages/ledger-execution/src/run-recorder.ts
@@ -57,6 +57,7 @@
   record(run: RecordedRun): void {
     const { item, result } = run;
     if (LOST_OUTCOMES.has(result.outcome)) item.lostRuns += 1;
+    if (result.events > 0) item.invalidStreams.reset();
     const isItemAtFault = this.isItemAtFault(run);
     this.logRun(run, isItemAtFault);
     this.options.runTimeEstimator.recordRun(result.events, result.durationMs);
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -232,8 +232,8 @@
 );
 
 /**
- * True if idle connections must not be used again. The connection of a last response without a length
- * is still open and cannot be told from the others.
+ * True if idle connections must not be used again. The connection of a last response in chunks is still open
+ * and cannot be told from the others; one without a length or chunks has ended with its connection.
  */
 const mustReplaceIdle = (
   { isLastOnConnection }: HttpRequest,
@@ -241,7 +241,8 @@
 ): boolean => {
   if (response.isErr()) return response.error.code === FaultCode.Timeout;
   const { headers } = response.value;
-  return headers['content-length'] === undefined && isLastOnConnection?.(response.value) === true;
+  if (headers['transfer-encoding'] === undefined || headers.connection === 'close') return false;
+  return isLastOnConnection?.(response.value) === true;
 };
 
 /** Sends a request and returns the response, whatever its status. */
