Reserve the probes of several blocks in one order

Found by reading, with a test that fails without it: if several blocks apply to the same requests, VMs reserved the probe of one each, and none could send a request. Each VM now wants the next probe only once it has the ones before it. A reservation is written again at most every two seconds when it is used, and not for each item that workers which are not back do not run.

--- a/packages/prompt-quarantine/src/block-probes.test.ts
+++ b/packages/prompt-quarantine/src/block-probes.test.ts
@@ -140,3 +140,18 @@
   vm.takeProbe([PART, 'own']);
   t.true(vm.findBlock([PART, 'own'])!.retryAfterMs! <= 9000);
 });
+
+// VMs that came to different blocks from the same crashes each reserved the probe of one, and none sent any.
+test('requests to which several blocks apply are probed', async (t) => {
+  const { vms, timer } = await setUp(['a', 'b', 'c', 'd', 'e', 'f']);
+  ['w4', 'w5', 'w6'].forEach((worker) => vms[1]!.recordLoss(worker, ['other', worker]));
+  ['w7', 'w8', 'w9'].forEach((worker) => vms[2]!.recordLoss(worker, ['third', worker]));
+  await timer.advance(BLOCKED_MS);
+  const parts = [PART, 'other', 'third', 'own'];
+  let isOpen = false;
+  for (let step = 0; step < 80 && !isOpen; step += 1) {
+    await timer.advance(RETRY_MS);
+    isOpen = vms.map((vm) => vm.findBlock(parts)).includes(undefined);
+  }
+  t.true(isOpen);
+});
--- a/packages/prompt-quarantine/src/block-probes.ts
+++ b/packages/prompt-quarantine/src/block-probes.ts
@@ -19,6 +19,12 @@
   type ProbeState,
 } from './probe-schedule.js';
 
+/**
+ * A reservation that is older than this is stored again when it is used, so that the other VMs count the time
+ * to the next probe from then on.
+ */
+const RENEWAL_MS = 2000;
+
 /** Separates the number of probes from the VM that wrote it. */
 const SEPARATOR = ' ';
 
@@ -35,6 +41,8 @@
 interface SharedProbeState extends ProbeState {
   /** Store revision of the number of probes; 0 if it is not stored. */
   revision: number;
+  /** Time of the last write by this VM. */
+  storedAt: number;
   isWriting: boolean;
 }
 
@@ -81,8 +89,7 @@
     if (reserved.length === 0) return undefined;
     reserved.forEach(([block, state]) => {
       Object.assign(state, { isReserved: false, since: now });
-      // From this write on, the other VMs wait for the next probe.
-      void this.store(block, state, now);
+      if (now - state.storedAt > RENEWAL_MS) void this.store(block, state, now);
       this.options.log.write('block-probed', { block, count: state.count });
       this.options.metrics.increment('quarantine.probes');
     });
@@ -183,7 +190,7 @@
     now: number,
   ): Promise<number | undefined> {
     const key = `${this.options.probePrefix}${id}`;
-    Object.assign(state, { isWriting: true });
+    Object.assign(state, { isWriting: true, storedAt: now });
     const committed = await this.write(id, count, [{ key, revision: state.revision }]);
     Object.assign(state, { isWriting: false });
     if (committed?.status === CommitStatus.Committed) return committed.revision;
@@ -221,7 +228,7 @@
     now: number,
     state: ProbeState & Partial<SharedProbeState>,
   ): SharedProbeState {
-    const shared = { revision: 0, isWriting: false, ...state };
+    const shared = { revision: 0, storedAt: -Infinity, isWriting: false, ...state };
     this.states.set(id, shared);
     return shared;
   }
--- a/packages/prompt-quarantine/src/prompt-quarantine.ts
+++ b/packages/prompt-quarantine/src/prompt-quarantine.ts
@@ -274,13 +274,14 @@
 
   /**
    * Finds a block that applies to a request and is not to be probed with it. The block of a single request is
-   * not probed, because it refuses nothing else and ends by itself.
+   * not probed, because it refuses nothing else and ends by itself. If several blocks apply, all VMs reserve
+   * their probes in the same order, so that none holds one while another holds the next.
    */
   private findClosedBlock(suspects: readonly string[], now: number): Block | undefined {
-    const closed = this.blocks
+    return this.blocks
       .findAll(suspects)
-      .filter(({ id }) => isRequestKey(id) || !this.probes.want(id, now));
-    return closed[0];
+      .toSorted((a, b) => (a.id < b.id ? -1 : 1))
+      .find(({ id }) => isRequestKey(id) || !this.probes.want(id, now));
   }
 
   /** Time after which a request may be served if the next probe of the block is answered. */
