Close connections after refusals of any status in the own form

The change to all unsuccessful responses had left out a refusal whose status is a success, which the connection was closed after before. Found by reading.

--- a/packages/platform-clients/src/backend-servers-client.ts
+++ b/packages/platform-clients/src/backend-servers-client.ts
@@ -52,12 +52,13 @@
 
 const FIRST_ERROR = 400;
 
-/** Unsuccessful responses name no request, so a copy of one could be taken for the next response. */
-const isUnsuccessful = ({ status }: Pick<HttpResponse, 'status'>): boolean => status >= FIRST_ERROR;
-
 const isRefusal = ({ headers }: Pick<HttpResponse, 'headers'>): boolean =>
   headers[OUTCOME_HEADER] === Outcome.NotRun;
 
+/** Unsuccessful responses name no request, so a copy of one could be taken for the next response. */
+const isUnsuccessful = (response: Pick<HttpResponse, 'status' | 'headers'>): boolean =>
+  response.status >= FIRST_ERROR || isRefusal(response);
+
 const createTarget = (step: string, { id, address }: WorkerAddress) => ({
   step,
   peer: id,
