Keep the connection of a request that cannot be written

Cause: undici's pool takes a client out of use when its dispatch returns false, until the client emits `drain`. A client also returns false for a request that it refuses to queue (an invalid path, method, header name or value, or a header that it writes itself), and then never emits `drain`. Each such request costs its pool one connection for good; a refused item is run again at once, so one job takes them all.

Change: the client reports itself as available after a request that failed before it got a connection, unless the client is closed.

--- a/packages/http-connections/src/connection-client.ts
+++ b/packages/http-connections/src/connection-client.ts
@@ -67,6 +67,11 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandlers,
   ): boolean {
-    return super.dispatch(options, new ResponseHandler(handler, this.connection));
+    const response = new ResponseHandler(handler, this.connection);
+    const isAvailable = super.dispatch(options, response);
+    if (this.closed || this.destroyed) return isAvailable;
+    // A client that returns false stays out of its pool until it emits `drain`, which it never does for a
+    // request that it refused to queue.
+    return isAvailable || response.isRefused;
   }
 }
--- a/packages/http-connections/src/response-handler.ts
+++ b/packages/http-connections/src/response-handler.ts
@@ -30,17 +30,28 @@
 export class ResponseHandler implements Dispatcher.DispatchHandlers {
   private abort: (error: Error) => void = () => {};
 
+  private isConnected = false;
+
+  private hasFailed = false;
+
   constructor(
     private readonly handler: Dispatcher.DispatchHandlers,
     private readonly connection: Connection,
   ) {}
 
+  /** True if the request has failed before it got a connection. */
+  get isRefused(): boolean {
+    return this.hasFailed && !this.isConnected;
+  }
+
   onConnect(...args: Parameters<Handlers['onConnect']>): void {
+    this.isConnected = true;
     [this.abort] = args;
     this.handler.onConnect?.(...args);
   }
 
   onError(error: Error): void {
+    this.hasFailed = true;
     this.handler.onError?.(error);
   }
 
