--- a/packages/caller-api/src/services.ts
+++ b/packages/caller-api/src/services.ts
@@ -1,5 +1,6 @@
 /** Route handlers for plain services, to which calls are passed through unchanged. */
 import { FaultCode, type Fault } from '@jujubelanding/errors';
+import { selectEndToEndHeaders } from '@jujubelanding/http-fields';
 import type { OnlineServiceRequest } from '@jujubelanding/interfaces';
 import { computeChecksum } from '@jujubelanding/random';
 import { Idempotency, RecordKind, ServiceKind } from '@jujubelanding/types';
@@ -13,28 +14,14 @@
 } from './request-context.js';
 import { readIdempotency } from './idempotency.js';
 
-/** Hop-by-hop headers and headers for this API itself, such as credentials; not forwarded. */
-const DROPPED_HEADERS = new Set([
-  'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'idempotency-key',
-  'idempotent',
-  'keep-alive',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+/** Headers for this API itself, such as credentials; not forwarded. */
+const API_HEADERS = ['authorization', 'idempotency-key', 'idempotent'];
 
 /** Statuses whose responses must not have a body. */
 const BODILESS_STATUSES = new Set([204, 205, 304]);
 
 const selectForwardedHeaders = (headers: Iterable<[string, string]>): Record<string, string> =>
-  Object.fromEntries([...headers].filter(([name]) => !DROPPED_HEADERS.has(name.toLowerCase())));
+  selectEndToEndHeaders(Object.fromEntries(headers), ...API_HEADERS);
 
 const prepareCall = (
   options: CallerApiOptions,
--- a/packages/platform-clients/src/index.ts
+++ b/packages/platform-clients/src/index.ts
@@ -22,7 +22,6 @@
   type ResponseStart,
   type HttpRequest,
 } from './http-request.js';
-export { CONNECTION_HEADERS } from './forwarded-headers.js';
 export { createQuery } from './query.js';
 export { HttpClient, type CallRequest } from './http-client.js';
 export { expectSuccess, OUTCOME_HEADER, parseResponse, toFault } from './responses.js';
