Give up requests that HTTP cannot carry at once, without blame on workers

Callers saw: an item that cannot be written was run again at once until its lifetime ended. Each run counted as a refusal by its worker, so that sound items waited too.

Cause: a request that undici refuses to write failed with the code unavailable, as if the server could not be reached; what followed was made for servers that cannot be reached. Jobs that an earlier version accepted have connection headers in store, so that the check of submissions is not enough.

Change: such a request fails with invalid-input, not run. Online requests are then refused with 400 after one try. Items end with the new outcome unsendable, are given up and logged, and nothing is recorded about the worker; connection headers that are in store are left out of their requests.

--- a/packages/gateway/src/attempt-policy.test.ts
+++ b/packages/gateway/src/attempt-policy.test.ts
@@ -53,3 +53,10 @@
   t.true(mayRepeat({ fault: undefined, status: 500 }));
   t.false(mayRepeat({ fault: undefined, status: 404 }));
 });
+
+// Each further worker would have lost a connection to a request that no connection can carry.
+test('a request that HTTP cannot carry is not sent to another worker', (t) => {
+  const fault = { ...createFault(Outcome.NotRun), code: FaultCode.InvalidInput };
+  t.false(mayRepeat({ fault, runs: 0 }));
+  t.false(mayRepeat({ fault, kind: RouteKind.NonIdempotent, runs: 0 }));
+});
--- a/packages/gateway/src/attempt-policy.ts
+++ b/packages/gateway/src/attempt-policy.ts
@@ -1,5 +1,5 @@
 /** Decides whether an attempt of an online request is followed by another one. */
-import { Outcome, type Fault } from '@jujubelanding/errors';
+import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import { mayRepeat, RouteKind } from '@jujubelanding/route-table';
 
 /** Maximum sends per request, including rejected ones; if more are needed, the service is full. */
@@ -45,6 +45,8 @@
   const { fault, status = 0 } = state;
   const hasFailed = fault !== undefined || status >= FIRST_SERVER_ERROR;
   if (!hasFailed || state.isAborted) return NextStep.Finish;
+  // No worker can be sent the request.
+  if (fault?.code === FaultCode.InvalidInput) return NextStep.Finish;
   if (state.remainingMs < MIN_REMAINING_MS || state.sends >= MAX_SENDS) return NextStep.Finish;
   if (fault?.outcome === Outcome.NotRun && !state.hasStarted) return NextStep.TryAnother;
   return mayRunAgain(state) ? NextStep.TryAnother : NextStep.Finish;
--- a/packages/gateway/src/online-forwarder.test.ts
+++ b/packages/gateway/src/online-forwarder.test.ts
@@ -409,3 +409,17 @@
   });
   t.deepEqual([...chosen], ['other']);
 });
+
+// The worker counted as faulty after requests that were never sent to it.
+test('a request that HTTP cannot carry is refused after one try, without a fault of the worker', async (t) => {
+  let sends = 0;
+  const seen = await forward(
+    () => {
+      sends += 1;
+      return Promise.resolve(err(createFault(FaultCode.InvalidInput, Outcome.NotRun)));
+    },
+    { workers: 3 },
+  );
+  t.is(sends, 1);
+  t.deepEqual(seen, ['respond 400']);
+});
--- a/packages/ledger-execution/src/item-run.test.ts
+++ b/packages/ledger-execution/src/item-run.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 import { FaultCode, Outcome, type Reply } from '@jujubelanding/errors';
-import type { RequestForwarder, ResponseHandler, WorkerResponse } from '@jujubelanding/platform';
+import type {
+  ForwardedRequest,
+  RequestForwarder,
+  ResponseHandler,
+  WorkerResponse,
+} from '@jujubelanding/platform';
 import { VirtualTimer } from '@jujubelanding/timer';
 import { VmState } from '@jujubelanding/types';
 import { err, ok } from 'neverthrow';
@@ -8,14 +13,19 @@
 
 const EVENTS = 20;
 
+/** Headers as earlier versions stored them. */
+const HEADERS = { 'x-note': 'kept', 'keep-alive': 'timeout=5', connection: 'x-hop', 'x-hop': 'a' };
+
 /** Starts a run on a worker that sends what the given function writes. */
 const setUp = (
   send: (handler: ResponseHandler, timer: VirtualTimer) => Promise<void>,
   contentType = 'text/event-stream',
 ) => {
   const timer = new VirtualTimer();
+  const requests: ForwardedRequest[] = [];
   const backends: RequestForwarder = {
-    forward: async (_worker, _request, handler, signal): Reply<WorkerResponse> => {
+    forward: async (_worker, request, handler, signal): Reply<WorkerResponse> => {
+      requests.push(request);
       const head = { status: 200, headers: { 'content-type': contentType } };
       handler.onStart(head, () => {});
       const aborted = new Promise<'aborted'>((resolve) => {
@@ -44,7 +54,7 @@
       maxAttempts: 1,
       items: [],
     },
-    item: { id: 'item', tokens: 1, target: '/', headers: {}, body: '' },
+    item: { id: 'item', tokens: 1, target: '/', headers: HEADERS, body: '' },
     progress,
     remainingMs: 60_000,
     onFirstEvent: () => {},
@@ -55,7 +65,7 @@
     await timer.advance(durationMs);
     return result;
   };
-  return { play, progress };
+  return { play, progress, requests };
 };
 
 test('a slow but sound stream is not cut', async (t) => {
@@ -162,3 +172,13 @@
     t.deepEqual(progress.events, ['first']);
   }
 });
+
+// A job that an earlier version accepted lost a connection with each run of its items.
+test('an item is run without the stored headers that concern one connection', async (t) => {
+  const { play, requests } = setUp((handler) => {
+    handler.onChunk(Buffer.from('id: 1\ndata: 1\n\n'));
+    return Promise.resolve();
+  });
+  t.is((await play(10)).outcome, RunOutcome.Completed);
+  t.deepEqual(requests[0]!.headers, { 'x-note': 'kept' });
+});
--- a/packages/ledger-execution/src/item-run.ts
+++ b/packages/ledger-execution/src/item-run.ts
@@ -2,6 +2,7 @@
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import type { ItemProgress, ItemRequest, Job, JobItem } from '@jujubelanding/batch-ledger';
+import { selectEndToEndHeaders } from '@jujubelanding/http-fields';
 import {
   isEventStream,
   MAX_VALUE_BYTES,
@@ -43,6 +44,8 @@
   Completed = 'completed',
   /** The worker rejected the item permanently; no run can succeed. */
   Impossible = 'impossible',
+  /** HTTP cannot carry the request of the item, so that no run can begin. */
+  Unsendable = 'unsendable',
   /** The worker ran the item and failed. */
   Failed = 'failed',
   /** The worker did not run the item. */
@@ -141,7 +144,8 @@
         method: 'POST',
         target: item.target,
         host: job.host,
-        headers: item.headers,
+        // Jobs that earlier versions accepted have all headers.
+        headers: selectEndToEndHeaders(item.headers),
         ...(job.team === undefined ? {} : { team: { name: job.team } }),
         body: Buffer.from(item.body, 'base64'),
         remainingMs,
@@ -246,7 +250,9 @@
     const { status } = this;
     if (fault !== undefined) {
       if (this.isCancelled) return RunOutcome.Cancelled;
-      return fault.outcome === Outcome.NotRun ? RunOutcome.Refused : RunOutcome.Interrupted;
+      if (fault.outcome !== Outcome.NotRun) return RunOutcome.Interrupted;
+      const isUnsendable = fault.code === FaultCode.InvalidInput;
+      return isUnsendable ? RunOutcome.Unsendable : RunOutcome.Refused;
     }
     if (status === SUCCESS) return RunOutcome.Completed;
     if (status === UNPROCESSABLE_CONTENT) return RunOutcome.Impossible;
--- a/packages/ledger-execution/src/item-scheduler.ts
+++ b/packages/ledger-execution/src/item-scheduler.ts
@@ -21,6 +21,12 @@
 /** Delay before an item is run again after a failed run. */
 const RETRY_DELAY_MS = 250;
 
+/** Outcomes that every further run of the item would have. */
+const GIVE_UP_REASONS: Partial<Record<RunOutcome, string>> = {
+  [RunOutcome.Impossible]: 'the worker rejected it permanently',
+  [RunOutcome.Unsendable]: 'HTTP cannot carry its request',
+};
+
 export interface ItemSchedulerOptions {
   timer: Timer;
   log: Log;
@@ -292,11 +298,11 @@
       this.runTimeEstimator.recordItem(item.progress.events.length);
       const output = item.progress.events.join('\n');
       ownedJob.results.add({ itemIndex: item.index, state: ItemState.Completed, output });
-    } else if (outcome === RunOutcome.Impossible) {
-      this.giveUp(ownedJob, item, 'the worker rejected it permanently');
     } else if (outcome === RunOutcome.Failed) {
       this.countFailure(candidate, now);
     }
+    const giveUpReason = GIVE_UP_REASONS[outcome];
+    if (giveUpReason !== undefined) this.giveUp(ownedJob, item, giveUpReason);
     this.publishWaiting();
   }
 
--- a/packages/ledger-execution/src/unservable-items.test.ts
+++ b/packages/ledger-execution/src/unservable-items.test.ts
@@ -117,3 +117,31 @@
   });
   t.deepEqual([sound, unservable], [0, 0]);
 });
+
+const UNSENDABLE: Fault = {
+  code: FaultCode.InvalidInput,
+  outcome: Outcome.NotRun,
+  step: 'forward',
+  message: 'invalid x-note header',
+};
+
+// Such an item was run again at once until its lifetime ended, and each run counted against its worker.
+test('an item that HTTP cannot carry is given up after one try, without blame on its worker', async (t) => {
+  const { timer, scheduler, published, grant, sent, unfinished } = createScheduler({
+    items: 4,
+    workers: { w1: SERVICE },
+    answer: (_workerId, itemId) => Promise.resolve(itemId === 'item-3' ? undefined : UNSENDABLE),
+  });
+  for (let plans = 0; plans < 10; plans += 1) {
+    grant('w1');
+    await timer.advance(PLAN_INTERVAL_MS);
+    scheduler.publishWaiting();
+    t.deepEqual(published.avoided, []);
+  }
+  t.deepEqual(
+    sent.map(([, itemId]) => itemId),
+    ['item-0', 'item-1', 'item-2', 'item-3'],
+  );
+  t.is(unfinished.size, 0);
+  scheduler.close();
+});
--- a/packages/platform-clients/src/http-client.test.ts
+++ b/packages/platform-clients/src/http-client.test.ts
@@ -1,4 +1,5 @@
 // Guards against a recovery that takes one timeout for each idle connection that an outage has killed.
+import { once } from 'node:events';
 import {
   createServer,
   type IncomingMessage,
@@ -7,8 +8,9 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
-import { Outcome } from '@jujubelanding/errors';
+import { FaultCode, Outcome } from '@jujubelanding/errors';
 import { SystemTimer } from '@jujubelanding/timer';
+import type { CallRequest } from './http-client.js';
 import { HttpClient } from './index.js';
 
 const setUp = async (listener: RequestListener) => {
@@ -99,3 +101,47 @@
     t.is(reply.isErr() && reply.error.outcome, Outcome.NotRun, address);
   }
 });
+
+type Change = Partial<Pick<CallRequest, 'headers' | 'path' | 'body'>>;
+
+// Guards against connections that are lost to requests that cannot be written, and against a fault that says
+// that the server is unavailable.
+test('a request that cannot be written is invalid and leaves the connections to others', async (t) => {
+  const server = createServer((_request, response) => response.end());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const client = new HttpClient(
+    new SystemTimer(),
+    { connections: 2, connectTimeoutMs: 1000 },
+    1000,
+  );
+  t.teardown(async () => {
+    await client.close();
+    server.close();
+  });
+  const send = (change: Change) =>
+    client.send({
+      step: 'test',
+      peer: 'server',
+      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+      method: 'POST',
+      path: '/',
+      ...change,
+    });
+  const unwritable: Change[] = [
+    { headers: { 'keep-alive': 'timeout=5' } },
+    { headers: { expect: '100-continue' } },
+    { headers: { 'x-note': 'a\nb' } },
+    { headers: { 'content-length': '9' }, body: Buffer.from('four') },
+    { path: '/a b' },
+  ];
+  for (const change of unwritable) {
+    const reply = await send(change);
+    t.like(reply.isErr() ? reply.error : {}, {
+      code: FaultCode.InvalidInput,
+      outcome: Outcome.NotRun,
+    });
+  }
+  const replies = await Promise.all([send({}), send({})]);
+  t.true(replies.every((reply) => reply.isOk()));
+});
--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -14,6 +14,13 @@
 
 const HTTP_OK = 200;
 
+/** Codes of the errors with which undici refuses to write a request, on any connection. */
+const UNWRITABLE_CODES: ReadonlySet<string | undefined> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+  'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH',
+]);
+
 export enum TimeoutKind {
   /** The whole response must arrive within the timeout. */
   Total = 'total',
@@ -175,9 +182,10 @@
     this.settle(ok({ ...this.head, body: Buffer.concat(this.chunks) }));
   }
 
-  onError(error: Error): void {
-    const code = this.isSent ? FaultCode.Interrupted : FaultCode.Unavailable;
-    this.fail(code, error.message);
+  onError(error: NodeJS.ErrnoException): void {
+    if (this.isSent) this.fail(FaultCode.Interrupted, error.message);
+    else if (UNWRITABLE_CODES.has(error.code)) this.fail(FaultCode.InvalidInput, error.message);
+    else this.fail(FaultCode.Unavailable, error.message);
   }
 
   /** Closes the connection before it can be used again, if the last body on it is complete. */
