Keep the bytes of response headers

Callers saw: an answer whose headers have bytes beyond ASCII came with other bytes or, for characters beyond Latin-1, as 502 after it had run. A request or an item whose id has such bytes ran and was answered 502, or ran again and again, and counted as a fault of its worker each time.

Cause: undici decodes the headers of responses as UTF-8, while Node decodes those of requests, and both encode what they send, as Latin-1.

Change: headers of responses are decoded as Latin-1, for all clients.

--- a/packages/platform-clients/src/http-request.ts
+++ b/packages/platform-clients/src/http-request.ts
@@ -2,9 +2,10 @@
 import { FaultCode, getErrorMessage, Outcome, type Fault, type Reply } from '@jujubelanding/errors';
 import type { Subscription, Timer } from '@jujubelanding/timer';
 import { err, ok, Result } from 'neverthrow';
-import { util, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { BodyBudget, BufferedBody } from './body-budget.js';
 import type { ConnectionPools } from './connection-pools.js';
+import { parseHeaders } from './response-headers.js';
 
 /** Maximum size of a response that is buffered. */
 const MAX_BODY_BYTES = 32 * 1024 * 1024;
@@ -135,7 +136,7 @@
     this.lastActivity = this.timer.now();
     if (status < HTTP_OK) this.skipInformational();
     else {
-      const parsed = util.parseHeaders(headers);
+      const parsed = parseHeaders(headers);
       this.head = { status, headers: parsed, body: Buffer.alloc(0) };
       const { onStart } = this.request;
       this.isForwarded = onStart?.({ status, headers: parsed, resume }) ?? status === HTTP_OK;
