Test connection headers of the own form and the return of connections

That cancelled and timed-out requests give their connections back held before as well; nothing tested it.

--- a/packages/caller-api/src/online-routes.test.ts
+++ b/packages/caller-api/src/online-routes.test.ts
@@ -177,6 +177,16 @@
   t.is(await response.text(), 'body');
 });
 
+// Only headers of fixed names were left out, and a service got those of the caller's connection.
+test('headers that a Connection header names stay on their connection', async (t) => {
+  const api = new ApiUnderTest();
+  const headers = { Connection: 'X-Hop', 'X-Hop': 'a', 'Proxy-Connection': 'keep-alive' };
+  await api.post('/services/ledger/stock', 'body', { ...headers, 'X-Own': '1' });
+  const forwarded = Object.keys(api.calls[0]!.request.headers);
+  t.true(forwarded.includes('x-own'));
+  t.false(forwarded.some((name) => ['connection', 'x-hop', 'proxy-connection'].includes(name)));
+});
+
 test('requests are counted by outcome, which separates rejections from failures', async (t) => {
   const api = new ApiUnderTest();
   await api.post(CHAT_PATH, CHAT);
--- a/packages/platform-clients/src/http-client.test.ts
+++ b/packages/platform-clients/src/http-client.test.ts
@@ -1,5 +1,4 @@
 // Guards against a recovery that takes one timeout for each idle connection that an outage has killed.
-import { once } from 'node:events';
 import {
   createServer,
   type IncomingMessage,
@@ -13,6 +12,8 @@
 import type { CallRequest } from './http-client.js';
 import { HttpClient } from './index.js';
 
+type Change = Partial<CallRequest>;
+
 const setUp = async (listener: RequestListener) => {
   const server = createServer(listener);
   await new Promise<void>((resolve) => {
@@ -21,7 +22,7 @@
   const { port } = server.address() as AddressInfo;
   const limits = { connections: 4, connectTimeoutMs: 1000 };
   const client = new HttpClient(new SystemTimer(), limits, 10_000);
-  const call = (path: string, timeoutMs?: number) =>
+  const call = (path: string, timeoutMs?: number, change: Change = {}) =>
     client.send({
       step: 'test',
       peer: 'server',
@@ -29,6 +30,7 @@
       method: 'GET',
       path,
       ...(timeoutMs === undefined ? {} : { timeoutMs }),
+      ...change,
     });
   const close = async () => {
     await client.close();
@@ -102,46 +104,59 @@
   }
 });
 
-type Change = Partial<Pick<CallRequest, 'headers' | 'path' | 'body'>>;
-
 // Guards against connections that are lost to requests that cannot be written, and against a fault that says
 // that the server is unavailable.
 test('a request that cannot be written is invalid and leaves the connections to others', async (t) => {
-  const server = createServer((_request, response) => response.end());
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const client = new HttpClient(
-    new SystemTimer(),
-    { connections: 2, connectTimeoutMs: 1000 },
-    1000,
-  );
-  t.teardown(async () => {
-    await client.close();
-    server.close();
-  });
-  const send = (change: Change) =>
-    client.send({
-      step: 'test',
-      peer: 'server',
-      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-      method: 'POST',
-      path: '/',
-      ...change,
-    });
+  const { call, close } = await setUp((_message, response) => response.end());
   const unwritable: Change[] = [
     { headers: { 'keep-alive': 'timeout=5' } },
     { headers: { expect: '100-continue' } },
     { headers: { 'x-note': 'a\nb' } },
-    { headers: { 'content-length': '9' }, body: Buffer.from('four') },
+    { method: 'POST', headers: { 'content-length': '9' }, body: Buffer.from('four') },
     { path: '/a b' },
   ];
   for (const change of unwritable) {
-    const reply = await send(change);
+    const reply = await call('/', 1000, change);
     t.like(reply.isErr() ? reply.error : {}, {
       code: FaultCode.InvalidInput,
       outcome: Outcome.NotRun,
     });
   }
-  const replies = await Promise.all([send({}), send({})]);
+  const replies = await Promise.all(Array.from({ length: 4 }, () => call('/')));
   t.true(replies.every((reply) => reply.isOk()));
+  await close();
 });
+
+/** Ends of requests that have all connections and get no response. */
+const ENDS: Record<string, (abort: AbortController) => Partial<CallRequest>> = {
+  'cancelled before they are written': (abort) => {
+    queueMicrotask(() => abort.abort());
+    return {};
+  },
+  'cancelled while they wait for a response': (abort) => {
+    setTimeout(() => abort.abort(), 50);
+    return {};
+  },
+  'that time out': () => ({ timeoutMs: 50 }),
+};
+
+for (const [name, end] of Object.entries(ENDS)) {
+  test(`requests ${name} give their connections back`, async (t) => {
+    let isSilent = true;
+    const { call, close } = await setUp((_message, response) => {
+      if (!isSilent) response.end();
+    });
+    const waiting = Array.from({ length: 4 }, () => {
+      const abort = new AbortController();
+      return call('/', 10_000, { signal: abort.signal, ...end(abort) });
+    });
+    const refused = await call('/');
+    t.is(refused.isErr() && refused.error.code, FaultCode.Overloaded);
+    const ended = await Promise.all(waiting);
+    t.true(ended.every((reply) => reply.isErr()));
+    isSilent = false;
+    const replies = await Promise.all(Array.from({ length: 4 }, () => call('/')));
+    t.true(replies.every((reply) => reply.isOk()));
+    await close();
+  });
+}
