--- a/packages/gateway/src/attempt-policy.test.ts
+++ b/packages/gateway/src/attempt-policy.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { FaultCode, Outcome, type Fault } from '@jujubelanding/errors';
 import { RouteKind } from '@jujubelanding/route-table';
-import { decideNext, NextStep, type AttemptState } from './attempt-policy.js';
+import { decideNext, isWorkerFault, NextStep, type AttemptState } from './attempt-policy.js';
 
 const createFault = (outcome: Outcome): Fault => ({
   code: FaultCode.Interrupted,
@@ -60,3 +60,12 @@
   t.false(mayRepeat({ fault, runs: 0 }));
   t.false(mayRepeat({ fault, kind: RouteKind.NonIdempotent, runs: 0 }));
 });
+
+test('full workers and requests that cannot be written are no faults of workers', (t) => {
+  const isBlamed = (code: FaultCode): boolean =>
+    isWorkerFault({ ...createFault(Outcome.NotRun), code });
+  t.false(isBlamed(FaultCode.Overloaded));
+  t.false(isBlamed(FaultCode.InvalidInput));
+  t.true(isBlamed(FaultCode.Unavailable));
+  t.true(isBlamed(FaultCode.Timeout));
+});
--- a/packages/gateway/src/attempt-policy.ts
+++ b/packages/gateway/src/attempt-policy.ts
@@ -35,6 +35,15 @@
   remainingMs: number;
 }
 
+/** Codes of faults that are due to the load of a worker or to the request. */
+const BLAMELESS_CODES: ReadonlySet<FaultCode> = new Set([
+  FaultCode.Overloaded,
+  FaultCode.InvalidInput,
+]);
+
+/** True if the fault counts against the worker to which the request was sent. */
+export const isWorkerFault = ({ code }: Fault): boolean => !BLAMELESS_CODES.has(code);
+
 const mayRunAgain = (state: AttemptState): boolean => {
   if (state.runs >= state.maxRuns) return false;
   if (!mayRepeat(state)) return false;
--- a/packages/gateway/src/online-forwarder.ts
+++ b/packages/gateway/src/online-forwarder.ts
@@ -12,17 +12,11 @@
 import type { Timer } from '@jujubelanding/timer';
 import type { Worker } from '@jujubelanding/types';
 import { ResponseRelay } from './response-relay.js';
-import { decideNext, NextStep } from './attempt-policy.js';
+import { decideNext, isWorkerFault, NextStep } from './attempt-policy.js';
 import type { CallerExchange } from './caller-exchange.js';
 import { sendError } from './error-response.js';
 import { QueuePassage, toAdmissionRequest, type RequestQueue } from './queue-passage.js';
 
-/** Faults that are due to the load of a worker or to the request. */
-const BLAMELESS_CODES: ReadonlySet<FaultCode> = new Set([
-  FaultCode.Overloaded,
-  FaultCode.InvalidInput,
-]);
-
 export interface OnlineForwarderOptions {
   /** Lets requests wait for services that are full; without one, each request is sent at once. */
   queue?: RequestQueue;
@@ -260,7 +254,7 @@
       key: this.requestKey,
     });
     metrics.increment('online.attempt_failed', { code: fault.code });
-    if (!BLAMELESS_CODES.has(fault.code)) router.recordFault(worker);
+    if (isWorkerFault(fault)) router.recordFault(worker);
     if (fault.code === FaultCode.Interrupted || this.relay.isTruncated) this.recordLoss(worker);
   }
 
